Add thin path from look-up to answer as separate processes

Cause: the parts need a running path to plug into. Change: bfapi with all edge names, the entry's handlers and pipeline, a thin upstream client, the stand-in backend servers, the load generator, the command line, and a demo with one entry. Claims, slots and membership are plain parts that live in one process.

--- /dev/null
+++ b/internal/protocol/bfapi/lookup.go
@@ -0,0 +1,65 @@
+package bfapi
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"briarferry"
+)
+
+type (
+	// Lookup is the answer to a look-up.
+	Lookup struct {
+		Service       string        `json:"service"`
+		Entries       []LookupEntry `json:"entries"`
+		TTLSeconds    int           `json:"ttl_seconds"`
+		ConfigVersion uint64        `json:"config_version"`
+	}
+
+	// LookupEntry is one entry that a caller may use, best first.
+	LookupEntry struct {
+		Address       netip.AddrPort `json:"address"`
+		Region        string         `json:"region"`
+		FailureDomain string         `json:"failure_domain"`
+		Weight        int            `json:"weight"`
+	}
+
+	// AnnouncementReply tells a backend server its lease and the other entries.
+	AnnouncementReply struct {
+		LeaseSeconds float64          `json:"lease_seconds"`
+		Entries      []netip.AddrPort `json:"entries"`
+	}
+)
+
+// LookupClient returns the address whose block a look-up is for. A trusted
+// resolver may name another address than its own.
+func LookupClient(r *http.Request, trusted []netip.Prefix) (netip.Addr, error) {
+	own := CallerAddr(r)
+	text := r.URL.Query().Get(ParamClient)
+	if text == "" || !containsAddr(trusted, own) {
+		return own, nil
+	}
+	client, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Addr{}, briarferry.Findings{{Place: ParamClient, Message: "must be an IP address"}}
+	}
+	return client.Unmap(), nil
+}
+
+func containsAddr(prefixes []netip.Prefix, a netip.Addr) bool {
+	for _, p := range prefixes {
+		if p.Contains(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// WriteLookup answers a look-up with a matching cache lifetime.
+func WriteLookup(w http.ResponseWriter, l Lookup, ttl time.Duration) {
+	l.TTLSeconds = int(ttl.Seconds())
+	w.Header().Set(HeaderCacheControl, fmt.Sprintf("max-age=%d", l.TTLSeconds))
+	WriteJSON(w, http.StatusOK, l)
+}
--- /dev/null
+++ b/internal/protocol/bfapi/problem.go
@@ -0,0 +1,67 @@
+package bfapi
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"briarferry"
+)
+
+// Problem is the body of a failed request (RFC 9457).
+type Problem struct {
+	Title     string              `json:"title"`
+	Status    int                 `json:"status"`
+	Detail    string              `json:"detail,omitempty"`
+	Outcome   briarferry.Outcome  `json:"outcome,omitempty"`
+	RequestID string              `json:"request_id,omitempty"`
+	Findings  briarferry.Findings `json:"findings,omitempty"`
+}
+
+// WriteProblem answers with a problem document.
+func WriteProblem(w http.ResponseWriter, p Problem, retryAfter time.Duration) {
+	if p.Title == "" {
+		p.Title = http.StatusText(p.Status)
+	}
+	if retryAfter > 0 {
+		seconds := int(math.Ceil(retryAfter.Seconds()))
+		w.Header().Set(HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	if p.RequestID != "" {
+		w.Header().Set(HeaderRequestID, p.RequestID)
+	}
+	w.Header().Set("Content-Type", TypeProblem)
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// WriteError answers with the problem that the error describes.
+func WriteError(w http.ResponseWriter, requestID string, err error) {
+	var refusal *briarferry.Refusal
+	if errors.As(err, &refusal) {
+		WriteProblem(w, Problem{
+			Status: refusal.Status, Detail: refusal.Reason, Outcome: refusal.Outcome, RequestID: requestID,
+		}, refusal.RetryAfter)
+		return
+	}
+	var findings briarferry.Findings
+	if errors.As(err, &findings) {
+		WriteProblem(w, Problem{
+			Status: http.StatusBadRequest, Findings: findings, Outcome: briarferry.OutcomeNotRun, RequestID: requestID,
+		}, 0)
+		return
+	}
+	WriteProblem(w, Problem{
+		Status: http.StatusInternalServerError, Detail: "internal error", Outcome: briarferry.OutcomeUnknown, RequestID: requestID,
+	}, 0)
+}
+
+// WriteJSON answers with a JSON document.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", TypeJSON)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/transport/bfcommand/load.go
@@ -0,0 +1,148 @@
+package bfcommand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/transport/bfload"
+	"briarferry/internal/transport/bfstandin"
+)
+
+type (
+	// flowFile is the list of flows that the load command reads.
+	flowFile struct {
+		Flows []bfload.Flow `json:"flows"`
+	}
+
+	loadFlags struct {
+		entries, flows, standin, out string
+		duration                     time.Duration
+		seed                         uint64
+	}
+
+	// loadSummary is the last line of output.
+	loadSummary struct {
+		Requests   int `json:"requests"`
+		OK         int `json:"ok"`
+		NotRun     int `json:"not_run"`
+		Unknown    int `json:"unknown"`
+		Cut        int `json:"cut"`
+		Duplicates int `json:"duplicates"`
+		// FalseNotRun counts keys that ran although their caller was told "not run".
+		FalseNotRun int `json:"false_not_run"`
+	}
+)
+
+// Validate reports flows that can't be run.
+func (f *flowFile) Validate() briarferry.Findings {
+	var out briarferry.Findings
+	for i, flow := range f.Flows {
+		place := fmt.Sprintf("flows[%d]", i)
+		if !briarferry.ValidName(flow.Service) {
+			out.Add(place+".service", "must be a name: %q", flow.Service)
+		}
+		if flow.Rate <= 0 {
+			out.Add(place+".rate", "must be more than 0")
+		}
+		if flow.Timeout <= 0 {
+			out.Add(place+".timeout", "must be more than 0")
+		}
+	}
+	return out
+}
+
+func loadCommand() *command {
+	var f loadFlags
+	return &command{
+		name:     "load",
+		synopsis: "send open-loop load and report what callers saw",
+		flags: func(fs *flag.FlagSet) {
+			fs.StringVar(&f.entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries for look-ups, comma separated")
+			fs.StringVar(&f.flows, "flows", "", "file with the flows to send")
+			fs.StringVar(&f.standin, "standin", "", "admin address of the stand-in, to count executions")
+			fs.StringVar(&f.out, "out", "", "file for the full report as JSON")
+			fs.DurationVar(&f.duration, "for", 10*time.Second, "how long to send")
+			fs.Uint64Var(&f.seed, "seed", 1, "seed of the arrival times and keys")
+		},
+		run: func(ctx context.Context, _ []string) error { return f.run(ctx) },
+	}
+}
+
+func (f *loadFlags) run(ctx context.Context) error {
+	var v values
+	var flows flowFile
+	v.document("flows", f.flows, &flows)
+	entries := v.addresses("entries", f.entries)
+	var standin netip.AddrPort
+	if f.standin != "" {
+		standin = v.address("standin", f.standin)
+	}
+	v.positive("for", f.duration)
+	if err := v.findings.Err(); err != nil {
+		return err
+	}
+	g := &bfload.Generator{Entries: entries, Flows: flows.Flows, For: f.duration, Seed: f.seed}
+	report, err := g.Run(ctx)
+	if err != nil {
+		return err
+	}
+	return f.print(ctx, report, standin)
+}
+
+func (f *loadFlags) print(ctx context.Context, report *bfload.Report, standin netip.AddrPort) error {
+	report.WriteTable(os.Stdout)
+	for _, flow := range report.Flows {
+		for reason, n := range flow.Reasons {
+			fmt.Printf("%s urgency %d: %d times %s\n", flow.Flow.Service, flow.Flow.Urgency, n, reason)
+		}
+	}
+	if f.out != "" {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return fmt.Errorf("bfcommand: encode report: %w", err)
+		}
+		if err := os.WriteFile(f.out, data, 0o644); err != nil {
+			return fmt.Errorf("bfcommand: write report: %w", err)
+		}
+	}
+	t := report.Total
+	sum := loadSummary{Requests: t.Requests, OK: t.OK, NotRun: t.NotRun + t.Skipped, Unknown: t.Unknown, Cut: t.Cut}
+	if standin.IsValid() {
+		if err := sum.countExecutions(ctx, report, standin); err != nil {
+			return err
+		}
+	}
+	return json.NewEncoder(os.Stdout).Encode(sum)
+}
+
+func (s *loadSummary) countExecutions(ctx context.Context, report *bfload.Report, standin netip.AddrPort) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+standin.String()+"/executions", nil)
+	if err != nil {
+		return fmt.Errorf("bfcommand: build request: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("bfcommand: read executions: %w", err)
+	}
+	defer resp.Body.Close()
+	var e bfstandin.Executions
+	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+		return fmt.Errorf("bfcommand: read executions: %w", err)
+	}
+	s.Duplicates = e.Duplicates
+	for _, flow := range report.Flows {
+		for _, key := range flow.NotRunKeys {
+			if len(e.ByKey[key]) > 0 {
+				s.FalseNotRun++
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/bfcommand/serve.go
@@ -0,0 +1,123 @@
+package bfcommand
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry"
+	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bftrace"
+	"briarferry/internal/transport/bfupstream"
+)
+
+const stopWithin = 60 * time.Second
+
+type (
+	// serveFlags are the settings of a serve process as text.
+	serveFlags struct {
+		name, region, failureDomain string
+		http, rpc, gossip           string
+		peers, control, data        string
+		config, resolvers, logLevel string
+		traceEndpoint               string
+		traceShare                  float64
+		drainFor                    time.Duration
+	}
+
+	// serveSettings are the checked settings of a serve process.
+	serveSettings struct {
+		vm        briarferry.VM
+		peers     []netip.AddrPort
+		control   []netip.AddrPort
+		data      string
+		config    *briarferry.Config
+		resolvers []netip.Prefix
+		log       zerolog.Logger
+		trace     bftrace.Exporter
+		drainFor  time.Duration
+	}
+)
+
+func serveCommand() *command {
+	var f serveFlags
+	return &command{
+		name:     "serve",
+		synopsis: "run the system's process of an entry VM",
+		flags:    f.register,
+		run: func(ctx context.Context, _ []string) error {
+			s, err := f.check()
+			if err != nil {
+				return err
+			}
+			return s.run(ctx)
+		},
+	}
+}
+
+func (f *serveFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.name, "name", "", "name of this VM")
+	fs.StringVar(&f.region, "region", "", "region of this VM")
+	fs.StringVar(&f.failureDomain, "failure-domain", "", "failure domain of this VM")
+	fs.StringVar(&f.http, "http", "127.0.0.1:7000", "address for callers, backend servers and operators")
+	fs.StringVar(&f.rpc, "rpc", "127.0.0.1:7100", "address for calls between the system's processes")
+	fs.StringVar(&f.gossip, "gossip", "127.0.0.1:7200", "address for heartbeats")
+	fs.StringVar(&f.peers, "peers", "", "gossip addresses of the other VMs, comma separated")
+	fs.StringVar(&f.control, "control", "", "RPC addresses of the control VMs, comma separated")
+	fs.StringVar(&f.data, "data", "", "data folder; makes this VM a control replica")
+	fs.StringVar(&f.config, "config", "", "configuration file for a process that runs alone")
+	fs.StringVar(&f.resolvers, "trusted-resolvers", "", "prefixes of resolvers that may name the client of a look-up")
+	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
+	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
+	fs.Float64Var(&f.traceShare, "trace-share", 0.01, "share of new traces that are recorded")
+	fs.DurationVar(&f.drainFor, "drain-for", 5*time.Second, "time between the start of a drain and the refusal of new work")
+}
+
+func (f *serveFlags) check() (*serveSettings, error) {
+	var v values
+	s := &serveSettings{
+		vm: briarferry.VM{
+			Name: v.name("name", f.name), Region: v.name("region", f.region),
+			FailureDomain: v.name("failure-domain", f.failureDomain),
+			HTTP:          v.address("http", f.http), RPC: v.address("rpc", f.rpc), Gossip: v.address("gossip", f.gossip),
+			Incarnation: uint64(time.Now().UnixMicro()), Control: f.data != "",
+		},
+		peers:     v.addresses("peers", f.peers),
+		control:   v.addresses("control", f.control),
+		data:      f.data,
+		resolvers: v.prefixes("trusted-resolvers", f.resolvers),
+		log:       v.logger(f.logLevel).With().Str("vm", f.name).Logger(),
+		trace:     bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + f.name},
+		drainFor:  v.positive("drain-for", f.drainFor),
+	}
+	if f.config != "" {
+		s.config = &briarferry.Config{}
+		v.document("config", f.config, s.config)
+	}
+	return s, v.findings.Err()
+}
+
+func (s *serveSettings) run(ctx context.Context) error {
+	flush, err := s.trace.Start(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
+	members := bfentry.FixedMembers{Own: s.vm, All: []briarferry.VM{s.vm}}
+	pool := &bfentry.PlainPool{Share: 1}
+	entry := &bfentry.Entry{
+		Config:           bfentry.FixedConfig{Config: s.config},
+		Members:          members,
+		Placement:        bfentry.EqualPlacement{Members: members},
+		Announcements:    pool,
+		TrustedResolvers: s.resolvers,
+		Pipeline: &bfentry.Pipeline{
+			Claims: &bfentry.MemoryClaims{}, Admitter: pool, Upstream: bfupstream.New(),
+		},
+	}
+	server := &bfentry.Server{Listen: s.vm.HTTP, Entry: entry, Log: s.log, DrainFor: s.drainFor, StopWithin: stopWithin}
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/internal/transport/bfcommand/values.go
@@ -0,0 +1,93 @@
+package bfcommand
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+// values reads text settings and collects a finding for each bad one.
+type values struct {
+	findings briarferry.Findings
+}
+
+func (v *values) name(flag, text string) string {
+	if !briarferry.ValidName(text) {
+		v.findings.Add("--"+flag, "must be a name of letters, digits, dots, dashes or underscores: %q", text)
+	}
+	return text
+}
+
+func (v *values) address(flag, text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		v.findings.Add("--"+flag, "must be an IP address with a port: %q", text)
+	}
+	return a
+}
+
+func (v *values) addresses(flag, text string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, part := range splitList(text) {
+		out = append(out, v.address(flag, part))
+	}
+	return out
+}
+
+func (v *values) prefixes(flag, text string) []netip.Prefix {
+	var out []netip.Prefix
+	for _, part := range splitList(text) {
+		p, err := netip.ParsePrefix(part)
+		if err != nil {
+			v.findings.Add("--"+flag, "must be address prefixes such as 10.0.0.0/8: %q", part)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func (v *values) positive(flag string, d time.Duration) time.Duration {
+	if d <= 0 {
+		v.findings.Add("--"+flag, "must be more than 0")
+	}
+	return d
+}
+
+// document reads a JSON file strictly; its findings carry the file's name.
+func (v *values) document(flag, path string, out any) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		v.findings.Add("--"+flag, "%v", err)
+		return
+	}
+	err = bfapi.DecodeJSON(data, out)
+	if findings, ok := err.(briarferry.Findings); ok {
+		for _, f := range findings {
+			v.findings.Add(path+": "+f.Place, "%s", f.Message)
+		}
+	}
+}
+
+func (v *values) logger(level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		v.findings.Add("--log-level", "must be debug, info, warn or error: %q", level)
+	}
+	return zerolog.New(os.Stderr).Level(l).With().Timestamp().Logger()
+}
+
+func splitList(text string) []string {
+	var out []string
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transport/bfentry/handler.go
@@ -0,0 +1,99 @@
+// Package bfentry serves callers, backend servers and operators on an entry VM.
+package bfentry
+
+import (
+	"expvar"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+var tracer = otel.Tracer("briarferry/entry")
+
+type (
+	// Announcements takes what backend servers announce.
+	Announcements interface {
+		// Announce stores an announcement and tells the other entries.
+		Announce(a briarferry.Announcement) error
+		// Synced tells whether the table is as complete as that of the other entries.
+		Synced() bool
+	}
+
+	// Entry answers the HTTP requests of one entry VM. Its fields are set before use.
+	Entry struct {
+		Config        briarferry.ConfigSource
+		Members       briarferry.Members
+		Placement     briarferry.Placement
+		Announcements Announcements
+		Pipeline      *Pipeline
+		// TrustedResolvers may name the client of a look-up.
+		TrustedResolvers []netip.Prefix
+		// Operators serves the operators' paths; nil answers them with 404.
+		Operators http.Handler
+		// Draining is closed when the VM takes no new work because it stops.
+		Draining <-chan struct{}
+
+		// leaving is true from the start of a drain: answers then close their
+		// connections, so that none is reused when the VM stops.
+		leaving atomic.Bool
+	}
+)
+
+// Handler returns the entry's routes.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(bfapi.PathRequests, e.serveRequest)
+	mux.HandleFunc("GET "+bfapi.PathLookup, e.serveLookup)
+	mux.HandleFunc("POST "+bfapi.PathAnnouncements, e.serveAnnouncement)
+	mux.HandleFunc("GET "+bfapi.PathHealth, serveHealth)
+	mux.HandleFunc("GET "+bfapi.PathReady, e.serveReady)
+	mux.Handle("GET "+bfapi.PathVars, expvar.Handler())
+	if e.Operators != nil {
+		mux.Handle("/v1/", e.Operators)
+	}
+	return mux
+}
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	bfapi.WriteJSON(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := e.unready(); reason != "" {
+		bfapi.WriteProblem(w, bfapi.Problem{Status: http.StatusServiceUnavailable, Detail: reason}, time.Second)
+		return
+	}
+	bfapi.WriteJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+// unready returns why the entry takes no new work, or "".
+func (e *Entry) unready() string {
+	if e.isDraining() {
+		return "the VM is draining"
+	}
+	if _, _, ok := e.Config.Current(); !ok {
+		return "no valid configuration lease"
+	}
+	if !e.Members.Connected() {
+		return "cut off from most other VMs"
+	}
+	if !e.Announcements.Synced() {
+		return "the table of backend servers is not complete yet"
+	}
+	return ""
+}
+
+func (e *Entry) isDraining() bool {
+	select {
+	case <-e.Draining:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/transport/bfentry/server.go
@@ -0,0 +1,80 @@
+package bfentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry/internal/protocol/bfapi"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// Server serves an entry over HTTP and stops without cutting requests in flight.
+// Its fields are set before Run.
+type Server struct {
+	Listen netip.AddrPort
+	Entry  *Entry
+	Log    zerolog.Logger
+	// DrainFor is how long the server still answers after a stop was asked for, so
+	// that callers with a cached look-up have gone elsewhere.
+	DrainFor time.Duration
+	// StopWithin bounds the wait for requests in flight.
+	StopWithin time.Duration
+	// OnDrain is called when the drain begins.
+	OnDrain func()
+}
+
+// Run serves until ctx ends, then drains.
+func (s *Server) Run(ctx context.Context) error {
+	draining := make(chan struct{})
+	s.Entry.Draining = draining
+	s.Entry.leaving.Store(false)
+	ln, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return fmt.Errorf("bfentry: listen: %w", err)
+	}
+	srv := &http.Server{
+		Handler:           s.Entry.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    bfapi.MaxHeaderBytes,
+	}
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		s.drain(srv, draining)
+	})
+	defer stop()
+	s.Log.Info().Stringer("address", s.Listen).Msg("entry listens")
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("bfentry: serve: %w", err)
+	}
+	<-done
+	return nil
+}
+
+func (s *Server) drain(srv *http.Server, draining chan struct{}) {
+	s.Log.Info().Msg("entry drains")
+	s.Entry.leaving.Store(true)
+	if s.OnDrain != nil {
+		s.OnDrain()
+	}
+	time.Sleep(s.DrainFor)
+	close(draining)
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopWithin)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		s.Log.Error().Err(err).Msg("requests were still in flight at the end of the drain")
+		_ = srv.Close()
+	}
+}
--- /dev/null
+++ b/internal/transport/bfload/generator.go
@@ -0,0 +1,107 @@
+// Package bfload generates open-loop load, as callers with cached look-ups would.
+package bfload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"briarferry"
+)
+
+const (
+	maxOutstanding   = 20_000
+	clientDialWithin = 500 * time.Millisecond
+)
+
+type (
+	// Flow is the load of one service and urgency.
+	Flow struct {
+		Service string `json:"service"`
+		// Urgency is sent as Priority; a negative one sends none.
+		Urgency int     `json:"urgency"`
+		Rate    float64 `json:"rate"`
+		// Timeout is the time a caller waits.
+		Timeout briarferry.Duration `json:"timeout"`
+		// Keyed flows send POST requests with an idempotency key.
+		Keyed bool `json:"keyed"`
+		// Resend is how often a keyed request is sent again after an unknown outcome.
+		Resend int `json:"resend"`
+	}
+
+	// Generator sends the flows on schedule, whatever the answers do. Its fields are
+	// set before Run.
+	Generator struct {
+		Entries []netip.AddrPort
+		Flows   []Flow
+		For     time.Duration
+		Seed    uint64
+
+		lookups *lookups
+		client  *http.Client
+	}
+)
+
+// Run sends the load and returns what the callers saw.
+func (g *Generator) Run(ctx context.Context) (*Report, error) {
+	if len(g.Entries) == 0 || len(g.Flows) == 0 {
+		return nil, fmt.Errorf("bfload: needs at least one entry and one flow")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second}
+	g.client = &http.Client{Transport: transport}
+	defer transport.CloseIdleConnections()
+	g.lookups = &lookups{seeds: g.Entries, client: g.client}
+	report := &Report{Flows: make([]*FlowReport, len(g.Flows))}
+	var wg sync.WaitGroup
+	for i, f := range g.Flows {
+		report.Flows[i] = newFlowReport(f)
+		wg.Go(func() { g.runFlow(ctx, f, report.Flows[i], rand.New(rand.NewPCG(g.Seed, uint64(i)))) })
+	}
+	wg.Wait()
+	report.finish()
+	return report, nil
+}
+
+// runFlow starts each request at its scheduled time; gaps are exponential.
+func (g *Generator) runFlow(ctx context.Context, f Flow, out *FlowReport, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, maxOutstanding)
+	start := time.Now()
+	next := start
+	for ctx.Err() == nil {
+		next = next.Add(time.Duration(rng.ExpFloat64() / f.Rate * float64(time.Second)))
+		if next.Sub(start) > g.For {
+			return
+		}
+		if !sleepUntil(ctx, next) {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			out.skip()
+			continue
+		}
+		scheduled, seed := next, rng.Uint64()
+		wg.Go(func() {
+			defer func() { <-slots }()
+			out.add(g.send(ctx, f, scheduled, rand.New(rand.NewPCG(seed, 1))))
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
