--- /dev/null
+++ b/internal/state/bfconfig/answers.go
@@ -0,0 +1,105 @@
+// Package bfconfig turns an operator's answers into a configuration.
+package bfconfig
+
+import (
+	"fmt"
+
+	"briarferry"
+)
+
+// AnswersFormat marks an answers file and its version.
+const AnswersFormat = "briarferry_answers/1"
+
+const (
+	maxClasses = 4
+)
+
+type (
+	// Answers is what a team tells about its services.
+	Answers struct {
+		Format   string          `json:"format"`
+		Regions  []RegionAnswer  `json:"regions"`
+		Delays   DelayAnswers    `json:"delays"`
+		LinkMbit int             `json:"link_mbit"`
+		Classes  []ClassAnswer   `json:"classes"`
+		Services []ServiceAnswer `json:"services"`
+		Limits   LimitAnswers    `json:"limits"`
+	}
+
+	// RegionAnswer is a region with its failure domains.
+	RegionAnswer struct {
+		Name           string   `json:"name"`
+		FailureDomains []string `json:"failure_domains"`
+	}
+
+	// DelayAnswers are one-way delays.
+	DelayAnswers struct {
+		BetweenRegions        briarferry.Duration `json:"between_regions"`
+		BetweenFailureDomains briarferry.Duration `json:"between_failure_domains"`
+		ToCallers             briarferry.Duration `json:"to_callers"`
+	}
+
+	// ClassAnswer is a priority class; the list is ordered, most urgent first.
+	ClassAnswer struct {
+		Name   string              `json:"name"`
+		Target briarferry.Duration `json:"target"`
+		// FloorShare is optional; 0 stands for the default.
+		FloorShare float64 `json:"floor_share,omitempty"`
+	}
+
+	// ServiceAnswer is a service with its usual fleet.
+	ServiceAnswer struct {
+		Name            string              `json:"name"`
+		Class           string              `json:"class"`
+		Idempotent      bool                `json:"idempotent"`
+		Workers         int                 `json:"workers"`
+		Slots           int                 `json:"slots"`
+		ExpectedLatency briarferry.Duration `json:"expected_latency"`
+		// Regions is optional; an empty list stands for all regions.
+		Regions []string `json:"regions,omitempty"`
+	}
+
+	// LimitAnswers are optional; 0 stands for the default.
+	LimitAnswers struct {
+		CapacityShare  float64             `json:"capacity_share,omitempty"`
+		ShiftCapShare  float64             `json:"shift_cap_share,omitempty"`
+		ClaimRetention briarferry.Duration `json:"claim_retention,omitempty"`
+		ClaimCapacity  int                 `json:"claim_capacity,omitempty"`
+	}
+)
+
+// Validate reports every fault of the answers with its place.
+func (a *Answers) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if a.Format != AnswersFormat {
+		f.Add("format", "must be %q", AnswersFormat)
+	}
+	if a.LinkMbit < 1 {
+		f.Add("link_mbit", "must be at least 1")
+	}
+	if a.Delays.BetweenRegions < 0 || a.Delays.BetweenFailureDomains < 0 || a.Delays.ToCallers < 0 {
+		f.Add("delays", "must not be negative")
+	}
+	if n := len(a.Classes); n < 1 || n > maxClasses {
+		f.Add("classes", "must have 1 to %d entries", maxClasses)
+	}
+	if len(f) > 0 {
+		return f
+	}
+	// The generated configuration has the same places for everything else.
+	cfg, _ := build(a)
+	return cfg.Validate()
+}
+
+func (a *Answers) class(name string) (int, bool) {
+	for i, c := range a.Classes {
+		if c.Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func place(list string, i int, field string) string {
+	return fmt.Sprintf("%s[%d].%s", list, i, field)
+}
--- a/internal/transport/bfcommand/command.go
+++ b/internal/transport/bfcommand/command.go
@@ -39,7 +39,8 @@
 	fs := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	c := subcommands.NewCommander(fs, args[0])
 	c.Register(c.HelpCommand(), "")
-	for _, cmd := range []*command{serveCommand(), standinCommand(), loadCommand(), lookupCommand()} {
+	for _, cmd := range []*command{serveCommand(), standinCommand(), loadCommand(), lookupCommand(),
+		answersCommand(), generateCommand(), checkCommand()} {
 		c.Register(cmd, "")
 	}
 	if err := fs.Parse(args[1:]); err != nil {
--- /dev/null
+++ b/internal/transport/bfcommand/command_test.go
@@ -0,0 +1,64 @@
+package bfcommand
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestInterview guards against questions whose answers end up in the wrong field.
+func TestInterview(t *testing.T) {
+	lines := []string{"Recife,Salvador", "", "", "10ms", "", "", "?", "", "", "", "", "", "quotes", "?", "urgent", "yes", "20", "many", "9", ""}
+	iv := &interview{in: bufio.NewScanner(strings.NewReader(strings.Join(lines, "\n") + "\n")), out: io.Discard}
+	a, err := iv.run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Validate().Err(); err != nil {
+		t.Fatal(err)
+	}
+	s := a.Services[0]
+	if len(a.Regions) != 2 || a.Delays.BetweenRegions.Std().Milliseconds() != 10 || s.Slots != 9 || s.Workers != 20 || !s.Idempotent {
+		t.Errorf("wrong answers: %+v", a)
+	}
+}
+
+// TestServeReportsAllFindings guards against settings that are reported one by one.
+func TestServeReportsAllFindings(t *testing.T) {
+	f := serveFlags{name: "a b", region: "", http: "localhost", rpc: "127.0.0.1:1", gossip: "127.0.0.1:2", logLevel: "loud"}
+	_, err := f.check()
+	if err == nil {
+		t.Fatal("no findings")
+	}
+	for _, want := range []string{"--name", "--region", "--failure-domain", "--http", "--log-level", "--drain-for"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no finding for %s in:\n%v", want, err)
+		}
+	}
+}
+
+// TestExitCodes guards the documented exit codes.
+func TestExitCodes(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"format":"briarferry_answers/1","colour":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		args []string
+		want int
+	}{
+		{[]string{"check", "../../../examples/mantas.answers.json"}, 0},
+		{[]string{"check", bad}, 2},
+		{[]string{"check"}, 2},
+		{[]string{"serve", "--http", "nowhere"}, 2},
+		{[]string{"lookup", "--service", "x", "--entry", "127.0.0.1:1"}, 1},
+	}
+	for _, test := range tests {
+		if got := Main(append([]string{"briarferry"}, test.args...)); got != test.want {
+			t.Errorf("%v: exit code %d, want %d", test.args, got, test.want)
+		}
+	}
+}
