--- a/internal/transport/bfcommand/command.go
+++ b/internal/transport/bfcommand/command.go
@@ -40,7 +40,8 @@
 	c := subcommands.NewCommander(fs, args[0])
 	c.Register(c.HelpCommand(), "")
 	for _, cmd := range []*command{serveCommand(), standinCommand(), loadCommand(), lookupCommand(),
-		answersCommand(), generateCommand(), checkCommand()} {
+		answersCommand(), generateCommand(), checkCommand(), applyCommand(), drainCommand(), statusCommand(),
+	} {
 		c.Register(cmd, "")
 	}
 	if err := fs.Parse(args[1:]); err != nil {
--- /dev/null
+++ b/internal/transport/bfcommand/operator.go
@@ -0,0 +1,139 @@
+package bfcommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+const operatorTimeout = 15 * time.Second
+
+var errConflict = errors.New("bfcommand: the configuration was changed by somebody else; run apply again")
+
+// operatorClient calls the operators' paths of the first entry that answers.
+type operatorClient struct {
+	entries []netip.AddrPort
+	token   string
+}
+
+// operatorAnswer is an answer of an operators' path.
+type operatorAnswer struct {
+	status int
+	etag   string
+	body   []byte
+}
+
+// call sends a request to one entry after another until one answers. It is safe
+// for changes, since they carry an idempotency key.
+func (c *operatorClient) call(ctx context.Context, method, path string, header map[string]string, body any) (operatorAnswer, error) {
+	payload := []byte(nil)
+	if body != nil {
+		var err error
+		if payload, err = json.Marshal(body); err != nil {
+			return operatorAnswer{}, fmt.Errorf("bfcommand: encode request: %w", err)
+		}
+	}
+	var last error
+	for _, entry := range c.entries {
+		a, err := c.callOne(ctx, entry, method, path, header, payload)
+		if err == nil && a.status < http.StatusInternalServerError {
+			return a, nil
+		}
+		last = err
+		if err == nil {
+			last = problemError(a)
+		}
+	}
+	return operatorAnswer{}, last
+}
+
+func (c *operatorClient) callOne(ctx context.Context, entry netip.AddrPort, method, path string, header map[string]string, payload []byte) (operatorAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.String()+path, bytes.NewReader(payload))
+	if err != nil {
+		return operatorAnswer{}, fmt.Errorf("bfcommand: build request: %w", err)
+	}
+	req.Header.Set("Content-Type", bfapi.TypeJSON)
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return operatorAnswer{}, fmt.Errorf("bfcommand: call %s: %w", entry, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, bfapi.MaxControlBody))
+	if err != nil {
+		return operatorAnswer{}, fmt.Errorf("bfcommand: read answer: %w", err)
+	}
+	return operatorAnswer{status: resp.StatusCode, etag: resp.Header.Get(bfapi.HeaderETag), body: data}, nil
+}
+
+// problemError turns a failed answer into an error, findings included.
+func problemError(a operatorAnswer) error {
+	var p bfapi.Problem
+	if err := json.Unmarshal(a.body, &p); err != nil {
+		return fmt.Errorf("bfcommand: status %d", a.status)
+	}
+	if len(p.Findings) > 0 {
+		return p.Findings
+	}
+	return fmt.Errorf("bfcommand: status %d: %s", a.status, strings.TrimSpace(p.Title+" "+p.Detail))
+}
+
+// config returns the configuration in force and its entity tag.
+func (c *operatorClient) config(ctx context.Context) (*briarferry.Config, string, error) {
+	a, err := c.call(ctx, http.MethodGet, bfapi.PathConfig, nil, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	if a.status != http.StatusOK {
+		return nil, "", problemError(a)
+	}
+	cfg := &briarferry.Config{}
+	if err := json.Unmarshal(a.body, cfg); err != nil {
+		return nil, "", fmt.Errorf("bfcommand: read configuration: %w", err)
+	}
+	return cfg, a.etag, nil
+}
+
+// putConfig replaces the configuration that has the entity tag.
+func (c *operatorClient) putConfig(ctx context.Context, cfg *briarferry.Config, etag string) error {
+	header := map[string]string{bfapi.HeaderIfMatch: etag, bfapi.HeaderIdempotencyKey: bfapi.NewRequestID()}
+	a, err := c.call(ctx, http.MethodPut, bfapi.PathConfig, header, cfg)
+	switch {
+	case err != nil:
+		return err
+	case a.status == http.StatusPreconditionFailed:
+		return errConflict
+	case a.status != http.StatusOK:
+		return problemError(a)
+	}
+	return nil
+}
+
+func (c *operatorClient) status(ctx context.Context) (*bfapi.Status, error) {
+	a, err := c.call(ctx, http.MethodGet, bfapi.PathStatus, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	s := &bfapi.Status{}
+	if err := json.Unmarshal(a.body, s); err != nil {
+		return nil, fmt.Errorf("bfcommand: read status: %w", err)
+	}
+	return s, nil
+}
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -36,6 +36,8 @@
 		TrustedResolvers []netip.Prefix
 		// Operators serves the operators' paths; nil answers them with 404.
 		Operators http.Handler
+		// Local adds to this VM's status what the entry itself does not know.
+		Local func(s *bfapi.VMStatus)
 		// Draining is closed when the VM takes no new work because it stops.
 		Draining <-chan struct{}
 
@@ -53,6 +55,7 @@
 	mux.HandleFunc("POST "+bfapi.PathAnnouncements, e.serveAnnouncement)
 	mux.HandleFunc("GET "+bfapi.PathHealth, serveHealth)
 	mux.HandleFunc("GET "+bfapi.PathReady, e.serveReady)
+	mux.HandleFunc("GET "+bfapi.PathStatus, e.serveStatus)
 	mux.Handle("GET "+bfapi.PathVars, expvar.Handler())
 	if e.Operators != nil {
 		mux.Handle("/v1/", e.Operators)
