--- /dev/null
+++ b/internal/coordination/bfraft/membership.go
@@ -0,0 +1,72 @@
+package bfraft
+
+import (
+	"slices"
+
+	"briarferry/internal/state/bfcodec"
+)
+
+// caughtUpEntries is the number of entries that a learner may lack when it is promoted.
+const caughtUpEntries = 64
+
+func membershipEntry(m Membership) (Entry, error) {
+	data, err := bfcodec.Marshal(m)
+	if err != nil {
+		return Entry{}, err
+	}
+	return Entry{Kind: EntryMembership, Data: data}, nil
+}
+
+// ProposeChange appends a membership change. A change takes effect as soon as it
+// is in the log, so the next one must wait until it is committed, and a new leader
+// must first commit an entry of its own term.
+func (r *Raft) ProposeChange(c Change) (uint64, error) {
+	if r.role != Leader || r.transferee != "" {
+		return 0, ErrNotLeader
+	}
+	if t, _ := r.log.term(r.log.committed); r.log.membershipIndex > r.log.committed || t != r.term {
+		return 0, ErrChangePending
+	}
+	next, err := r.changed(c)
+	if err != nil {
+		return 0, err
+	}
+	e, err := membershipEntry(next)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.appendOwn(e); err != nil {
+		return 0, err
+	}
+	r.syncProgress()
+	return r.log.last(), nil
+}
+
+func (r *Raft) changed(c Change) (Membership, error) {
+	m := r.log.membership.clone()
+	is := func(id string) bool { return id == c.ID }
+	switch {
+	case c.Kind == AddLearner && c.ID != "" && !m.Contains(c.ID):
+		m.Learners = append(m.Learners, c.ID)
+	case c.Kind == Promote && slices.Contains(m.Learners, c.ID):
+		if !r.CaughtUp(c.ID) {
+			return m, ErrNotCaughtUp
+		}
+		m.Learners = slices.DeleteFunc(m.Learners, is)
+		m.Voters = append(m.Voters, c.ID)
+	case c.Kind == Remove && m.Contains(c.ID) && c.ID != r.cfg.ID:
+		m.Learners = slices.DeleteFunc(m.Learners, is)
+		m.Voters = slices.DeleteFunc(m.Voters, is)
+	default:
+		return m, ErrInvalidChange
+	}
+	slices.Sort(m.Voters)
+	slices.Sort(m.Learners)
+	return m, nil
+}
+
+// CaughtUp tells whether a peer answers and lacks only a few entries.
+func (r *Raft) CaughtUp(id string) bool {
+	p := r.progress[id]
+	return p != nil && p.state == streaming && p.silent <= r.cfg.ElectionTicks && p.match+caughtUpEntries >= r.log.last() && p.match > 0
+}
--- /dev/null
+++ b/internal/state/bfstorage/fs.go
@@ -0,0 +1,98 @@
+// Package bfstorage keeps a replica's log, hard state and snapshots on disk.
+package bfstorage
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"slices"
+)
+
+type (
+	// FS is the part of a file system that the storage uses. Data is durable after
+	// File.Sync, names are durable after SyncDir.
+	FS interface {
+		MkdirAll(dir string) error
+		// ReadDir returns the names of the files in a folder, sorted.
+		ReadDir(dir string) ([]string, error)
+		ReadFile(name string) ([]byte, error)
+		// Create makes an empty file, replacing one of the same name.
+		Create(name string) (File, error)
+		// Truncate cuts a file and syncs it.
+		Truncate(name string, size int64) error
+		Rename(from, to string) error
+		Remove(name string) error
+		SyncDir(dir string) error
+	}
+
+	// File is a file open for appending.
+	File interface {
+		io.Writer
+		Sync() error
+		Close() error
+	}
+
+	// OS is the real file system.
+	OS struct{}
+)
+
+// MkdirAll makes a folder and its parents.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o755) }
+
+// ReadDir lists the regular files of a folder.
+func (OS) ReadDir(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile reads a whole file.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Create makes an empty file.
+func (OS) Create(name string) (File, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Truncate cuts a file and syncs it.
+func (OS) Truncate(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Truncate(size), f.Sync(), f.Close())
+}
+
+// Rename gives a file another name, replacing a file of that name.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file; a file that does not exist is no error.
+func (OS) Remove(name string) error {
+	if err := os.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// SyncDir makes the names in a folder durable.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
--- /dev/null
+++ b/internal/state/bfstorage/memory.go
@@ -0,0 +1,263 @@
+package bfstorage
+
+import (
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrCrashed is returned by a Memory file system after its crash point.
+var ErrCrashed = eris.New("bfstorage: file system crashed")
+
+type (
+	// Memory is a file system in memory that can crash. Every write, sync, create,
+	// rename, remove and truncate counts as one operation.
+	Memory struct {
+		// Rand decides what survives a crash.
+		Rand *rand.Rand
+		// CrashAt is the number of the operation that crashes; zero means none.
+		CrashAt int
+
+		mu      sync.Mutex
+		ops     int
+		crashed bool
+		current map[string]*memoryNode
+		durable map[string]*memoryNode
+	}
+
+	memoryNode struct {
+		data   []byte
+		synced []byte
+	}
+
+	memoryFile struct {
+		fs   *Memory
+		node *memoryNode
+	}
+)
+
+// NewMemory returns an empty file system.
+func NewMemory(r *rand.Rand) *Memory {
+	return &Memory{Rand: r, current: map[string]*memoryNode{}, durable: map[string]*memoryNode{}}
+}
+
+// Ops returns the number of operations so far.
+func (m *Memory) Ops() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ops
+}
+
+// Crashed tells whether the crash point was reached.
+func (m *Memory) Crashed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.crashed
+}
+
+// AfterCrash returns the file system as a restarted machine finds it. Names and
+// data that were not synced may be lost or partly kept.
+func (m *Memory) AfterCrash() *Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := NewMemory(m.Rand)
+	names := map[string]bool{}
+	for name := range m.current {
+		names[name] = true
+	}
+	for name := range m.durable {
+		names[name] = true
+	}
+	survivors := map[*memoryNode]*memoryNode{}
+	sorted := make([]string, 0, len(names))
+	for name := range names {
+		sorted = append(sorted, name)
+	}
+	slices.Sort(sorted)
+	for _, name := range sorted {
+		node := m.durable[name]
+		if node != m.current[name] && m.Rand.IntN(2) == 0 {
+			node = m.current[name]
+		}
+		if node == nil {
+			continue
+		}
+		if survivors[node] == nil {
+			data := m.survive(node)
+			survivors[node] = &memoryNode{data: data, synced: slices.Clone(data)}
+		}
+		next.current[name], next.durable[name] = survivors[node], survivors[node]
+	}
+	return next
+}
+
+// survive returns a node's data after a crash: synced data, and of the rest a part
+// that ends at any byte or has a hole of zeros.
+func (m *Memory) survive(n *memoryNode) []byte {
+	if len(n.data) <= len(n.synced) {
+		return slices.Clone(n.synced)
+	}
+	rest := slices.Clone(n.data[len(n.synced):])
+	switch m.Rand.IntN(4) {
+	case 0:
+		from := m.Rand.IntN(len(rest))
+		clear(rest[from : from+1+m.Rand.IntN(len(rest)-from)])
+	case 1:
+	default:
+		rest = rest[:m.Rand.IntN(len(rest)+1)]
+	}
+	return append(slices.Clone(n.synced), rest...)
+}
+
+// begin counts an operation; the one at the crash point runs and then fails, or
+// fails without effect.
+func (m *Memory) begin() (run bool, err error) {
+	if m.crashed {
+		return false, ErrCrashed
+	}
+	m.ops++
+	if m.CrashAt == 0 || m.ops < m.CrashAt {
+		return true, nil
+	}
+	m.crashed = true
+	return m.Rand.IntN(2) == 0, ErrCrashed
+}
+
+func (m *Memory) change(fn func() error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	run, err := m.begin()
+	if run {
+		if failed := fn(); failed != nil {
+			return failed
+		}
+	}
+	return err
+}
+
+// MkdirAll does nothing: every folder exists.
+func (m *Memory) MkdirAll(string) error { return nil }
+
+// ReadDir lists the files of a folder.
+func (m *Memory) ReadDir(dir string) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name := range m.current {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, strings.TrimPrefix(name, filepath.Clean(dir)+"/"))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile reads a whole file.
+func (m *Memory) ReadFile(name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.current[filepath.Clean(name)]
+	if n == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(n.data), nil
+}
+
+// Create makes an empty file.
+func (m *Memory) Create(name string) (File, error) {
+	n := &memoryNode{}
+	err := m.change(func() error {
+		m.current[filepath.Clean(name)] = n
+		return nil
+	})
+	return &memoryFile{fs: m, node: n}, err
+}
+
+// Truncate cuts a file and syncs it.
+func (m *Memory) Truncate(name string, size int64) error {
+	return m.change(func() error {
+		n := m.current[filepath.Clean(name)]
+		if n == nil || size > int64(len(n.data)) {
+			return fs.ErrNotExist
+		}
+		n.data = slices.Clone(n.data[:size])
+		n.synced = slices.Clone(n.data)
+		return nil
+	})
+}
+
+// Rename gives a file another name.
+func (m *Memory) Rename(from, to string) error {
+	return m.change(func() error {
+		n := m.current[filepath.Clean(from)]
+		if n == nil {
+			return fs.ErrNotExist
+		}
+		delete(m.current, filepath.Clean(from))
+		m.current[filepath.Clean(to)] = n
+		return nil
+	})
+}
+
+// Remove removes a file.
+func (m *Memory) Remove(name string) error {
+	return m.change(func() error {
+		delete(m.current, filepath.Clean(name))
+		return nil
+	})
+}
+
+// SyncDir makes the names in a folder durable.
+func (m *Memory) SyncDir(dir string) error {
+	return m.change(func() error {
+		in := func(name string) bool { return filepath.Dir(name) == filepath.Clean(dir) }
+		for name := range m.durable {
+			if in(name) && m.current[name] == nil {
+				delete(m.durable, name)
+			}
+		}
+		for name, n := range m.current {
+			if in(name) {
+				m.durable[name] = n
+			}
+		}
+		return nil
+	})
+}
+
+// Corrupt inverts one byte of a file.
+func (m *Memory) Corrupt(name string, at int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.current[filepath.Clean(name)]
+	n.data[at] ^= 0xff
+	n.synced = slices.Clone(n.data)
+}
+
+// Write appends to the file.
+func (f *memoryFile) Write(p []byte) (int, error) {
+	err := f.fs.change(func() error {
+		f.node.data = append(f.node.data, p...)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Sync makes the file's data durable.
+func (f *memoryFile) Sync() error {
+	return f.fs.change(func() error {
+		f.node.synced = slices.Clone(f.node.data)
+		return nil
+	})
+}
+
+// Close does nothing.
+func (f *memoryFile) Close() error { return nil }
