--- /dev/null
+++ b/internal/coordination/bfreplica/join.go
@@ -0,0 +1,162 @@
+package bfreplica
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfraft"
+)
+
+const (
+	formInterval = 300 * time.Millisecond
+	formTimeout  = 2 * time.Second
+)
+
+// form makes an empty replica part of a group: of a new one where every control VM
+// is present and empty, or of the existing one as a learner.
+func (n *Node) form(ctx context.Context) {
+	ticker := time.NewTicker(formInterval)
+	defer ticker.Stop()
+	for {
+		if n.Info().LastIndex > 0 {
+			return
+		}
+		n.tryForm(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) tryForm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, formTimeout)
+	defer cancel()
+	own := n.Info()
+	ids := []string{own.ID}
+	for _, vm := range n.Control {
+		if vm == n.VM {
+			continue
+		}
+		info, err := n.Discovery.Info(ctx, vm)
+		if err != nil {
+			continue
+		}
+		if info.LastIndex > 0 {
+			n.enter(ctx, vm, info)
+			return
+		}
+		if vmOf(info.ID) == vm {
+			ids = append(ids, info.ID)
+		}
+	}
+	// Only the first VM by name starts a group; the others take its voters over.
+	// Two starters could see different disk ids while one of the folders is replaced.
+	if len(ids) == len(n.Control) && n.VM == slices.Min(n.Control) {
+		n.bootstrap(ctx, ids)
+	}
+}
+
+// enter joins the group of a replica that is not empty.
+func (n *Node) enter(ctx context.Context, vm string, info Info) {
+	if slices.Contains(info.FirstVoters, n.Info().ID) {
+		n.bootstrap(ctx, info.FirstVoters)
+		return
+	}
+	targets := []string{vm}
+	if leader := vmOf(info.Leader); leader != "" && leader != vm {
+		targets = append(targets, leader)
+	}
+	for _, target := range targets {
+		if target != n.VM && n.Discovery.Join(ctx, target, n.Info().ID) == nil {
+			n.Log.Info().Str("vm", target).Msg("replica asked to join")
+			return
+		}
+	}
+}
+
+func (n *Node) bootstrap(ctx context.Context, voters []string) {
+	_ = n.call(ctx, func() {
+		if err := n.core.Bootstrap(voters); err == nil {
+			n.Log.Info().Strs("voters", voters).Msg("group formed")
+		}
+	})
+}
+
+// Join adds an empty replica as a learner where this replica leads.
+func (n *Node) Join(ctx context.Context, id string) error {
+	if !slices.Contains(n.Control, vmOf(id)) {
+		return eris.Errorf("bfreplica: %q is on no control VM", id)
+	}
+	var failed error
+	err := n.call(ctx, func() {
+		if n.core.Role() != bfraft.Leader {
+			failed = briarferry.ErrNotLeader
+			return
+		}
+		if !n.core.Membership().Contains(id) {
+			_, failed = n.core.ProposeChange(bfraft.Change{Kind: bfraft.AddLearner, ID: id})
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// keepHouse runs about every half second. It ends lost reads and, on the leader,
+// promotes learners that have caught up and removes replaced replicas.
+func (n *Node) keepHouse() {
+	n.housekeep++
+	if n.housekeep%10 != 0 {
+		return
+	}
+	n.expireReads()
+	if n.core.Role() != bfraft.Leader {
+		return
+	}
+	if c, ok := n.dueChange(); ok {
+		if _, err := n.core.ProposeChange(c); err == nil {
+			n.Log.Info().Str("id", c.ID).Uint8("kind", uint8(c.Kind)).Msg("membership change")
+		}
+	}
+}
+
+func (n *Node) dueChange() (bfraft.Change, bool) {
+	m := n.core.Membership()
+	for _, id := range m.Learners {
+		if n.core.CaughtUp(id) {
+			return bfraft.Change{Kind: bfraft.Promote, ID: id}, true
+		}
+	}
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		if n.replaced(m, id) {
+			return bfraft.Change{Kind: bfraft.Remove, ID: id}, true
+		}
+	}
+	return bfraft.Change{}, false
+}
+
+// replaced tells whether a silent replica has a successor that answers on the same
+// VM. A voter is removed only for a voter, so that the group never gets smaller.
+func (n *Node) replaced(m bfraft.Membership, id string) bool {
+	limit := int(n.ElectionTimeout / n.Tick)
+	if id == n.core.ID() || n.core.Silent(id) < limit {
+		return false
+	}
+	successors := m.Voters
+	if slices.Contains(m.Learners, id) {
+		successors = slices.Concat(m.Voters, m.Learners)
+	}
+	for _, other := range successors {
+		if other != id && vmOf(other) == vmOf(id) && n.core.Silent(other) < limit {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/transport/bfrpc/codec.go
+++ b/internal/transport/bfrpc/codec.go
@@ -40,15 +40,13 @@
 		}
 		return connect.NewResponse(res), nil
 	}
-	mux.Handle(procedure, connect.NewUnaryHandler(procedure, call,
-		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxCallBytes)))
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, call, handlerOptions()...))
 }
 
 // NewCall returns a function that makes a unary call at the given base address,
 // such as "http://127.0.0.1:7000".
 func NewCall[Req, Res any](client connect.HTTPClient, base, procedure string) func(context.Context, *Req) (*Res, error) {
-	c := connect.NewClient[Req, Res](client, strings.TrimSuffix(base, "/")+procedure,
-		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxCallBytes), connect.WithSendMaxBytes(maxCallBytes))
+	c := connect.NewClient[Req, Res](client, strings.TrimSuffix(base, "/")+procedure, clientOptions()...)
 	return func(ctx context.Context, req *Req) (*Res, error) {
 		res, err := c.CallUnary(ctx, connect.NewRequest(req))
 		if err != nil {
@@ -57,3 +55,18 @@
 		return res.Msg, nil
 	}
 }
+
+// handlerOptions leaves compression out: messages are short or already dense, and
+// the control overhead per node is bounded.
+func handlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{
+		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxCallBytes), connect.WithCompression("gzip", nil, nil),
+	}
+}
+
+func clientOptions() []connect.ClientOption {
+	return []connect.ClientOption{
+		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxCallBytes), connect.WithSendMaxBytes(maxCallBytes),
+		connect.WithAcceptCompression("gzip", nil, nil),
+	}
+}
--- /dev/null
+++ b/internal/transport/bfrpc/raft_test.go
@@ -0,0 +1,299 @@
+package bfrpc
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"briarferry/internal/coordination/bfraft"
+	"briarferry/internal/coordination/bfreplica"
+)
+
+// recorder is a state machine that keeps every command in order.
+type recorder struct {
+	mu   sync.Mutex
+	cmds []string
+}
+
+func (r *recorder) Apply(_ uint64, cmd []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cmds = append(r.cmds, string(cmd))
+	return cmd
+}
+
+func (r *recorder) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b []byte
+	for _, c := range r.cmds {
+		b = binary.AppendUvarint(b, uint64(len(c)))
+		b = append(b, c...)
+	}
+	return b, nil
+}
+
+func (r *recorder) Restore(b []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cmds = nil
+	for len(b) > 0 {
+		n, w := binary.Uvarint(b)
+		r.cmds = append(r.cmds, string(b[w:w+int(n)]))
+		b = b[w+int(n):]
+	}
+	return nil
+}
+
+func (r *recorder) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.cmds)
+}
+
+type process struct {
+	node    *bfreplica.Node
+	machine *recorder
+	stop    func()
+}
+
+type loopback struct {
+	t     *testing.T
+	dir   string
+	peers map[string]netip.AddrPort
+	up    map[string]*process
+}
+
+func newLoopback(t *testing.T, names ...string) *loopback {
+	l := &loopback{t: t, dir: t.TempDir(), peers: map[string]netip.AddrPort{}, up: map[string]*process{}}
+	listeners := map[string]net.Listener{}
+	for _, name := range names {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[name] = ln
+		l.peers[name] = ln.Addr().(*net.TCPAddr).AddrPort()
+	}
+	for _, name := range names {
+		l.start(name, listeners[name])
+	}
+	t.Cleanup(func() {
+		for _, p := range l.up {
+			p.stop()
+		}
+	})
+	return l
+}
+
+func (l *loopback) start(name string, ln net.Listener) {
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", l.peers[name].String()); err != nil {
+			l.t.Fatal(err)
+		}
+	}
+	client := &RaftClient{Peers: l.peers}
+	p := &process{machine: &recorder{}}
+	p.node = &bfreplica.Node{
+		VM: name, Control: []string{"a", "b", "c"}, Dir: filepath.Join(l.dir, name), Machine: p.machine,
+		Transport: client, Discovery: client, SnapshotEntries: 100,
+	}
+	mux := http.NewServeMux()
+	HandleRaft(mux, p.node)
+	server := NewServer(mux)
+	nodeCtx, stopNode := context.WithCancel(context.Background())
+	netCtx, stopNet := context.WithCancel(context.Background())
+	var nodeDone, netDone sync.WaitGroup
+	netDone.Go(func() { _ = server.Serve(ln) })
+	netDone.Go(func() { _ = client.Run(netCtx) })
+	nodeDone.Go(func() {
+		if err := p.node.Run(nodeCtx); err != nil {
+			l.t.Errorf("%s: %v", name, err)
+		}
+	})
+	p.stop = func() {
+		stopNode()
+		nodeDone.Wait()
+		stopNet()
+		_ = server.Close()
+		netDone.Wait()
+	}
+	l.up[name] = p
+}
+
+func (l *loopback) stop(name string) {
+	l.up[name].stop()
+	delete(l.up, name)
+}
+
+// propose tries all replicas until one commits the command.
+func (l *loopback) propose(cmd string) {
+	l.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, p := range l.up {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := p.node.Propose(ctx, []byte(cmd))
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	l.t.Fatalf("no replica committed %q", cmd)
+}
+
+func (l *loopback) eventually(what string, ok func() bool) {
+	l.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	for name, p := range l.up {
+		l.t.Logf("%s: %+v", name, p.node.Status())
+	}
+	l.t.Fatalf("not reached in time: %s", what)
+}
+
+func (l *loopback) leader() string {
+	for name, p := range l.up {
+		if p.node.Status().IsLeader {
+			return name
+		}
+	}
+	return ""
+}
+
+func (l *loopback) agree(count int) func() bool {
+	return func() bool {
+		var first []string
+		for _, p := range l.up {
+			got := dedupe(p.machine.list())
+			if len(got) != count {
+				return false
+			}
+			if first == nil {
+				first = got
+			} else if !slices.Equal(first, got) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// dedupe drops the repeats that a resent command leaves.
+func dedupe(cmds []string) []string {
+	seen, out := map[string]bool{}, []string{}
+	for _, c := range cmds {
+		if !seen[c] {
+			seen[c] = true
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (l *loopback) load(from, to int) {
+	for i := from; i < to; i++ {
+		l.propose(fmt.Sprintf("command %d", i))
+	}
+}
+
+// TestLoopbackLeaderStopAndWipedFolder guards against a group that doesn't survive a
+// stopped leader, a lost data folder or the return of the VM with a new disk id.
+func TestLoopbackLeaderStopAndWipedFolder(t *testing.T) {
+	l := newLoopback(t, "a", "b", "c")
+	l.load(0, 150)
+	l.eventually("three equal replicas", l.agree(150))
+	old := l.leader()
+	l.stop(old)
+	l.load(150, 300)
+	l.start(old, nil)
+	l.eventually("restarted leader caught up", l.agree(300))
+
+	wiped := "b"
+	oldID := l.up[wiped].node.Status().ID
+	l.stop(wiped)
+	if err := os.RemoveAll(filepath.Join(l.dir, wiped)); err != nil {
+		t.Fatal(err)
+	}
+	l.load(300, 350)
+	l.start(wiped, nil)
+	l.load(350, 400)
+	l.eventually("wiped replica caught up", l.agree(400))
+	l.eventually("old id replaced", func() bool {
+		newID := l.up[wiped].node.Status().ID
+		for _, p := range l.up {
+			s := p.node.Status()
+			if len(s.Voters) != 3 || !slices.Contains(s.Voters, newID) || slices.Contains(s.Voters, oldID) {
+				return false
+			}
+		}
+		return newID != oldID
+	})
+	l.eventually("a leader with a lease", func() bool {
+		name := l.leader()
+		return name != "" && !l.up[name].node.Status().LeaseUntil.IsZero()
+	})
+	for _, p := range l.up {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		if _, err := p.node.ReadIndex(ctx); err != nil {
+			t.Errorf("read index at %s: %v", p.node.VM, err)
+		}
+		cancel()
+	}
+}
+
+// TestInvalidBatchIsRefused guards against malformed messages that reach the replica.
+func TestInvalidBatchIsRefused(t *testing.T) {
+	for name, b := range map[string]RaftBatch{
+		"no type":   {Messages: testMessages(0, "a", "b")},
+		"no sender": {Messages: testMessages(1, "", "b")},
+		"too many":  {Messages: make([]bfraft.Message, maxBatchMessages+1)},
+	} {
+		data, err := Codec{}.Marshal(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (Codec{}).Unmarshal(data, new(RaftBatch)); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if f := (&JoinRequest{ID: "a"}).Validate(); f.Err() == nil {
+		t.Error("id without disk accepted")
+	}
+}
+
+func FuzzRaftBatch(f *testing.F) {
+	data, _ := Codec{}.Marshal(RaftBatch{Sequence: 1, Messages: testMessages(5, "a/1", "b/2")})
+	f.Add(data)
+	f.Add([]byte{0xa1, 0x02, 0x81, 0xa0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var batch RaftBatch
+		if (Codec{}).Unmarshal(b, &batch) != nil {
+			return
+		}
+		for _, m := range batch.Messages {
+			if m.From == "" || m.To == "" {
+				t.Fatal("message without sender or receiver accepted")
+			}
+		}
+	})
+}
+
+func testMessages(kind bfraft.MessageType, from, to string) []bfraft.Message {
+	return []bfraft.Message{{Type: kind, From: from, To: to, Term: 1}}
+}
