--- /dev/null
+++ b/internal/coordination/bfadmission/queue_test.go
@@ -0,0 +1,133 @@
+package bfadmission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarferry"
+)
+
+// naive is the queue as one unsorted list with a full scan for every decision.
+type naive struct {
+	waiting []*waiter
+	floors  map[int]float64
+	credit  map[int]float64
+}
+
+func (n *naive) head(urgency int) *waiter {
+	var best *waiter
+	for _, w := range n.waiting {
+		if w.ticket.Class.Urgency != urgency {
+			continue
+		}
+		if best == nil || w.ticket.Deadline.Before(best.ticket.Deadline) ||
+			w.ticket.Deadline.Equal(best.ticket.Deadline) && w.sequence < best.sequence {
+			best = w
+		}
+	}
+	return best
+}
+
+func (n *naive) next(hold float64) *waiter {
+	for urgency := range 8 {
+		if w := n.head(urgency); w != nil && n.floors[urgency] > 0 && n.credit[urgency] >= hold {
+			return w
+		}
+	}
+	for urgency := range 8 {
+		if w := n.head(urgency); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+func (n *naive) remove(w *waiter) {
+	n.waiting = slices.DeleteFunc(n.waiting, func(e *waiter) bool { return e == w })
+}
+
+// TestQueueAgainstNaive guards against waiters served out of order, lost or
+// served twice: every decision must equal that of a full scan.
+func TestQueueAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hold = 0.02
+		start := time.Unix(1000, 0)
+		now := start
+		q := &queue{capacity: rapid.IntRange(1, 9).Draw(t, "capacity")}
+		n := &naive{floors: map[int]float64{}, credit: map[int]float64{}}
+		q.accrue(now)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1, 2:
+				urgency := rapid.IntRange(0, 3).Draw(t, "urgency")
+				w := &waiter{ticket: briarferry.Ticket{
+					Class:    briarferry.PriorityClass{Urgency: urgency, FloorShare: float64(urgency) * 0.1},
+					Deadline: now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "deadline")) * time.Second),
+					Expected: time.Duration(hold * float64(time.Second)),
+				}}
+				q.push(w)
+				n.waiting = append(n.waiting, w)
+				n.floors[urgency] = w.ticket.Class.FloorShare
+			case 3:
+				if len(n.waiting) == 0 {
+					continue
+				}
+				w := n.waiting[rapid.IntRange(0, len(n.waiting)-1).Draw(t, "leaver")]
+				if !q.remove(w) || q.remove(w) {
+					t.Fatalf("waiter %d must leave exactly once", w.sequence)
+				}
+				n.remove(w)
+			default:
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				q.accrue(now)
+			}
+			for _, c := range q.classes {
+				n.credit[c.urgency] = c.credit
+			}
+			c, w := q.next()
+			if want := n.next(hold); w != want {
+				t.Fatalf("next waiter is %+v, full scan says %+v", w, want)
+			}
+			if q.waiters() != len(n.waiting) {
+				t.Fatalf("%d waiters, want %d", q.waiters(), len(n.waiting))
+			}
+			if w != nil && rapid.Bool().Draw(t, "serve") {
+				q.charge(now, c, w.ticket.Expected)
+				q.remove(w)
+				n.remove(w)
+			}
+		}
+	})
+}
+
+// TestFloorEarnings guards against credit that grows beyond its bound or falls
+// short of the class's share.
+func TestFloorEarnings(t *testing.T) {
+	cases := []struct {
+		name    string
+		share   float64
+		slots   int
+		elapsed time.Duration
+		want    float64
+	}{
+		{"share of the held slots", 0.1, 100, 200 * time.Millisecond, 0.2},
+		{"one slot of the service at least", 0.1, 5, 200 * time.Millisecond, 0.4},
+		{"bounded while idle", 0.1, 100, time.Hour, 0.5},
+		{"no floor", 0, 5, time.Second, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			q := &queue{capacity: 10, slots: tc.slots}
+			c := q.class(briarferry.PriorityClass{Urgency: 1, FloorShare: tc.share})
+			q.accrue(now)
+			q.accrue(now.Add(tc.elapsed))
+			if diff := c.credit - tc.want; diff > 1e-9 || diff < -1e-9 {
+				t.Fatalf("credit %v, want %v", c.credit, tc.want)
+			}
+		})
+	}
+}
