Deepen the upstream client with its own connections

Cause: net/http's Transport hides which connection a try used, so that silent connections can't be discarded by age, nor bytes sent be told from none. Change: bfupstream keeps its own connections over net/http's message reader and writer, checks ids and lengths, respects the connection limit, and closes older connections with a silent one. Stand-ins echo Request-Id when shedding.

--- a/internal/transport/bfstandin/server.go
+++ b/internal/transport/bfstandin/server.go
@@ -142,6 +142,7 @@
 	if int(busy) > s.Slots {
 		s.shed.Add(1)
 		w.Header().Set(bfapi.HeaderShed, "1")
+		w.Header().Set(bfapi.HeaderRequestID, r.Header.Get(bfapi.HeaderRequestID))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -19,74 +21,207 @@
 )
 
 const (
-	dialTimeout    = 250 * time.Millisecond
-	idleTimeout    = 5 * time.Second
+	// dialTimeout covers the round trip between the most distant regions twice.
+	dialTimeout = 250 * time.Millisecond
+	idleTimeout = 5 * time.Second
+	// maxAnswerBytes bounds the head and the body of one answer.
 	maxAnswerBytes = 16 << 20
 )
 
-var errCrossed = errors.New("answer carries the id of another request")
+var (
+	// ErrCrossed marks an answer that lacks the id of its request.
+	ErrCrossed = errors.New("answer does not carry the request's id")
+	// ErrTruncated marks an answer that ended before its announced end, or whose
+	// end is not announced.
+	ErrTruncated = errors.New("answer is not complete")
+	// ErrShed marks a request that the server refused for its own load.
+	ErrShed = errors.New("server shed the request")
+	// ErrConnectionLimit marks a try for which the server has no connection left.
+	ErrConnectionLimit = errors.New("connection limit of the server is reached")
+)
 
-// Client sends one try at a time to a backend server. Its zero value is not
-// usable; call New.
-type Client struct {
-	http *http.Client
-}
+type (
+	// Client sends tries to backend servers over its own connections. Its fields
+	// are set before use.
+	Client struct {
+		// Dial opens a connection; nil means TCP.
+		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+		// Entries returns the number of entries that share a server's connection
+		// limit; nil means one.
+		Entries func() int
 
-// New returns a client with its own connections.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
-}
+		mu    sync.Mutex
+		pools map[netip.AddrPort]*pool
+	}
+
+	// attempt is one try with its request as it is written.
+	attempt struct {
+		request *http.Request
+		id      string
+		backend briarferry.BackendID
+	}
+)
+
+// New returns a client that connects over TCP.
+func New() *Client { return &Client{} }
 
-// Do sends the request and reads the whole answer.
+// Do sends the request once and reads the whole answer, or returns a
+// *briarferry.TryError.
 func (c *Client) Do(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*briarferry.Answer, error) {
 	out, err := newRequest(ctx, b, r)
 	if err != nil {
 		return nil, &briarferry.TryError{Backend: b.ID(), Err: err}
 	}
-	resp, err := c.http.Do(out)
+	p := c.pool(b.Address)
+	defer c.release(p)
+	conn, err := p.take(ctx, c.limit(b))
+	if err != nil {
+		return nil, &briarferry.TryError{
+			Backend: b.ID(), ServerGone: isRefused(err), Silent: isTimeout(ctx, err), Err: err,
+		}
+	}
+	a, err := c.exchange(ctx, conn, attempt{request: out, id: r.ID, backend: b.ID()})
 	if err != nil {
-		return nil, &briarferry.TryError{Backend: b.ID(), Dispatched: !isDialError(err), ConnectionDied: !errors.Is(err, context.DeadlineExceeded), Err: err}
+		c.inspect(ctx, p, b, err)
+		return nil, err
+	}
+	return a, nil
+}
+
+// exchange writes the request and waits for its answer.
+func (c *Client) exchange(ctx context.Context, conn *conn, t attempt) (*briarferry.Answer, error) {
+	stop := context.AfterFunc(ctx, conn.close)
+	results, err := conn.send(t.request)
+	if err != nil {
+		stop()
+		conn.discard(ctx)
+		return nil, t.failure(ctx, conn, err)
+	}
+	got := <-results
+	if !stop() && got.err == nil {
+		// The answer came in with the end of the try; it counts as late.
+		got.err = context.Cause(ctx)
+	}
+	if got.err != nil {
+		conn.discard(ctx)
+		return nil, t.failure(ctx, conn, got.err)
+	}
+	return t.check(conn, got)
+}
+
+// check accepts the answer only if it belongs to the request.
+func (t attempt) check(conn *conn, got result) (*briarferry.Answer, error) {
+	if got.response.Header.Get(bfapi.HeaderRequestID) != t.id {
+		// The rest of what this connection delivers can't be trusted either.
+		conn.close()
+		return nil, &briarferry.TryError{Backend: t.backend, Dispatched: true, Err: ErrCrossed}
+	}
+	conn.keep(got.response.Close || t.request.Close)
+	if got.response.StatusCode == http.StatusServiceUnavailable && got.response.Header.Get(bfapi.HeaderShed) != "" {
+		return nil, &briarferry.TryError{Backend: t.backend, Err: ErrShed}
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return &briarferry.Answer{
+		Status: got.response.StatusCode,
+		Header: bfapi.ForwardHeader(got.response.Header),
+		Body:   got.body,
+	}, nil
+}
+
+// failure describes a try that ended without a whole answer.
+func (t attempt) failure(ctx context.Context, conn *conn, err error) *briarferry.TryError {
+	ended := ctx.Err()
+	e := &briarferry.TryError{
+		Backend:        t.backend,
+		Dispatched:     conn.written.Load() > 0,
+		ConnectionDied: ended == nil && !errors.Is(err, errTooLarge),
+		Silent:         errors.Is(ended, context.DeadlineExceeded),
+		Err:            err,
+	}
+	if ended != nil {
+		e.Err = context.Cause(ctx)
+	}
+	return e
+}
+
+// inspect finds out whether a server whose connection died still takes new ones.
+func (c *Client) inspect(ctx context.Context, p *pool, b briarferry.Backend, err error) {
+	var tryErr *briarferry.TryError
+	if !errors.As(err, &tryErr) || !tryErr.ConnectionDied {
+		return
+	}
+	conn, err := p.open(ctx, c.limit(b))
 	if err != nil {
-		return nil, &briarferry.TryError{Backend: b.ID(), Dispatched: true, ConnectionDied: true, Err: err}
+		tryErr.ServerGone = isRefused(err)
+		return
+	}
+	conn.keep(false)
+}
+
+// limit returns this entry's part of the server's connections.
+func (c *Client) limit(b briarferry.Backend) int {
+	entries := 1
+	if c.Entries != nil {
+		entries = max(1, c.Entries())
 	}
-	if id := resp.Header.Get(bfapi.HeaderRequestID); id != "" && id != r.ID {
-		return nil, &briarferry.TryError{Backend: b.ID(), Dispatched: true, Err: errCrossed}
+	return max(1, b.ConnectionLimit/entries)
+}
+
+func (c *Client) pool(address netip.AddrPort) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		if c.pools == nil {
+			c.pools = map[netip.AddrPort]*pool{}
+		}
+		p = &pool{client: c, address: address}
+		c.pools[address] = p
+	}
+	p.users++
+	return p
+}
+
+// release drops a pool that nobody uses, so that the table follows the servers.
+func (c *Client) release(p *pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.users--
+	if p.users == 0 {
+		delete(c.pools, p.address)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(bfapi.HeaderShed) != "" {
-		return nil, &briarferry.TryError{Backend: b.ID(), Err: errors.New("request was shed")}
+}
+
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial(ctx, address)
 	}
-	return &briarferry.Answer{Status: resp.StatusCode, Header: bfapi.ForwardHeader(resp.Header), Body: body}, nil
+	d := net.Dialer{}
+	return d.DialContext(ctx, "tcp", address.String())
 }
 
 func newRequest(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*http.Request, error) {
 	url := "http://" + b.Address.String() + r.Target
-	out, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	out, err := http.NewRequest(r.Method, url, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("bfupstream: build request: %w", err)
 	}
-	out.Header = r.Header.Clone()
+	if r.Header != nil {
+		out.Header = r.Header.Clone()
+	}
+	// The body is sent at once; a server that answers 100 first only adds a wait.
+	out.Header.Del("Expect")
 	out.Header.Set(bfapi.HeaderRequestID, r.ID)
-	out.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(time.Until(r.Deadline)))
-	// The transport resends a request on a new connection where it takes it for
-	// idempotent; without GetBody it can't resend one with a body.
-	out.GetBody = nil
+	deadline := r.Deadline
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	out.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(time.Until(deadline)))
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
 	return out, nil
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+func isTimeout(ctx context.Context, err error) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
 }
--- /dev/null
+++ b/internal/transport/bfupstream/client_test.go
@@ -0,0 +1,261 @@
+package bfupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarferry"
+)
+
+type (
+	// fakeServer plays a backend server over in-memory connections.
+	fakeServer struct {
+		mu      sync.Mutex
+		opened  int
+		open    int
+		refuse  bool
+		answers func(connection int, r *http.Request) reply
+	}
+
+	// reply is what the server does with one request.
+	reply struct {
+		text   string
+		after  time.Duration
+		hangUp bool
+		gone   bool
+	}
+)
+
+var (
+	testBackend = briarferry.Backend{Announcement: briarferry.Announcement{
+		Service: "orders", Address: netip.MustParseAddrPort("127.0.0.1:80"), ConnectionLimit: 4,
+	}}
+	errRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+)
+
+func (f *fakeServer) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	f.opened++
+	f.open++
+	go f.serve(f.opened, far)
+	return near, nil
+}
+
+func (f *fakeServer) serve(n int, c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.open--
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		p := f.answers(n, r)
+		time.Sleep(p.after)
+		if p.gone {
+			f.mu.Lock()
+			f.refuse = true
+			f.mu.Unlock()
+		}
+		if _, err := io.WriteString(c, p.text); err != nil || p.hangUp {
+			return
+		}
+	}
+}
+
+// connected returns the number of open connections.
+func (f *fakeServer) connected() int {
+	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+func whole(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"))
+}
+
+func do(c *Client, id string, timeout time.Duration) (*briarferry.Answer, *briarferry.TryError) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	a, err := c.Do(ctx, testBackend, &briarferry.Request{
+		ID: id, Method: "POST", Target: "/x", Body: []byte("body"), Deadline: time.Now().Add(time.Second),
+	})
+	var tryErr *briarferry.TryError
+	errors.As(err, &tryErr)
+	return a, tryErr
+}
+
+// TestAnswers guards against answers that are taken for whole or for the request's
+// own though they are not, and against a wrong account of what was dispatched.
+func TestAnswers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+	cases := []struct {
+		name  string
+		reply reply
+		want  briarferry.TryError
+		err   error
+	}{
+		{"whole", reply{text: head + "Content-Length: 2\r\n\r\nok"}, briarferry.TryError{}, nil},
+		{"chunked", reply{text: head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}, briarferry.TryError{}, nil},
+		{"after 103", reply{text: "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok"}, briarferry.TryError{}, nil},
+		{"truncated", reply{text: head + "Content-Length: 9\r\n\r\nok", hangUp: true}, briarferry.TryError{Dispatched: true, ConnectionDied: true}, ErrTruncated},
+		{"no final chunk", reply{text: head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", hangUp: true}, briarferry.TryError{Dispatched: true, ConnectionDied: true}, ErrTruncated},
+		{"end not announced", reply{text: head + "\r\nok", hangUp: true}, briarferry.TryError{Dispatched: true, ConnectionDied: true}, ErrTruncated},
+		{"crossed", reply{text: "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 2\r\n\r\nok"}, briarferry.TryError{Dispatched: true}, ErrCrossed},
+		{"without id", reply{text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}, briarferry.TryError{Dispatched: true}, ErrCrossed},
+		{"shed", reply{text: "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\nRequest-Shed: 1\r\nContent-Length: 0\r\n\r\n"}, briarferry.TryError{}, ErrShed},
+		{"crossed shed answer", reply{text: "HTTP/1.1 503 Busy\r\nRequest-Id: b\r\nRequest-Shed: 1\r\nContent-Length: 0\r\n\r\n"}, briarferry.TryError{Dispatched: true}, ErrCrossed},
+		{"late", reply{text: head + "Content-Length: 2\r\n\r\nok", after: time.Second}, briarferry.TryError{Dispatched: true, Silent: true}, context.DeadlineExceeded},
+		{"crashed", reply{hangUp: true, gone: true}, briarferry.TryError{Dispatched: true, ConnectionDied: true, ServerGone: true}, errUnasked},
+		{"hung up", reply{hangUp: true}, briarferry.TryError{Dispatched: true, ConnectionDied: true}, errUnasked},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeServer{answers: func(int, *http.Request) reply { return tc.reply }}
+				a, err := do(&Client{Dial: f.dial}, "a", 100*time.Millisecond)
+				switch {
+				case tc.err == nil && (err != nil || string(a.Body) != "ok"):
+					t.Errorf("answer %v, error %v", a, err)
+				case tc.err != nil && err == nil:
+					t.Errorf("answer %v was accepted", a)
+				case tc.err != nil:
+					got := briarferry.TryError{Dispatched: err.Dispatched, ConnectionDied: err.ConnectionDied, ServerGone: err.ServerGone, Silent: err.Silent}
+					if got != tc.want || !errors.Is(err, tc.err) {
+						t.Errorf("got %+v, want %+v; error %v", got, tc.want, err.Err)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				if f.connected() != 0 {
+					t.Errorf("%d connections are still open", f.connected())
+				}
+			})
+		})
+	}
+}
+
+// TestSilentConnections guards against tries that are lost one by one on old
+// connections after they fell silent.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := false
+		f := &fakeServer{answers: func(n int, r *http.Request) reply {
+			if silent && n <= 3 {
+				return reply{after: time.Hour, hangUp: true}
+			}
+			return reply{text: whole(r), after: 10 * time.Millisecond}
+		}}
+		c := &Client{Dial: f.dial}
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() {
+				if _, err := do(c, fmt.Sprint(i), time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		silent = true
+		failed := 0
+		for i := range 10 {
+			if _, err := do(c, fmt.Sprint(i), 100*time.Millisecond); err != nil {
+				failed++
+			}
+		}
+		// The youngest connection is used first, and takes the older ones with it.
+		if failed > 3 {
+			t.Errorf("%d tries were lost on 3 silent connections", failed)
+		}
+		t.Logf("%d of 10 tries lost on 3 silent connections", failed)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
+// TestConnections guards against connections beyond the server's limit, idle ones
+// that stay open, and requests sent on one that the server has closed.
+func TestConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{answers: func(_ int, r *http.Request) reply {
+			return reply{text: whole(r), after: 50 * time.Millisecond}
+		}}
+		c := &Client{Dial: f.dial, Entries: func() int { return 2 }}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		limited := 0
+		for i := range 5 {
+			wg.Go(func() {
+				_, err := do(c, fmt.Sprint(i), time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil && errors.Is(err, ErrConnectionLimit) && !err.Dispatched {
+					limited++
+				}
+			})
+		}
+		wg.Wait()
+		if f.opened != 2 || limited != 3 {
+			t.Errorf("%d connections, %d tries over the limit; want 2 and 3", f.opened, limited)
+		}
+		time.Sleep(idleTimeout - time.Millisecond)
+		if f.connected() != 2 {
+			t.Errorf("%d connections are open before the idle timeout", f.connected())
+		}
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		if f.connected() != 0 || len(c.pools) != 0 {
+			t.Errorf("%d connections and %d pools are left", f.connected(), len(c.pools))
+		}
+		f.refuse = true
+		if _, err := do(c, "x", time.Second); err == nil || err.Dispatched || !err.ServerGone {
+			t.Errorf("refused connection: %+v", err)
+		}
+	})
+}
+
+// TestCancellation guards against servers that go on with a request that was given
+// up, and against a cancellation that counts as a silent connection.
+func TestCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{answers: func(int, *http.Request) reply { return reply{after: time.Second} }}
+		c := &Client{Dial: f.dial}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		start := time.Now()
+		_, err := c.Do(ctx, testBackend, &briarferry.Request{
+			ID: "a", Method: "GET", Target: "/" + strings.Repeat("x", 10), Deadline: start.Add(time.Minute),
+		})
+		var tryErr *briarferry.TryError
+		if !errors.As(err, &tryErr) || tryErr.Silent || tryErr.ConnectionDied || time.Since(start) != 100*time.Millisecond {
+			t.Errorf("after %v: %+v", time.Since(start), tryErr)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if f.connected() != 0 {
+			t.Error("the connection of a cancelled try is open")
+		}
+	})
+}
