Add the quarantine and deepen the request pipeline

Cause: requests that crash servers, faulty servers and unclear outcomes need one path that keeps the guarantees. Change: bfquarantine keeps crashes and decides strikes from all of them; the pipeline checks the quarantine, claims before queueing, tries again within the budget, hedges, and counts every decision. Check and RunEnd join the root package's Quarantine interface.

--- a/interfaces.go
+++ b/interfaces.go
@@ -104,10 +104,13 @@
 
 	// Quarantine keeps requests away from servers that they would crash.
 	Quarantine interface {
+		// Check returns a *Refusal where the fingerprint is quarantined.
+		Check(fingerprint uint64) error
 		// Enter asks to run a request with the fingerprint. It returns a *Refusal
 		// where the fingerprint is quarantined, or waits while another suspect run is
-		// under way. The returned function must be called when the try has ended.
-		Enter(ctx context.Context, fingerprint uint64, b BackendID) (leave func(crashed bool), err error)
+		// under way. The returned function must be called when the try has ended;
+		// it returns once other entries know of a crash.
+		Enter(ctx context.Context, fingerprint uint64, b Backend) (leave func(end RunEnd), err error)
 	}
 
 	// Members knows the system's VMs.
--- /dev/null
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -0,0 +1,249 @@
+package bfquarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarferry"
+)
+
+type (
+	// fakeSystem is a number of entries that reach each other with a delay.
+	fakeSystem struct {
+		vms     []briarferry.VM
+		entries map[string]*Quarantine
+	}
+
+	fakeMembers struct {
+		system *fakeSystem
+		self   int
+	}
+)
+
+const fakeDelay = 5 * time.Millisecond
+
+func newFakeSystem(n int) *fakeSystem {
+	s := &fakeSystem{entries: map[string]*Quarantine{}}
+	for i := range n {
+		vm := briarferry.VM{Name: fmt.Sprintf("vm%d", i)}
+		s.vms = append(s.vms, vm)
+		s.entries[vm.Name] = &Quarantine{Members: fakeMembers{s, i}, Peers: s}
+	}
+	return s
+}
+
+func (s *fakeSystem) entry(i int) *Quarantine { return s.entries[s.vms[i%len(s.vms)].Name] }
+
+func (m fakeMembers) Self() briarferry.VM   { return m.system.vms[m.self] }
+func (m fakeMembers) Live() []briarferry.VM { return m.system.vms }
+func (m fakeMembers) Connected() bool       { return true }
+
+func (s *fakeSystem) Lock(_ context.Context, vm briarferry.VM, r LockRequest) (bool, error) {
+	time.Sleep(fakeDelay)
+	return s.entries[vm.Name].Acquire(r), nil
+}
+
+func (s *fakeSystem) Unlock(_ context.Context, vm briarferry.VM, r LockRequest) error {
+	time.Sleep(fakeDelay)
+	s.entries[vm.Name].Release(r)
+	return nil
+}
+
+func (s *fakeSystem) Share(_ context.Context, vm briarferry.VM, u Update) error {
+	time.Sleep(fakeDelay)
+	s.entries[vm.Name].Receive(u)
+	return nil
+}
+
+func (s *fakeSystem) Fetch(_ context.Context, vm briarferry.VM) (Update, error) {
+	return s.entries[vm.Name].Known(), nil
+}
+
+// server returns the n-th of 20 servers, two of which share each of ten domains.
+func server(n int) briarferry.Backend {
+	return briarferry.Backend{Announcement: briarferry.Announcement{
+		Service: "orders", FailureDomain: fmt.Sprintf("domain%d", n/2),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n + 1)}), 80),
+	}}
+}
+
+func enter(t *testing.T, q *Quarantine, fingerprint uint64, n int) func(briarferry.RunEnd) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	leave, err := q.Enter(ctx, fingerprint, server(n))
+	if err != nil {
+		t.Fatalf("fingerprint %d at server %d: %v", fingerprint, n, err)
+	}
+	return leave
+}
+
+func isQuarantined(q *Quarantine, f uint64) bool {
+	var refusal *briarferry.Refusal
+	return errors.As(q.Check(f), &refusal)
+}
+
+// TestResend guards against a third server lost to a request that its caller
+// resends through one entry after the other, on idle and on busy servers.
+func TestResend(t *testing.T) {
+	for _, others := range []int{0, 1, 5} {
+		t.Run(fmt.Sprintf("%d others in flight", others), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeSystem(7)
+				lost := 0
+				for try := range 7 {
+					q := s.entry(try)
+					if isQuarantined(q, 1) {
+						continue
+					}
+					var leaves []func(briarferry.RunEnd)
+					for i := range others {
+						leaves = append(leaves, enter(t, s.entry(try+i%2), uint64(100*try+10+i), 3*try))
+					}
+					leave := enter(t, q, 1, 3*try)
+					lost++
+					leave(briarferry.RunCrashed)
+					for _, l := range leaves {
+						l(briarferry.RunCrashed)
+					}
+				}
+				if lost != 2 {
+					t.Errorf("%d servers lost, want 2", lost)
+				}
+				for i := range 7 {
+					for f := range uint64(700) {
+						if isQuarantined(s.entry(i), f) != (f == 1) {
+							t.Fatalf("entry %d: fingerprint %d is quarantined: %v", i, f, f != 1)
+						}
+					}
+				}
+				time.Sleep(11 * time.Minute)
+				s.entry(0).Receive(Update{})
+				if isQuarantined(s.entry(0), 1) {
+					t.Error("the quarantine does not end")
+				}
+			})
+		})
+	}
+}
+
+// TestDomainDies guards against quarantining innocent requests that are tried
+// again on further servers of a failure domain while it dies.
+func TestDomainDies(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table, now := newTable(), time.Unix(1000, 0)
+		servers := rapid.IntRange(3, 8).Draw(rt, "servers")
+		for n := range servers {
+			b := server(n)
+			c := Crash{Backend: b.ID(), FailureDomain: "same"}
+			// Each request was on at most half of the servers.
+			for f := range uint64(10) {
+				if int(f)%servers == n || (int(f)+1)%servers == n && servers > 3 {
+					c.Fingerprints = append(c.Fingerprints, f)
+				}
+			}
+			table.add(now.Add(time.Duration(rapid.IntRange(0, 1900).Draw(rt, "ms"))*time.Millisecond), c)
+		}
+		for f := range uint64(10) {
+			if table.quarantined(f) || table.suspect(f) {
+				rt.Fatalf("innocent fingerprint %d: quarantined %v, suspect %v", f, table.quarantined(f), table.suspect(f))
+			}
+		}
+	})
+}
+
+// TestOrder guards against entries that judge a fingerprint differently since
+// they heard of crashes in a different order.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		var crashes []Crash
+		for i := range rapid.IntRange(1, 8).Draw(rt, "crashes") {
+			b := server(rapid.IntRange(0, 5).Draw(rt, "server"))
+			prints := rapid.SliceOfNDistinct(rapid.Uint64Range(0, 5), 1, 4, rapid.ID[uint64]).Draw(rt, "prints")
+			crashes = append(crashes, Crash{Backend: b.ID(), FailureDomain: b.FailureDomain, Age: time.Duration(i) * 5 * time.Second, Fingerprints: prints})
+		}
+		one, other := newTable(), newTable()
+		for _, c := range crashes {
+			one.add(now, c)
+		}
+		for _, c := range rapid.Permutation(crashes).Draw(rt, "order") {
+			other.add(now, c)
+		}
+		for f := range uint64(6) {
+			if one.strikes(f) != other.strikes(f) || one.suspect(f) != other.suspect(f) {
+				rt.Fatalf("fingerprint %d: %d and %d strikes", f, one.strikes(f), other.strikes(f))
+			}
+		}
+	})
+}
+
+// TestSuspectRunsAlone guards against two servers lost at once to a request that
+// already has a strike, and against suspects that stay so after a clean run.
+func TestSuspectRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSystem(7)
+		other := enter(t, s.entry(0), 2, 0)
+		enter(t, s.entry(0), 1, 0)(briarferry.RunCrashed)
+		other(briarferry.RunCrashed)
+		var running, most atomic.Int64
+		var wg sync.WaitGroup
+		run := func(i int, end briarferry.RunEnd) {
+			leave, err := s.entry(i).Enter(t.Context(), 1, server(2+i))
+			if err != nil {
+				return
+			}
+			most.Store(max(most.Load(), running.Add(1)))
+			time.Sleep(50 * time.Millisecond)
+			running.Add(-1)
+			leave(end)
+		}
+		for i := range 14 {
+			wg.Go(func() { run(i, briarferry.RunFailed) })
+		}
+		wg.Wait()
+		if most.Load() != 1 {
+			t.Errorf("%d runs of a suspect at once", most.Load())
+		}
+		run(3, briarferry.RunAnswered)
+		for i := range 7 {
+			if s.entry(i).isSuspect(1) {
+				t.Errorf("entry %d suspects the request after a clean run", i)
+			}
+			if !s.entry(i).isSuspect(2) {
+				t.Errorf("entry %d does not suspect the other request", i)
+			}
+		}
+	})
+}
+
+// TestBounds guards against tables that grow without end.
+func TestBounds(t *testing.T) {
+	table, now := newTable(), time.Unix(1000, 0)
+	for i := range maxCrashes + 100 {
+		c := Crash{Backend: server(i % 100).ID(), Fingerprints: make([]uint64, 2*maxInFlight)}
+		for j := range c.Fingerprints {
+			c.Fingerprints[j] = uint64(i*1000 + j)
+		}
+		table.add(now.Add(time.Duration(i)*time.Second), c)
+	}
+	if len(table.crashes) > maxCrashes || len(table.byPrint) > maxCrashes*maxInFlight {
+		t.Errorf("%d crashes, %d fingerprints", len(table.crashes), len(table.byPrint))
+	}
+	l := locks{}
+	for i := range uint64(3 * maxLocks) {
+		l.acquire(now, LockRequest{Fingerprint: i, Holder: "a", For: time.Minute})
+	}
+	if len(l) > maxLocks || !l.acquire(now.Add(time.Hour), LockRequest{Fingerprint: 1 << 40, Holder: "b"}) {
+		t.Errorf("%d locks, or no room after they ended", len(l))
+	}
+}
--- /dev/null
+++ b/internal/transport/bfentry/attempt.go
@@ -0,0 +1,210 @@
+package bfentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+
+	"briarferry"
+	"briarferry/internal/transport/bfupstream"
+)
+
+// result is the end of one try.
+type result struct {
+	answer *briarferry.Answer
+	err    error
+	hedge  bool
+}
+
+// hedged runs a try and, for services that ask for it, a second one at another
+// server where the first takes longer than usual. The first answer wins; the
+// other try is cancelled.
+func (p *Pipeline) hedged(ctx context.Context, t *run) (*briarferry.Answer, error) {
+	after, ok := p.policy().HedgeAfter(time.Now(), t.service)
+	if !ok || t.request.Key != "" {
+		return p.attempt(ctx, t, func() {})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results, started := make(chan result, 2), make(chan struct{}, 1)
+	go func() {
+		a, err := p.attempt(ctx, t, func() { started <- struct{}{} })
+		results <- result{answer: a, err: err}
+	}()
+	var hedge <-chan time.Time
+	for running := 1; ; {
+		select {
+		case <-started:
+			timer := time.NewTimer(after)
+			defer timer.Stop()
+			hedge = timer.C
+		case <-hedge:
+			hedge = nil
+			if p.hedge(ctx, t, results) {
+				running++
+			}
+		case got := <-results:
+			running--
+			if got.err == nil || running == 0 {
+				if got.hedge && got.err == nil {
+					t.count(countHedgeWon)
+				}
+				return got.answer, got.err
+			}
+		}
+	}
+}
+
+// hedge starts the second try where the budget allows it.
+func (p *Pipeline) hedge(ctx context.Context, t *run, results chan<- result) bool {
+	if !p.policy().Spend(t.service.Name) {
+		t.count(countNoBudget)
+		return false
+	}
+	t.count(countHedged)
+	go func() {
+		a, err := p.attempt(ctx, t, func() {})
+		results <- result{answer: a, err: err, hedge: true}
+	}()
+	return true
+}
+
+// attempt waits for a slot and runs the request once on its server.
+func (p *Pipeline) attempt(ctx context.Context, t *run, onStart func()) (*briarferry.Answer, error) {
+	slot, err := p.acquire(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	if p.Config != nil {
+		if _, _, ok := p.Config.Current(); !ok {
+			slot.Done(briarferry.TryReport{Cancelled: true})
+			return nil, t.refuse("no_lease", refuseNotRun("this entry lost its configuration lease"))
+		}
+	}
+	leave, err := p.enterQuarantine(ctx, t, slot.Backend())
+	if err != nil {
+		slot.Done(briarferry.TryReport{Cancelled: true})
+		return nil, err
+	}
+	// A hedge that starts while this try runs must go elsewhere.
+	t.addAvoid(slot.Backend().ID())
+	onStart()
+	a, err := p.dispatch(ctx, t, slot)
+	leave(t.end(err))
+	return a, err
+}
+
+// end tells what the run showed about the request.
+func (t *run) end(err error) briarferry.RunEnd {
+	var tryErr *briarferry.TryError
+	switch {
+	case err == nil:
+		return briarferry.RunAnswered
+	case errors.As(err, &tryErr) && tryErr.Dispatched && tryErr.ConnectionDied && tryErr.ServerGone:
+		t.count(countStrike)
+		return briarferry.RunCrashed
+	}
+	return briarferry.RunFailed
+}
+
+func (p *Pipeline) acquire(ctx context.Context, t *run) (briarferry.Slot, error) {
+	ctx, span := tracer.Start(ctx, "queue")
+	defer span.End()
+	slot, err := p.Admitter.Acquire(ctx, briarferry.Ticket{
+		Service: t.service.Name, Class: t.request.Class, Deadline: t.request.Deadline,
+		Expected: t.service.Expected.Std(), Avoid: t.avoided(),
+	})
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		reason := "admission"
+		var refusal *briarferry.Refusal
+		if errors.As(err, &refusal) {
+			reason = refusal.Reason
+		}
+		return nil, t.refuse(reason, err)
+	}
+	return slot, nil
+}
+
+func (p *Pipeline) enterQuarantine(ctx context.Context, t *run, b briarferry.Backend) (func(briarferry.RunEnd), error) {
+	if p.Quarantine == nil {
+		return func(briarferry.RunEnd) {}, nil
+	}
+	leave, err := p.Quarantine.Enter(ctx, t.request.Fingerprint, b)
+	if err != nil {
+		return nil, t.refuse("quarantine", err)
+	}
+	return leave, nil
+}
+
+// dispatch sends the request to the slot's server.
+func (p *Pipeline) dispatch(ctx context.Context, t *run, slot briarferry.Slot) (*briarferry.Answer, error) {
+	ctx, span := tracer.Start(ctx, "attempt")
+	defer span.End()
+	ctx, cancel := p.tryContext(ctx, t)
+	defer cancel()
+	span.SetAttributes(attribute.String("backend", slot.Backend().Address.String()))
+	start := time.Now()
+	a, err := p.Upstream.Do(ctx, slot.Backend(), t.request)
+	p.report(ctx, t, slot, time.Since(start), a, err)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return a, err
+}
+
+// report gives the slot back and records what the try showed.
+func (p *Pipeline) report(ctx context.Context, t *run, slot briarferry.Slot, took time.Duration, a *briarferry.Answer, err error) {
+	var tryErr *briarferry.TryError
+	errors.As(err, &tryErr)
+	shed := errors.Is(err, bfupstream.ErrShed)
+	cancelled := err != nil && errors.Is(ctx.Err(), context.Canceled)
+	full := errors.Is(err, bfupstream.ErrConnectionLimit)
+	// Marked before the slot is free, so that no path reports "not run" afterwards.
+	if err == nil || tryErr == nil || tryErr.Dispatched {
+		t.dispatched.Store(true)
+	}
+	slot.Done(briarferry.TryReport{
+		Latency: took, Failed: !shed && (err != nil || a.Status >= http.StatusInternalServerError),
+		Shed: shed, Cancelled: cancelled || full,
+	})
+	silent := tryErr != nil && tryErr.Silent
+	if err == nil || silent {
+		p.policy().Observe(time.Now(), t.service.Name, took, silent)
+	}
+	if err != nil {
+		t.countFailure(err, tryErr, cancelled)
+	}
+}
+
+// tryContext bounds a try. A request that can't be tried again waits until its
+// deadline, and isn't cancelled with its caller: an answer that is recorded is
+// worth more than an outcome that stays unknown.
+func (p *Pipeline) tryContext(ctx context.Context, t *run) (context.Context, context.CancelFunc) {
+	if t.request.Key != "" {
+		return context.WithDeadline(context.WithoutCancel(ctx), t.request.Deadline)
+	}
+	return context.WithTimeout(ctx, p.policy().TryTimeout(time.Now(), t.service))
+}
+
+func (t *run) countFailure(err error, tryErr *briarferry.TryError, cancelled bool) {
+	switch {
+	case cancelled:
+	case errors.Is(err, bfupstream.ErrShed):
+		t.count(countShed)
+	case errors.Is(err, bfupstream.ErrCrossed):
+		t.count(countCrossed)
+	case errors.Is(err, bfupstream.ErrTruncated):
+		t.count(countTruncated)
+	case tryErr != nil && tryErr.Silent:
+		t.count(countSilent)
+	case tryErr != nil && !tryErr.Dispatched:
+		t.count(countNotSent)
+	default:
+		t.count(countDied)
+	}
+}
--- /dev/null
+++ b/internal/transport/bfentry/fakes_test.go
@@ -0,0 +1,169 @@
+package bfentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfadmission"
+	"briarferry/internal/coordination/bfbalancer"
+	"briarferry/internal/transport/bfupstream"
+)
+
+type (
+	// testServers plays the backend servers of one service and hands out their
+	// slots through the real balancer.
+	testServers struct {
+		balancer briarferry.Balancer
+		freed    chan struct{}
+
+		mu      sync.Mutex
+		servers []*testServer
+		runs    int
+	}
+
+	testServer struct {
+		backend  briarferry.Backend
+		inFlight int
+		runs     int
+		gone     bool
+		// answer plays a run; nil answers after 20 ms.
+		answer func(ctx context.Context, r *briarferry.Request) (*briarferry.Answer, *briarferry.TryError)
+	}
+
+	testSlot struct {
+		pool *testServers
+		s    *testServer
+	}
+)
+
+const (
+	testService = "orders"
+	testHold    = 20 * time.Millisecond
+)
+
+func newTestServers(n, slots int, seed uint64) *testServers {
+	t := &testServers{balancer: &bfbalancer.Balancer{Seed: seed}, freed: make(chan struct{}, 1)}
+	for i := range n {
+		t.servers = append(t.servers, &testServer{backend: briarferry.Backend{
+			Announcement: briarferry.Announcement{
+				Service: testService, FailureDomain: fmt.Sprintf("domain%d", i%4), Slots: slots,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 80),
+				State:   briarferry.StateReady,
+			},
+			HeardAt: time.Now(),
+		}})
+	}
+	return t
+}
+
+func (t *testServers) TryAcquire(_ string, avoid []briarferry.BackendID) (briarferry.Slot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, skip := range [][]briarferry.BackendID{avoid, nil} {
+		var free []*testServer
+		var candidates []briarferry.Candidate
+		for _, s := range t.servers {
+			s.backend.HeardAt = time.Now()
+			if s.inFlight < s.backend.Slots && !slices.Contains(skip, s.backend.ID()) {
+				free = append(free, s)
+				candidates = append(candidates, briarferry.Candidate{Backend: s.backend, InFlight: s.inFlight, Held: s.backend.Slots})
+			}
+		}
+		if i := t.balancer.Pick(time.Now(), candidates); i >= 0 {
+			free[i].inFlight++
+			return &testSlot{t, free[i]}, true
+		}
+	}
+	return nil, false
+}
+
+func (t *testServers) Capacity(string) int {
+	n := 0
+	for _, s := range t.servers {
+		n += s.backend.Slots
+	}
+	return n
+}
+
+func (t *testServers) SetDemand(string, map[int]int) {}
+func (t *testServers) Freed(string) <-chan struct{}  { return t.freed }
+
+func (s *testSlot) Backend() briarferry.Backend { return s.s.backend }
+
+func (s *testSlot) Done(r briarferry.TryReport) {
+	s.pool.balancer.Report(time.Now(), s.s.backend.ID(), r)
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.s.inFlight--
+}
+
+// Do runs the request on a server.
+func (t *testServers) Do(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*briarferry.Answer, error) {
+	t.mu.Lock()
+	i := slices.IndexFunc(t.servers, func(s *testServer) bool { return s.backend.ID() == b.ID() })
+	s := t.servers[i]
+	if s.gone {
+		t.mu.Unlock()
+		return nil, &briarferry.TryError{Backend: b.ID(), ServerGone: true, Err: errors.New("refused")}
+	}
+	s.runs++
+	t.runs++
+	t.mu.Unlock()
+	if s.answer != nil {
+		a, err := s.answer(ctx, r)
+		if err != nil {
+			err.Backend = b.ID()
+			return nil, err
+		}
+		return a, nil
+	}
+	return answerAfter(ctx, testHold)
+}
+
+// answerAfter answers after a while, or ends with the try.
+func answerAfter(ctx context.Context, d time.Duration) (*briarferry.Answer, error) {
+	select {
+	case <-time.After(d):
+		return &briarferry.Answer{Status: 200}, nil
+	case <-ctx.Done():
+		silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
+		return nil, &briarferry.TryError{Dispatched: true, Silent: silent, Err: ctx.Err()}
+	}
+}
+
+func frozen(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+	<-ctx.Done()
+	return nil, &briarferry.TryError{Dispatched: true, Silent: errors.Is(ctx.Err(), context.DeadlineExceeded), Err: ctx.Err()}
+}
+
+func failing(e briarferry.TryError) func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+	return func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+		copied := e
+		return nil, &copied
+	}
+}
+
+var (
+	shedding  = failing(briarferry.TryError{Err: bfupstream.ErrShed})
+	crossed   = failing(briarferry.TryError{Dispatched: true, Err: bfupstream.ErrCrossed})
+	truncated = failing(briarferry.TryError{Dispatched: true, ConnectionDied: true, Err: bfupstream.ErrTruncated})
+)
+
+func newTestPipeline(t *testServers) *Pipeline {
+	return &Pipeline{
+		Claims: &MemoryClaims{}, Admitter: &bfadmission.Admitter{Pool: t}, Upstream: t, Counters: &Counters{},
+	}
+}
+
+func newTestRequest(id string, timeout time.Duration) *briarferry.Request {
+	return &briarferry.Request{
+		ID: id, Service: testService, Method: "GET", Target: "/" + id,
+		Class: briarferry.PriorityClass{Name: "urgent"}, Deadline: time.Now().Add(timeout),
+	}
+}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -49,6 +49,10 @@
 		// Entries returns the number of entries that share a server's connection
 		// limit; nil means one.
 		Entries func() int
+		// SuspectAfter returns the time without an answer after which connections
+		// opened before a try's own are no longer used, where the try itself goes on
+		// for longer; nil or 0 leaves this to the end of the try.
+		SuspectAfter func(service string) time.Duration
 
 		mu    sync.Mutex
 		pools map[netip.AddrPort]*pool
@@ -97,6 +101,7 @@
 		conn.discard(ctx)
 		return nil, t.failure(ctx, conn, err)
 	}
+	defer c.suspect(conn, t.backend.Service)()
 	got := <-results
 	if !stop() && got.err == nil {
 		// The answer came in with the end of the try; it counts as late.
@@ -109,6 +114,20 @@
 	return t.check(conn, got)
 }
 
+// suspect takes the connection and older ones out of use if no answer comes before
+// the returned function is called.
+func (c *Client) suspect(conn *conn, service string) (stop func()) {
+	if c.SuspectAfter == nil {
+		return func() {}
+	}
+	after := c.SuspectAfter(service)
+	if after <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(after, func() { conn.pool.discardBefore(conn.sequence + 1) })
+	return func() { timer.Stop() }
+}
+
 // check accepts the answer only if it belongs to the request.
 func (t attempt) check(conn *conn, got result) (*briarferry.Answer, error) {
 	if got.response.Header.Get(bfapi.HeaderRequestID) != t.id {
--- a/internal/transport/bfupstream/client_test.go
+++ b/internal/transport/bfupstream/client_test.go
@@ -195,6 +195,31 @@
 	})
 }
 
+// TestSuspectAfter guards against silent connections that stay in use while a
+// request that can't be tried again waits for its deadline.
+func TestSuspectAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServer{answers: func(n int, r *http.Request) reply {
+			if n == 1 && r.Header.Get("Request-Id") != "first" {
+				return reply{after: time.Hour, hangUp: true}
+			}
+			return reply{text: whole(r)}
+		}}
+		c := &Client{Dial: f.dial, SuspectAfter: func(string) time.Duration { return 100 * time.Millisecond }}
+		if _, err := do(c, "first", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = do(c, "silent", 10*time.Second) }()
+		time.Sleep(200 * time.Millisecond)
+		for range 3 {
+			if _, err := do(c, "other", 50*time.Millisecond); err != nil {
+				t.Errorf("a later try was lost: %v", err)
+			}
+		}
+		time.Sleep(2 * time.Hour)
+	})
+}
+
 // TestConnections guards against connections beyond the server's limit, idle ones
 // that stay open, and requests sent on one that the server has closed.
 func TestConnections(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -12,12 +12,22 @@
 	OutcomeNotRun Outcome = "not_run"
 	// OutcomeUnknown says that the request may have run.
 	OutcomeUnknown Outcome = "unknown"
+
+	// RunAnswered ends a run with a whole answer.
+	RunAnswered RunEnd = "answered"
+	// RunCrashed ends a run with a connection that died and a server that is gone.
+	RunCrashed RunEnd = "crashed"
+	// RunFailed ends a run in any other way; it says nothing about the request.
+	RunFailed RunEnd = "failed"
 )
 
 type (
 	// Outcome is what a failed request's caller may rely on.
 	Outcome string
 
+	// RunEnd says how a request's run on a backend server ended.
+	RunEnd string
+
 	// Request is one request of a caller, read in full.
 	Request struct {
 		ID      string
