--- a/internal/coordination/bfquarantine/table.go
+++ b/internal/coordination/bfquarantine/table.go
@@ -1,6 +1,7 @@
 package bfquarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	// maxInFlight bounds the fingerprints kept for one crash.
 	maxInFlight = 256
 	maxCleared  = 4096
+	maxHolder   = 128
 )
 
 type (
@@ -49,6 +51,32 @@
 	}
 )
 
+// Validate reports an update beyond the bounds of the table.
+func (u *Update) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if len(u.Crashes) > maxCrashes {
+		f.Add("crashes", "must have at most %d entries", maxCrashes)
+	}
+	if len(u.Cleared) > maxCleared {
+		f.Add("cleared", "must have at most %d entries", maxCleared)
+	}
+	for i, c := range u.Crashes {
+		if len(c.Fingerprints) == 0 || len(c.Fingerprints) > maxInFlight {
+			f.Add(fmt.Sprintf("crashes[%d].fingerprints", i), "must have 1 to %d entries", maxInFlight)
+		}
+	}
+	return f
+}
+
+// Validate reports a lock request that is out of range.
+func (r *LockRequest) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if r.Holder == "" || len(r.Holder) > maxHolder {
+		f.Add("holder", "must have 1 to %d characters", maxHolder)
+	}
+	return f
+}
+
 func newTable() *table {
 	return &table{byPrint: map[uint64][]*crash{}, cleared: map[uint64]time.Time{}}
 }
--- a/internal/transport/bfentry/pipeline_test.go
+++ b/internal/transport/bfentry/pipeline_test.go
@@ -78,6 +78,59 @@
 	}
 }
 
+// TestHedging guards against hedges that don't help slow answers, exceed the budget
+// or leave a slot behind.
+func TestHedging(t *testing.T) {
+	latencies := map[bool]time.Duration{}
+	for _, s := range []briarferry.Service{idempotent, hedging} {
+		synctest.Test(t, func(t *testing.T) {
+			servers := newTestServers(10, 3, 5)
+			var mu sync.Mutex
+			runs := 0
+			for _, server := range servers.servers {
+				server.answer = func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+					mu.Lock()
+					runs++
+					hold := testHold
+					if runs%25 == 0 {
+						hold = 90 * time.Millisecond
+					}
+					mu.Unlock()
+					a, err := answerAfter(ctx, hold)
+					var tryErr *briarferry.TryError
+					errors.As(err, &tryErr)
+					return a, tryErr
+				}
+			}
+			p := newTestPipeline(servers)
+			var slowest time.Duration
+			for i := range 1000 {
+				start := time.Now()
+				if _, err := runOne(p, s, newTestRequest(fmt.Sprint(i), time.Second)); err != nil {
+					t.Error(err)
+				}
+				if i > 100 {
+					slowest = max(slowest, time.Since(start))
+				}
+			}
+			latencies[s.Hedge] = slowest
+			t.Logf("hedging %v: slowest of 900 %v; %s", s.Hedge, slowest, p.Counters.Vars())
+			if n := p.Counters.Value(testService, "urgent", countHedged); n > 103 {
+				t.Errorf("%d hedges for 1,000 requests", n)
+			}
+			time.Sleep(time.Minute)
+			for _, server := range servers.servers {
+				if server.inFlight != 0 {
+					t.Errorf("%d slots are still taken", server.inFlight)
+				}
+			}
+		})
+	}
+	if latencies[true] > latencies[false]*2/3 {
+		t.Errorf("slowest answer with hedging %v, without %v", latencies[true], latencies[false])
+	}
+}
+
 // TestOutcomes guards against "not run" for a request that may have run, and
 // against a second run of a request with a key.
 func TestOutcomes(t *testing.T) {
