--- a/internal/coordination/bfquarantine/locks.go
+++ b/internal/coordination/bfquarantine/locks.go
@@ -2,7 +2,10 @@
 
 import "time"
 
-const maxLocks = 4096
+const (
+	maxLocks   = 4096
+	expireScan = 64
+)
 
 type (
 	// LockRequest asks the coordinator for the only run of a suspect fingerprint.
@@ -46,8 +49,14 @@
 	}
 }
 
+// expire drops ended locks among a few entries; a full scan for each request would
+// make a full table expensive.
 func (l locks) expire(now time.Time) {
+	seen := 0
 	for f, held := range l {
+		if seen++; seen > expireScan {
+			return
+		}
 		if !now.Before(held.until) {
 			delete(l, f)
 		}
