Add the comparison of policies to make bench

Cause: the decisions need a figure against having none. Change: TestPolicies runs the pipeline and a naive policy (round robin, first in first out, no limits) through five scenarios with fixed seeds.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./...
 
-.PHONY: build test lint demo bench capacity guarantees soak
+.PHONY: build test lint demo bench bench-policies capacity guarantees soak
 
 build:
 	$(GO) build -o bin/briarferry ./cmd/briarferry
@@ -16,3 +16,8 @@
 
 demo: build
 	@scripts/demo.sh
+
+bench: bench-policies
+
+bench-policies:
+	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
--- /dev/null
+++ b/internal/transport/bfentry/policy_test.go
@@ -0,0 +1,218 @@
+package bfentry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarferry"
+)
+
+const (
+	policyServers = 10
+	policySlots   = 3
+	policyTime    = 5 * time.Second
+	policySeed    = 11
+	// policyRate is the number of requests per second that the servers can run.
+	policyRate = policyServers * policySlots * float64(time.Second) / float64(testHold)
+)
+
+type (
+	// flow is the load of one class in a scenario, as a multiple of the capacity.
+	flow struct {
+		class   briarferry.PriorityClass
+		times   float64
+		timeout time.Duration
+	}
+
+	scenario struct {
+		name  string
+		flows []flow
+		// faulty is the service time of the first server as a multiple; 0 is frozen.
+		faulty float64
+	}
+
+	// policyRun is one scenario under one policy.
+	policyRun struct {
+		scenario scenario
+		servers  *testServers
+		send     func(ctx context.Context, r *briarferry.Request) error
+
+		mu        sync.Mutex
+		sent      []int
+		inTime    []int
+		latencies []time.Duration
+	}
+)
+
+var (
+	policyUrgent = briarferry.PriorityClass{Name: "urgent"}
+	policyNormal = briarferry.PriorityClass{Name: "normal", Urgency: 1, FloorShare: 0.1}
+	policyBatch  = briarferry.PriorityClass{Name: "batch", Urgency: 2, FloorShare: 0.1}
+
+	policyScenarios = []scenario{
+		{"60% load", flows(0.2, 0.2, 0.2), 1},
+		{"urgent at 10 times", flows(10, 0.2, 0.2), 1},
+		{"batch at 10 times", flows(0.4, 0.2, 10), 1},
+		{"one server frozen", flows(0.2, 0.2, 0.2), 0},
+		{"one server 10 times slower", flows(0.2, 0.2, 0.2), 10},
+	}
+)
+
+func flows(urgent, normal, batch float64) []flow {
+	return []flow{
+		{policyUrgent, urgent, 150 * time.Millisecond},
+		{policyNormal, normal, 500 * time.Millisecond},
+		{policyBatch, batch, time.Second},
+	}
+}
+
+// newPolicyRun builds servers that queue what exceeds their slots, as a server
+// without load shedding does.
+func newPolicyRun(s scenario) *policyRun {
+	r := &policyRun{scenario: s, servers: newTestServers(policyServers, policySlots, policySeed)}
+	for i, server := range r.servers.servers {
+		slots := make(chan struct{}, policySlots)
+		rng := rand.New(rand.NewPCG(policySeed, uint64(i)))
+		var mu sync.Mutex
+		factor := 1.0
+		if i == 0 {
+			factor = s.faulty
+		}
+		server.answer = func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+			if factor == 0 {
+				return frozen(ctx, nil)
+			}
+			mu.Lock()
+			hold := time.Duration((0.5 + rng.Float64()) * factor * float64(testHold))
+			mu.Unlock()
+			return serveSlot(ctx, slots, hold)
+		}
+	}
+	return r
+}
+
+func serveSlot(ctx context.Context, slots chan struct{}, hold time.Duration) (*briarferry.Answer, *briarferry.TryError) {
+	slots <- struct{}{}
+	defer func() { <-slots }()
+	a, err := answerAfter(ctx, hold)
+	if err != nil {
+		return nil, err.(*briarferry.TryError)
+	}
+	return a, nil
+}
+
+// usePipeline sends through the entry's own decisions.
+func (r *policyRun) usePipeline() {
+	p := newTestPipeline(r.servers)
+	r.send = func(ctx context.Context, req *briarferry.Request) error {
+		_, err := p.Run(ctx, idempotent, req, briarferry.Lease{})
+		return err
+	}
+}
+
+// useNaive sends to the servers in turn, first in, first out and without limits.
+func (r *policyRun) useNaive() {
+	var turn atomic.Int64
+	r.send = func(ctx context.Context, req *briarferry.Request) error {
+		s := r.servers.servers[turn.Add(1)%policyServers]
+		if _, err := s.answer(ctx, req); err != nil {
+			return err
+		}
+		return nil
+	}
+}
+
+func (r *policyRun) run() {
+	r.sent, r.inTime = make([]int, len(r.scenario.flows)), make([]int, len(r.scenario.flows))
+	var wg sync.WaitGroup
+	for i, f := range r.scenario.flows {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(policySeed, uint64(100+i)))
+			end := time.Now().Add(policyTime)
+			for n := 0; time.Now().Before(end); n++ {
+				time.Sleep(time.Duration(rng.ExpFloat64() / (f.times * policyRate) * float64(time.Second)))
+				wg.Go(func() { r.one(i, fmt.Sprint(n)) })
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (r *policyRun) one(i int, id string) {
+	f := r.scenario.flows[i]
+	req := newTestRequest(id, f.timeout)
+	req.Class = f.class
+	start := time.Now()
+	// The naive policy passes no deadline on; callers give up, servers don't.
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	err := r.send(ctx, req)
+	took := time.Since(start)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[i]++
+	if err == nil && took <= f.timeout {
+		r.inTime[i]++
+		if i == 0 {
+			r.latencies = append(r.latencies, took)
+		}
+	}
+}
+
+// row returns a line of the table and the goodput.
+func (r *policyRun) row(policy string) (string, float64) {
+	goodput := 0.0
+	line := fmt.Sprintf("%-28s %-11s", r.scenario.name, policy)
+	for i := range r.scenario.flows {
+		share := float64(r.inTime[i]) / policyRate / policyTime.Seconds()
+		goodput += share
+		line += fmt.Sprintf(" %6.1f%% %6.3f", 100*float64(r.inTime[i])/float64(r.sent[i]), share)
+	}
+	slices.Sort(r.latencies)
+	quantile := func(q float64) time.Duration {
+		if len(r.latencies) == 0 {
+			return 0
+		}
+		return r.latencies[int(q*float64(len(r.latencies)-1))].Round(100 * time.Microsecond)
+	}
+	return line + fmt.Sprintf(" %7.3f %8v %8v", goodput, quantile(0.5), quantile(0.99)), goodput
+}
+
+// TestPolicies guards against decisions that do worse than none, and prints the
+// comparison as a table.
+func TestPolicies(t *testing.T) {
+	table := []string{fmt.Sprintf("%-28s %-11s %-14s %-14s %-14s %7s %8s %8s",
+		"scenario", "policy", " urgent", " normal", " batch", "goodput", "p50", "p99"),
+		fmt.Sprintf("%40s%s", "", strings.Repeat(" in time  share", 3))}
+	for _, s := range policyScenarios {
+		goodput := map[string]float64{}
+		for _, policy := range []string{"briarferry", "naive"} {
+			synctest.Test(t, func(t *testing.T) {
+				r := newPolicyRun(s)
+				if policy == "naive" {
+					r.useNaive()
+				} else {
+					r.usePipeline()
+				}
+				r.run()
+				var line string
+				line, goodput[policy] = r.row(policy)
+				table = append(table, line)
+				time.Sleep(10 * time.Minute)
+			})
+		}
+		if goodput["briarferry"] < 0.99*goodput["naive"] {
+			t.Errorf("%s: goodput %.3f, naive %.3f", s.name, goodput["briarferry"], goodput["naive"])
+		}
+	}
+	t.Logf("%d servers with %d slots, %v service time, %v, seed %d; shares of capacity, latencies of urgent answers in time\n%s",
+		policyServers, policySlots, testHold, policyTime, policySeed, strings.Join(table, "\n"))
+}
