Keep timeouts of faulty servers out of the time that a request needs

Cause: tries that time out at a frozen server raised the time before the deadline at which a request must start, which refused requests that had enough. Change: answers and tries are estimated apart; the differential test runs 3,000 cases with a printed seed.

--- a/internal/coordination/bfadmission/admitter.go
+++ b/internal/coordination/bfadmission/admitter.go
@@ -284,7 +284,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !r.Shed && !r.Cancelled {
-			s.queue.estimate.observe(now, held)
+			s.queue.estimate.observe(now, held, r.Failed)
 		}
 		s.queue.settle(now, t.class, t.charged, held)
 		s.refresh(now)
--- a/internal/coordination/bfadmission/admitter_test.go
+++ b/internal/coordination/bfadmission/admitter_test.go
@@ -239,6 +239,22 @@
 	}
 }
 
+// TestTimeoutsElsewhere guards against refusing requests that have enough time
+// since tries at a frozen server take long.
+func TestTimeoutsElsewhere(t *testing.T) {
+	var e estimate
+	for i := range 100 {
+		e.observe(time.Unix(int64(i), 0), testHold, false)
+		e.observe(time.Unix(int64(i), 0), 10*testHold, true)
+	}
+	if needed := e.needed(testHold); needed > 11*testHold/10 {
+		t.Errorf("%v needed for answers that take %v", needed, testHold)
+	}
+	if held := e.holding(testHold); held < 3*testHold.Seconds() {
+		t.Errorf("tries hold slots for %.3f s, which leaves out the timeouts", held)
+	}
+}
+
 // TestSlowdown guards against an estimate that refuses everything for ever after
 // the servers were slow for a while.
 func TestSlowdown(t *testing.T) {
--- a/internal/coordination/bfadmission/estimate.go
+++ b/internal/coordination/bfadmission/estimate.go
@@ -22,16 +22,26 @@
 	probeWeight = 0.5
 )
 
-// estimate follows how long requests hold a slot.
+// estimate follows how long requests hold a slot and how long answers take.
 type estimate struct {
+	// held is the mean time that all tries hold a slot.
+	held  float64
+	tries int
+	// mean and deviation describe answers only: a frozen server's timeouts take
+	// slots, but a request sent elsewhere doesn't need that time.
 	mean, deviation float64
 	samples         int
 	at              time.Time
 	probed          bool
 }
 
-func (e *estimate) observe(now time.Time, d time.Duration) {
+func (e *estimate) observe(now time.Time, d time.Duration, failed bool) {
 	v := d.Seconds()
+	e.held += math.Max(sampleWeight, 1/float64(e.tries+1)) * (v - e.held)
+	e.tries++
+	if failed {
+		return
+	}
 	weight := math.Max(sampleWeight, 1/float64(e.samples+1))
 	if e.probed {
 		weight, e.probed = math.Max(weight, probeWeight), false
@@ -46,20 +56,22 @@
 
 // holding returns the mean time that a request holds a slot, in seconds.
 func (e *estimate) holding(expected time.Duration) float64 {
-	if e.samples >= priorSamples {
-		return e.mean
-	}
-	known := float64(e.samples) / priorSamples
-	return known*e.mean + (1-known)*expected.Seconds()
+	return mix(e.held, e.tries, expected)
 }
 
 // needed returns the time before the deadline at which a request must start.
 func (e *estimate) needed(expected time.Duration) time.Duration {
-	v := e.holding(expected)
+	v := mix(e.mean, e.samples, expected)
 	v += math.Min(deviations*e.deviation, 2*v)
 	return time.Duration(v * float64(time.Second))
 }
 
+// mix replaces the expected value by the observed one as samples come in.
+func mix(observed float64, samples int, expected time.Duration) float64 {
+	known := math.Min(1, float64(samples)/priorSamples)
+	return known*observed + (1-known)*expected.Seconds()
+}
+
 // probe tells whether a request may start against the estimate, and counts it.
 func (e *estimate) probe(now time.Time) bool {
 	if now.Sub(e.at) < probeInterval {
--- a/internal/coordination/bfadmission/queue_test.go
+++ b/internal/coordination/bfadmission/queue_test.go
@@ -1,6 +1,9 @@
 package bfadmission
 
 import (
+	"flag"
+	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +13,16 @@
 	"briarferry"
 )
 
+// TestMain sets the number of cases of the differential test and a fixed seed, so
+// that a run can be repeated; -rapid.checks and -rapid.seed override them.
+func TestMain(m *testing.M) {
+	const checks, seed = "3000", "20261204"
+	_ = flag.Set("rapid.checks", checks)
+	_ = flag.Set("rapid.seed", seed)
+	fmt.Printf("rapid: %s cases with seed %s unless flags say otherwise\n", checks, seed)
+	os.Exit(m.Run())
+}
+
 // naive is the queue as one unsorted list with a full scan for every decision.
 type naive struct {
 	waiting []*waiter
