Add the replicated state machine

Configuration, drains, results of operators' changes and claims need one ordered history. A log entry is a batch of operations in CBOR with the leader's time; an operation that is unknown or invalid gets its own result and leaves the others alone. A revision (the log index of the last change) orders configuration and drains together and is published once per entry.

--- a/internal/state/bfclaim/table.go
+++ b/internal/state/bfclaim/table.go
@@ -20,6 +20,11 @@
 	DelayMargin = 15 * time.Second
 
 	partitions = 256
+	// The bounds below keep sums of limits from overflowing, whatever the
+	// configuration says.
+	longestTimeout  = 365 * 24 * time.Hour
+	largestCapacity = 1 << 26
+
 	// expirePerCommand bounds the records that one command removes from its own
 	// partition, so that a command's cost doesn't depend on the time since the last one.
 	expirePerCommand = 4
@@ -104,8 +109,9 @@
 // SetLimits replaces the limits. Retention is never shorter than the time an
 // attempt can be delayed.
 func (t *Table) SetLimits(l Limits) {
+	l.MaxTimeout = min(l.MaxTimeout, longestTimeout)
 	l.Retention = max(l.Retention, l.MaxTimeout+DelayMargin)
-	l.Capacity = max(l.Capacity, 1)
+	l.Capacity = min(max(l.Capacity, 1), largestCapacity)
 	t.limits = l
 }
 
--- /dev/null
+++ b/internal/state/bfmachine/machine_test.go
@@ -0,0 +1,331 @@
+package bfmachine
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarferry"
+)
+
+func testConfig(note int) briarferry.Config {
+	return briarferry.Config{
+		Regions: []briarferry.Region{{Name: "koshi", FailureDomains: []string{"k1", "k2"}, CapacityShare: 0.8}},
+		Classes: []briarferry.PriorityClass{{Name: "high", Target: briarferry.Duration(time.Second)}},
+		Services: []briarferry.Service{
+			{Name: "orders", Class: "high", Slots: 3, Workers: note, Expected: 1},
+			{Name: "quotes", Class: "high", Slots: 9, Expected: 1, Idempotent: true},
+		},
+		Limits: briarferry.DefaultLimits(),
+	}
+}
+
+// model is the state machine written as plain maps, without lists or partitions.
+type model struct {
+	now      int64
+	revision uint64
+	version  uint64
+	drains   []string
+	results  map[string]modelChange
+	claims   map[string]modelClaim
+	floor    map[byte]uint64
+}
+
+type modelChange struct {
+	op   string
+	want OpResult
+}
+
+type modelClaim struct {
+	state, token string
+	digest       byte
+	index        uint64
+	at           int64
+}
+
+func part(key string) byte { return sha256.Sum256([]byte("orders\x00" + key))[0] }
+
+func (m *model) claim(index uint64, kind ClaimKind, key, token string, digest byte, seen uint64) briarferry.ClaimResult {
+	for k, c := range m.claims {
+		keep := int64(7 * 24 * 3600_000)
+		if c.state == "released" {
+			keep = 75_000
+		}
+		if part(k) == part(key) && m.now-c.at > keep {
+			delete(m.claims, k)
+			m.floor[part(k)] = max(m.floor[part(k)], c.index)
+		}
+	}
+	c, known := m.claims[key]
+	set := func(state, token string, digest byte, r briarferry.ClaimResult) briarferry.ClaimResult {
+		m.claims[key] = modelClaim{state: state, token: token, digest: digest, index: index, at: m.now}
+		return r
+	}
+	switch {
+	case kind == OpComplete && (!known || c.token != token):
+		return "held"
+	case kind == OpComplete && c.state == "completed":
+		return "completed"
+	case kind == OpComplete:
+		return set("completed", token, c.digest, "completed")
+	case !known && seen < m.floor[part(key)]:
+		return "held"
+	case !known && kind == OpClaim:
+		return set("claimed", token, digest, "granted")
+	case !known:
+		return set("released", token, digest, "released")
+	case c.digest != digest:
+		return "mismatch"
+	case c.state == "completed":
+		return "completed"
+	case c.state == "claimed" && c.token != token:
+		return "held"
+	case kind != OpClaim:
+		return set("released", c.token, c.digest, "released")
+	case c.state == "claimed":
+		return "granted"
+	case seen < c.index:
+		return set("released", c.token, c.digest, "stale")
+	}
+	return set("claimed", token, c.digest, "granted")
+}
+
+func (m *model) change(index uint64, key, op string, run func() OpResult) OpResult {
+	if r, ok := m.results[key]; ok {
+		if r.op != op {
+			return OpResult{Code: CodeKeyReused, Version: m.version}
+		}
+		return r.want
+	}
+	r := run()
+	m.results[key] = modelChange{op, r}
+	return r
+}
+
+func (m *model) put(index, base uint64) OpResult {
+	if base != m.version {
+		return OpResult{Code: CodeConflict, Version: m.version, Revision: m.revision}
+	}
+	m.version++
+	m.revision = index
+	return OpResult{Code: CodeOK, Version: m.version, Revision: index}
+}
+
+// TestAgainstModel guards against every difference between the state machine
+// and its rules, also after restoring a snapshot at any point.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		ref := &model{results: map[string]modelChange{}, claims: map[string]modelClaim{}, floor: map[byte]uint64{}}
+		index := uint64(0)
+		apply := func(op Op) OpResult {
+			ref.now = max(ref.now, 1_700_000_000_000+rapid.SampledFrom([]int64{0, 0, 0, 0, 0, 0, 0, 700_000_000}).Draw(t, "time"))
+			ref.now += rapid.SampledFrom([]int64{0, 0, 0, 0, 0, 0, 10, 10, 10, 76_000, 76_000, 8 * 24 * 3600_000}).Draw(t, "step")
+			index += uint64(rapid.IntRange(1, 2).Draw(t, "gap"))
+			cmd, err := Encode(ref.now, op)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := DecodeResult(m.Apply(index, cmd), 1)
+			if err != nil || r.Index != index {
+				t.Fatalf("result %+v: %v", r, err)
+			}
+			return r.Ops[0]
+		}
+		claims := func(t *rapid.T) {
+			for range rapid.IntRange(1, 6).Draw(t, "claims") {
+				kind := rapid.SampledFrom([]ClaimKind{OpClaim, OpComplete, OpRelease, OpRefuse}).Draw(t, "kind")
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+				token := rapid.SampledFrom([]string{"t1", "t2", "t3"}).Draw(t, "token")
+				digest := byte(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "digest"))
+				seen := uint64(rapid.IntRange(int(max(index, 6)-6), int(index)).Draw(t, "seen"))
+				op := &ClaimOp{Kind: kind, Claim: briarferry.Claim{Service: "orders", Key: key, Token: token, SeenIndex: seen, Digest: [32]byte{digest}}}
+				got := apply(Op{Claim: op})
+				if want := ref.claim(index, kind, key, token, digest, seen); got.Claim == nil || got.Claim.Result != want {
+					t.Fatalf("got %+v, want %s", got, want)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": claims,
+			"put": func(t *rapid.T) {
+				base := uint64(rapid.IntRange(0, 1).Draw(t, "ahead")) + ref.version
+				note := rapid.IntRange(0, 3).Draw(t, "note")
+				key := fmt.Sprintf("key%d", rapid.IntRange(0, 40).Draw(t, "key"))
+				got := apply(Op{Put: &PutConfig{Base: base, Config: testConfig(note), Key: key}})
+				want := ref.change(index, key, fmt.Sprint("put", base, note), func() OpResult { return ref.put(index, base) })
+				if got != want {
+					t.Fatalf("got %+v, want %+v", got, want)
+				}
+			},
+			"drain": func(t *rapid.T) {
+				target := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "target")
+				got := apply(Op{AddDrain: &AddDrain{Key: fmt.Sprint("drain", index), Drain: briarferry.Drain{Kind: briarferry.DrainFailureDomain, Target: target}}})
+				if !slices.Contains(ref.drains, target) {
+					ref.drains = append(ref.drains, target)
+					ref.revision = index
+				}
+				if got.Code != CodeOK || got.Revision != ref.revision || got.Drain.Target != target {
+					t.Fatalf("got %+v", got)
+				}
+			},
+			"undrain": func(t *rapid.T) {
+				if len(ref.drains) == 0 {
+					t.Skip("no drain")
+				}
+				got := apply(Op{RemoveDrain: &RemoveDrain{ID: m.State().Drains[0].ID}})
+				ref.drains, ref.revision = ref.drains[1:], index
+				if got.Code != CodeOK || got.Revision != index {
+					t.Fatalf("got %+v", got)
+				}
+			},
+			"garbage": func(t *rapid.T) {
+				index++
+				r, err := DecodeResult(m.Apply(index, rapid.SliceOf(rapid.Byte()).Draw(t, "cmd")), 1)
+				if err == nil && r.Ops[0].Code != CodeInvalid {
+					t.Fatalf("got %+v", r)
+				}
+			},
+			"restore": func(t *rapid.T) { m = restored(t, m) },
+			"": func(t *rapid.T) {
+				s := m.State()
+				if s.Version() != ref.version || s.Revision != ref.revision || len(s.Drains) != len(ref.drains) || m.Claims() < len(ref.claims)-3 {
+					t.Fatalf("state %+v with %d claims differs from %+v", s, m.Claims(), ref)
+				}
+			},
+		})
+	})
+}
+
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+func restored(t fataler, m *Machine) *Machine {
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatalf("snapshot: %v", err)
+	}
+	next := New()
+	if err := next.Restore(data); err != nil {
+		t.Fatalf("restore: %v", err)
+	}
+	again, _ := next.Snapshot()
+	if !bytes.Equal(data, again) || m.State().Checksum() != next.State().Checksum() {
+		t.Fatalf("state differs after a restore")
+	}
+	return next
+}
+
+// TestBatch guards against an invalid operation that spoils the others of its
+// entry, and against two states with one revision.
+func TestBatch(t *testing.T) {
+	m := New()
+	watch := m.Changed()
+	cmd, err := Encode(1,
+		Op{Put: &PutConfig{Config: testConfig(1), Key: "one"}},
+		Op{},
+		Op{Claim: &ClaimOp{Kind: "unknown", Claim: briarferry.Claim{Service: "orders", Key: "k", Token: "t"}}},
+		Op{Put: &PutConfig{Base: 1, Config: testConfig(2), Key: "two"}},
+		Op{Put: &PutConfig{Base: 1, Config: testConfig(3), Key: "three"}},
+		Op{RemoveDrain: &RemoveDrain{ID: "none"}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := DecodeResult(m.Apply(7, cmd), 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Code{CodeOK, CodeInvalid, CodeInvalid, CodeOK, CodeConflict, CodeNotFound}
+	for i, op := range r.Ops {
+		if op.Code != want[i] {
+			t.Errorf("operation %d: got %s, want %s", i, op.Code, want[i])
+		}
+	}
+	<-watch
+	if s := m.State(); s.Revision != 7 || s.Version() != 2 || m.Counters.Changes.Load() != 1 {
+		t.Errorf("got %+v after %d changes", s, m.Counters.Changes.Load())
+	}
+}
+
+// TestResultsAreBounded guards against results of changes that grow without
+// bound, and against the loss of young ones.
+func TestResultsAreBounded(t *testing.T) {
+	m := New()
+	put := func(index uint64, key string) Code {
+		cmd, _ := Encode(1, Op{RemoveDrain: &RemoveDrain{ID: "none", Key: key}})
+		m.Apply(index, cmd)
+		return CodeOK
+	}
+	for i := range maxResults + 10 {
+		put(uint64(i), fmt.Sprint(i))
+	}
+	if len(m.results) != maxResults || len(m.order) != maxResults || m.results["9"] != nil || m.results["10"] == nil {
+		t.Errorf("%d results, %d in order", len(m.results), len(m.order))
+	}
+}
+
+// TestDelta guards against a delta whose result differs from the full state.
+func TestDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := make([]*ConfigState, 2)
+		for i := range states {
+			cfg := testConfig(rapid.IntRange(0, 2).Draw(t, "note"))
+			if rapid.Bool().Draw(t, "swap") {
+				slices.Reverse(cfg.Services)
+			}
+			cfg.Services = cfg.Services[:rapid.IntRange(1, 2).Draw(t, "services")]
+			cfg.Limits.ClaimCapacity = rapid.IntRange(1, 2).Draw(t, "capacity")
+			cfg.Version = uint64(i + 1)
+			states[i] = &ConfigState{Revision: uint64(i + 5), Config: &cfg}
+		}
+		d, ok := Diff(states[0], states[1])
+		if !ok {
+			t.Fatal("no delta")
+		}
+		got, err := states[0].Patch(d)
+		if err != nil || got.Checksum() != states[1].Checksum() {
+			t.Fatalf("patched state differs: %v", err)
+		}
+	})
+}
+
+// FuzzApply guards against commands that make a replica panic or that two
+// replicas answer differently.
+func FuzzApply(f *testing.F) {
+	cmd, _ := Encode(1,
+		Op{Put: &PutConfig{Config: testConfig(1), Key: "one"}},
+		Op{Claim: &ClaimOp{Kind: OpClaim, Claim: briarferry.Claim{Service: "orders", Key: "k", Token: "t"}}},
+		Op{AddDrain: &AddDrain{Key: "k", Drain: briarferry.Drain{Kind: briarferry.DrainRegion, Target: "koshi"}}})
+	f.Add(cmd)
+	f.Add([]byte{})
+	f.Add([]byte{0xa2, 0x61, 0x74, 0x01, 0x61, 0x6f, 0x81, 0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, b := New(), New()
+		if !bytes.Equal(a.Apply(1, data), b.Apply(1, data)) {
+			t.Fatal("results differ")
+		}
+		restored(t, a)
+	})
+}
+
+// FuzzRestore guards against snapshots that make a replica panic.
+func FuzzRestore(f *testing.F) {
+	m := New()
+	cmd, _ := Encode(1, Op{Put: &PutConfig{Config: testConfig(1), Key: "one"}})
+	m.Apply(1, cmd)
+	data, _ := m.Snapshot()
+	f.Add(data)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m := New(); m.Restore(data) == nil {
+			restored(t, m)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/bfmachine/state.go
@@ -0,0 +1,168 @@
+package bfmachine
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"briarferry"
+	"briarferry/internal/state/bfcodec"
+)
+
+const maxDrains = 1024
+
+type (
+	// ConfigState is the state that entries hold under a lease. A value is never
+	// changed after it was published.
+	ConfigState struct {
+		// Revision is the log index of the last change to the state. It orders
+		// changes of the configuration and of drains together.
+		Revision uint64             `cbor:"r"`
+		Config   *briarferry.Config `cbor:"c"`
+		Drains   []briarferry.Drain `cbor:"d"`
+	}
+
+	// Delta turns the state with revision Base into a newer one. Unset parts stay.
+	Delta struct {
+		Base     uint64                      `cbor:"b"`
+		Revision uint64                      `cbor:"r"`
+		Version  uint64                      `cbor:"v"`
+		Regions  *[]briarferry.Region        `cbor:"e,omitempty"`
+		Links    *[]briarferry.Link          `cbor:"l,omitempty"`
+		Classes  *[]briarferry.PriorityClass `cbor:"c,omitempty"`
+		Limits   *briarferry.Limits          `cbor:"m,omitempty"`
+		Drains   *[]briarferry.Drain         `cbor:"d,omitempty"`
+		// Order lists the names of all services; Changed holds the new and changed ones.
+		Order   *[]string            `cbor:"o,omitempty"`
+		Changed []briarferry.Service `cbor:"s,omitempty"`
+	}
+)
+
+// Version returns the configuration's version, 0 where there is none yet.
+func (s *ConfigState) Version() uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
+// Checksum covers the whole state in its canonical encoding.
+func (s *ConfigState) Checksum() uint64 {
+	data, err := bfcodec.Marshal(s)
+	if err != nil {
+		// Plain structs of numbers, texts and lists always encode.
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
+// Validate reports every fault of the state.
+func (s *ConfigState) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if s.Config != nil {
+		f.Merge("config", s.Config.Validate())
+	}
+	if len(s.Drains) > maxDrains {
+		f.Add("drains", "must have at most %d entries", maxDrains)
+	}
+	for i := range s.Drains {
+		f.Merge(fmt.Sprintf("drains[%d]", i), s.Drains[i].Validate())
+	}
+	return f
+}
+
+// Diff returns the delta from an older state with a configuration.
+func Diff(from, to *ConfigState) (*Delta, bool) {
+	if from.Config == nil || to.Config == nil {
+		return nil, false
+	}
+	a, b := from.Config, to.Config
+	d := &Delta{Base: from.Revision, Revision: to.Revision, Version: b.Version}
+	d.Regions = changed(a.Regions, b.Regions)
+	d.Links = changed(a.Links, b.Links)
+	d.Classes = changed(a.Classes, b.Classes)
+	d.Drains = changed(from.Drains, to.Drains)
+	if a.Limits != b.Limits {
+		d.Limits = &b.Limits
+	}
+	if changed(a.Services, b.Services) == nil {
+		return d, true
+	}
+	order := make([]string, len(b.Services))
+	for i, s := range b.Services {
+		order[i] = s.Name
+		if old, ok := a.Service(s.Name); !ok || !equal(old, s) {
+			d.Changed = append(d.Changed, s)
+		}
+	}
+	d.Order = &order
+	return d, true
+}
+
+// Patch returns the state that the delta makes of this one. The caller compares
+// the checksum.
+func (s *ConfigState) Patch(d *Delta) (*ConfigState, error) {
+	if s.Config == nil || s.Revision != d.Base {
+		return nil, fmt.Errorf("bfmachine: delta is based on revision %d, not %d", d.Base, s.Revision)
+	}
+	cfg := *s.Config
+	cfg.Version = d.Version
+	next := &ConfigState{Revision: d.Revision, Config: &cfg, Drains: s.Drains}
+	replace(&cfg.Regions, d.Regions)
+	replace(&cfg.Links, d.Links)
+	replace(&cfg.Classes, d.Classes)
+	replace(&next.Drains, d.Drains)
+	if d.Limits != nil {
+		cfg.Limits = *d.Limits
+	}
+	if d.Order != nil {
+		services, err := patchServices(s.Config, *d.Order, d.Changed)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Services = services
+	}
+	if err := next.Validate().Err(); err != nil {
+		return nil, fmt.Errorf("bfmachine: patched state: %w", err)
+	}
+	return next, nil
+}
+
+func patchServices(old *briarferry.Config, order []string, changed []briarferry.Service) ([]briarferry.Service, error) {
+	known := make(map[string]briarferry.Service, len(old.Services)+len(changed))
+	for _, s := range old.Services {
+		known[s.Name] = s
+	}
+	for _, s := range changed {
+		known[s.Name] = s
+	}
+	services := make([]briarferry.Service, len(order))
+	for i, name := range order {
+		s, ok := known[name]
+		if !ok {
+			return nil, fmt.Errorf("bfmachine: delta names an unknown service: %q", name)
+		}
+		services[i] = s
+	}
+	return services, nil
+}
+
+func changed[T any](from, to []T) *[]T {
+	if (from == nil) == (to == nil) && slices.EqualFunc(from, to, func(a, b T) bool { return equal(a, b) }) {
+		return nil
+	}
+	return &to
+}
+
+func replace[T any](dst *[]T, src *[]T) {
+	if src != nil {
+		*dst = *src
+	}
+}
+
+func equal(a, b any) bool {
+	x, errX := bfcodec.Marshal(a)
+	y, errY := bfcodec.Marshal(b)
+	return errX == nil && errY == nil && slices.Equal(x, y)
+}
