Add placement planner, assignment codec and look-up table

A planner is needed that assigns client blocks to sites under the limits of sites, regions, links and shifts, with the least urgent class refused first.

bfplacement is a pure state machine in integer rates. Each step evicts what exceeds a limit, admits class by class, paces drains, and only then moves blocks for delay or balance. Assignments share ranked lists, are sent whole or as checksummed deltas, and answer look-ups through an index of disjoint ranges.

--- /dev/null
+++ b/internal/coordination/bfplacement/assignment_test.go
@@ -0,0 +1,174 @@
+package bfplacement
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"briarferry"
+)
+
+// members is a fixed view of the VMs.
+type members struct{ vms []briarferry.VM }
+
+func (m *members) Self() briarferry.VM   { return m.vms[0] }
+func (m *members) Live() []briarferry.VM { return m.vms }
+func (m *members) Connected() bool       { return true }
+
+func sevenVMs() []briarferry.VM {
+	var out []briarferry.VM
+	for i, r := range []string{"x", "x", "x", "y", "y", "z", "z"} {
+		out = append(out, briarferry.VM{Name: string(rune('a' + i)), Region: r, FailureDomain: string(rune('0' + i%2))})
+	}
+	return out
+}
+
+// TestIndexLongestPrefix guards against a wrong block at the edges of nested and
+// adjacent prefixes, by comparison with a scan of all prefixes.
+func TestIndexLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var prefixes []netip.Prefix
+		seen := map[netip.Prefix]bool{}
+		address := func() netip.Addr {
+			if rapid.Bool().Draw(t, "v4") {
+				v := rapid.SampledFrom([]uint32{0, 1 << 31, 0xffffff00, 0x0a000000}).Draw(t, "base") | rapid.Uint32Range(0, 0x1ff).Draw(t, "low")
+				return netip.AddrFrom4([4]byte(binary.BigEndian.AppendUint32(nil, v)))
+			}
+			b := [16]byte{0: byte(rapid.SampledFrom([]int{0x20, 0xff}).Draw(t, "head")), 7: byte(rapid.IntRange(0, 255).Draw(t, "mid")), 15: byte(rapid.IntRange(0, 255).Draw(t, "low"))}
+			return netip.AddrFrom16(b)
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "prefixes") {
+			a := address()
+			p, _ := a.Prefix(rapid.IntRange(0, a.BitLen()).Draw(t, "bits"))
+			if !seen[p] {
+				seen[p] = true
+				prefixes = append(prefixes, p)
+			}
+		}
+		x, err := NewIndex(prefixes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			a, want := address(), -1
+			for i, p := range prefixes {
+				if p.Contains(a) && (want < 0 || p.Bits() > prefixes[want].Bits()) {
+					want = i
+				}
+			}
+			if got, ok := x.Block(a); ok != (want >= 0) || (ok && got != want) {
+				t.Fatalf("%s is in block %d (%t), not %d", a, got, ok, want)
+			}
+		}
+		decoded, err := DecodePrefixes(EncodePrefixes(prefixes))
+		if err != nil || (len(prefixes) > 0 && !reflect.DeepEqual(decoded, prefixes)) {
+			t.Fatalf("prefixes %v became %v: %v", prefixes, decoded, err)
+		}
+	})
+}
+
+// TestDeltasRebuildAssignments guards against entries that differ from the leader
+// after a chain of deltas, and against accepting damaged messages.
+func TestDeltasRebuildAssignments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		p, err := New(DefaultLimits(), w.services, w.blocks, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		u := NewPublisher(p)
+		var at *Assignment
+		for i := range 4 {
+			if _, err := p.Step(start.Add(DefaultLimits().ShiftInterval*9), w.net); err != nil {
+				t.Fatal(err)
+			}
+			next, err := u.Assignment(w.net)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				if at, err = Decode(next.Encode()); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				delta, err := Delta(at, next)
+				if err != nil {
+					t.Fatal(err)
+				}
+				damaged := append([]byte(nil), delta...)
+				damaged[rapid.IntRange(0, len(delta)-1).Draw(t, "byte")] ^= 0x10
+				if _, err := at.Apply(damaged); err == nil {
+					t.Fatal("a damaged delta was accepted")
+				}
+				if at, err = at.Apply(delta); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !reflect.DeepEqual(at, next) {
+				t.Fatalf("step %d: got %+v, want %+v", i, at, next)
+			}
+			for b, id := range at.List {
+				if l := at.Lists[id]; p.site[b] != unplaced && int(l.Sites[0]) != int(p.site[b]) {
+					t.Fatalf("block %d is listed at %v, planned at %d", b, l.Sites, p.site[b])
+				}
+			}
+			w.disturb(t)
+		}
+	})
+}
+
+// TestFallBack guards against look-ups that leave the own region, name one failure
+// domain only, or name a draining VM while no assignment is known.
+func TestFallBack(t *testing.T) {
+	e := Entry{Members: &members{sevenVMs()}, MayTakeWork: func(vm briarferry.VM) bool { return vm.Name != "c" }}
+	first := map[string]int{}
+	for i := range 1000 {
+		got := e.Entries("s", prefix(i).Addr())
+		first[got[0].VM.Name]++
+		if got[0].VM.Region != "x" || got[1].VM.Region != "x" || got[2].VM.Region == "x" {
+			t.Fatalf("client %d: own region is not first: %+v", i, got)
+		}
+		if got[0].VM.FailureDomain == got[1].VM.FailureDomain {
+			t.Fatalf("client %d: one failure domain only: %+v", i, got)
+		}
+	}
+	if first["a"] < 400 || first["b"] < 400 || first["c"] > 0 {
+		t.Fatalf("clients are not spread over the region's usable VMs: %v", first)
+	}
+}
+
+// TestEntryFollowsAssignment guards against look-ups that ignore the plan, name a
+// dead VM, or go back to an older plan.
+func TestEntryFollowsAssignment(t *testing.T) {
+	m := &members{sevenVMs()}
+	e := Entry{Members: m}
+	prefixes := []netip.Prefix{prefix(0), prefix(1)}
+	x, err := NewIndex(prefixes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &Assignment{Version: 3, BlockSet: Checksum(prefixes), Sites: []string{"a", "b", "e"},
+		Lists: []List{{Classes: 1, Sites: []uint16{2, 0}}}, List: []uint16{0, 0}}
+	if err := e.Set(a, x); err != nil {
+		t.Fatal(err)
+	}
+	got := e.Entries("s", prefix(1).Addr().Next())
+	if len(got) != 2 || got[0].VM.Name != "e" || got[0].Weight != mainWeight || got[1].VM.Name != "a" || got[1].Weight != otherWeight {
+		t.Fatalf("got %+v", got)
+	}
+	m.vms = m.vms[:4]
+	if got = e.Entries("s", prefix(1).Addr()); len(got) != 1 || got[0].VM.Name != "a" || got[0].Weight != mainWeight {
+		t.Fatalf("after e was lost: %+v", got)
+	}
+	if got = e.Entries("s", netip.MustParseAddr("192.0.2.1")); len(got) != 4 {
+		t.Fatalf("outside all blocks: %+v", got)
+	}
+	older := *a
+	older.Version = 2
+	if err := e.Set(&older, x); err == nil || e.Version() != 3 {
+		t.Fatalf("version %d after an older assignment: %v", e.Version(), err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/bfplacement/codec.go
@@ -0,0 +1,341 @@
+package bfplacement
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"net/netip"
+	"slices"
+)
+
+const (
+	formatAssignment = 0xA1
+	formatDelta      = 0xA2
+	formatPrefixes   = 0xA3
+
+	// maxBlocks bounds what a decoder allocates for a message.
+	maxBlocks = 1 << 21
+	maxSites  = 1 << 14
+	maxLists  = 1 << 16
+	maxName   = 63
+)
+
+// reader decodes a message; after the first fault every read returns zero.
+type reader struct {
+	data []byte
+	err  error
+}
+
+func (r *reader) uint() uint64 {
+	v, n := binary.Uvarint(r.data)
+	if n <= 0 {
+		r.fail("truncated number")
+		return 0
+	}
+	r.data = r.data[n:]
+	return v
+}
+
+func (r *reader) count(limit int, what string) int {
+	v := r.uint()
+	if v > uint64(limit) {
+		r.fail("%d %s, more than %d", v, what, limit)
+		return 0
+	}
+	return int(v)
+}
+
+func (r *reader) bytes(n int) []byte {
+	if n > len(r.data) {
+		r.fail("truncated field of %d bytes", n)
+		return make([]byte, n)
+	}
+	out := r.data[:n]
+	r.data = r.data[n:]
+	return out
+}
+
+func (r *reader) fail(format string, args ...any) {
+	if r.err == nil {
+		r.err = fmt.Errorf("bfplacement: "+format, args...)
+	}
+	r.data = nil
+}
+
+// seal appends the checksum of the message.
+func seal(data []byte) []byte {
+	return binary.BigEndian.AppendUint32(data, crc32.Checksum(data, castagnoli))
+}
+
+func open(data []byte, format byte) (*reader, error) {
+	if len(data) < 5 || data[0] != format {
+		return nil, fmt.Errorf("bfplacement: message has no format %#x", format)
+	}
+	body := data[:len(data)-4]
+	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(data[len(body):]) {
+		return nil, fmt.Errorf("bfplacement: message has a wrong checksum")
+	}
+	return &reader{data: body[1:]}, nil
+}
+
+func (r *reader) close() error {
+	if r.err == nil && len(r.data) > 0 {
+		r.fail("%d bytes too many", len(r.data))
+	}
+	return r.err
+}
+
+// Encode returns the whole assignment without its prefixes.
+func (a *Assignment) Encode() []byte {
+	out := []byte{formatAssignment}
+	out = binary.AppendUvarint(out, a.Version)
+	out = binary.AppendUvarint(out, uint64(a.BlockSet))
+	out = appendNames(out, a.Sites)
+	out = binary.AppendUvarint(out, uint64(len(a.Lists)))
+	for _, l := range a.Lists {
+		out = appendList(out, l)
+	}
+	out = binary.AppendUvarint(out, uint64(len(a.List)))
+	for i := 0; i < len(a.List); {
+		run := runLength(a.List[i:])
+		out = binary.AppendUvarint(out, uint64(a.List[i]))
+		out = binary.AppendUvarint(out, uint64(run))
+		i += run
+	}
+	return seal(out)
+}
+
+func runLength(list []uint16) int {
+	n := 1
+	for n < len(list) && list[n] == list[0] {
+		n++
+	}
+	return n
+}
+
+func appendNames(out []byte, names []string) []byte {
+	out = binary.AppendUvarint(out, uint64(len(names)))
+	for _, name := range names {
+		out = append(binary.AppendUvarint(out, uint64(len(name))), name...)
+	}
+	return out
+}
+
+func appendList(out []byte, l List) []byte {
+	out = append(out, l.Classes, byte(len(l.Sites)))
+	for _, s := range l.Sites {
+		out = binary.AppendUvarint(out, uint64(s))
+	}
+	return out
+}
+
+func (r *reader) names() []string {
+	var out []string
+	for range r.count(maxSites, "sites") {
+		out = append(out, string(r.bytes(r.count(maxName, "bytes of a name"))))
+		if r.err != nil {
+			return nil
+		}
+	}
+	return out
+}
+
+func (r *reader) list() List {
+	l := List{Classes: r.bytes(1)[0]}
+	for range r.count(listLength, "sites of a list") {
+		l.Sites = append(l.Sites, uint16(r.count(maxSites, "as a site")))
+	}
+	return l
+}
+
+// Decode reads a whole assignment.
+func Decode(data []byte) (*Assignment, error) {
+	r, err := open(data, formatAssignment)
+	if err != nil {
+		return nil, err
+	}
+	a := &Assignment{Version: r.uint(), BlockSet: uint32(r.uint()), Sites: r.names()}
+	for range r.count(maxLists, "lists") {
+		a.Lists = append(a.Lists, r.list())
+		if r.err != nil {
+			return nil, r.err
+		}
+	}
+	n := r.count(maxBlocks, "blocks")
+	a.List = make([]uint16, 0, n)
+	for len(a.List) < n && r.err == nil {
+		id, run := uint16(r.count(maxLists-1, "as a list")), r.count(n-len(a.List), "blocks of a run")
+		if run == 0 {
+			r.fail("empty run")
+		}
+		a.List = append(a.List, slices.Repeat([]uint16{id}, run)...)
+	}
+	if err := r.close(); err != nil {
+		return nil, err
+	}
+	return a, a.validate()
+}
+
+// sum covers everything that a delta changes.
+func (a *Assignment) sum() uint32 {
+	var head []byte
+	for _, l := range a.Lists {
+		head = appendList(head, l)
+	}
+	sum := crc32.Checksum(head, castagnoli)
+	row := make([]byte, 0, 8192)
+	for i, id := range a.List {
+		row = binary.LittleEndian.AppendUint16(row, id)
+		if len(row) == cap(row) || i == len(a.List)-1 {
+			sum = crc32.Update(sum, castagnoli, row)
+			row = row[:0]
+		}
+	}
+	return sum
+}
+
+// Delta encodes the change from one assignment to a later one of the same blocks
+// and sites. It carries the checksum of the result.
+func Delta(from, to *Assignment) ([]byte, error) {
+	if from.BlockSet != to.BlockSet || len(from.List) != len(to.List) || !slices.Equal(from.Sites, to.Sites) || len(from.Lists) > len(to.Lists) {
+		return nil, fmt.Errorf("bfplacement: no delta between assignments of different blocks or sites")
+	}
+	out := []byte{formatDelta}
+	out = binary.AppendUvarint(out, from.Version)
+	out = binary.AppendUvarint(out, to.Version)
+	out = binary.AppendUvarint(out, uint64(to.BlockSet))
+	out = appendChangedLists(out, from.Lists, to.Lists)
+	last := 0
+	for b, id := range to.List {
+		if id != from.List[b] {
+			out = binary.AppendUvarint(out, uint64(b-last)+1)
+			out = binary.AppendUvarint(out, uint64(id))
+			last = b
+		}
+	}
+	out = append(out, 0)
+	return seal(binary.BigEndian.AppendUint32(out, to.sum())), nil
+}
+
+func appendChangedLists(out []byte, from, to []List) []byte {
+	var changed []int
+	for i, l := range to {
+		if i >= len(from) || from[i].Classes != l.Classes || !slices.Equal(from[i].Sites, l.Sites) {
+			changed = append(changed, i)
+		}
+	}
+	out = binary.AppendUvarint(out, uint64(len(changed)))
+	for _, i := range changed {
+		out = appendList(binary.AppendUvarint(out, uint64(i)), to[i])
+	}
+	return out
+}
+
+// Apply returns the assignment after a delta. It refuses a delta from another
+// version, and a result whose checksum differs from the sender's.
+func (a *Assignment) Apply(delta []byte) (*Assignment, error) {
+	r, err := open(delta, formatDelta)
+	if err != nil {
+		return nil, err
+	}
+	from, to, set := r.uint(), r.uint(), uint32(r.uint())
+	if from != a.Version || to < from || set != a.BlockSet {
+		return nil, fmt.Errorf("bfplacement: delta from version %d to %d does not follow %d", from, to, a.Version)
+	}
+	out := &Assignment{Version: to, BlockSet: set, Sites: a.Sites, Lists: slices.Clone(a.Lists), List: slices.Clone(a.List)}
+	for range r.count(maxLists, "lists") {
+		i := r.count(len(out.Lists), "as a list")
+		if i == len(out.Lists) && r.err == nil {
+			out.Lists = append(out.Lists, List{})
+		}
+		l := r.list()
+		if r.err != nil {
+			return nil, r.err
+		}
+		out.Lists[i] = l
+	}
+	b := 0
+	for gap := r.uint(); gap > 0 && r.err == nil; gap = r.uint() {
+		if gap-1 >= uint64(len(out.List)-b) {
+			r.fail("block out of range")
+			break
+		}
+		b += int(gap - 1)
+		out.List[b] = uint16(r.count(maxLists-1, "as a list"))
+	}
+	sum := binary.BigEndian.Uint32(r.bytes(4))
+	if err := r.close(); err != nil {
+		return nil, err
+	}
+	if sum != out.sum() {
+		return nil, fmt.Errorf("bfplacement: assignment %d has a wrong checksum after a delta", to)
+	}
+	return out, out.validate()
+}
+
+// EncodePrefixes returns the block set, which is sent only when it changes.
+func EncodePrefixes(prefixes []netip.Prefix) []byte {
+	out := binary.AppendUvarint([]byte{formatPrefixes}, uint64(len(prefixes)))
+	var last [16]byte
+	for _, p := range prefixes {
+		// The address's bytes that equal the previous prefix's are not repeated.
+		b, n := p.Addr().As16(), (p.Bits()+7)/8
+		if p.Addr().Is4() {
+			n += 12
+		}
+		same := 0
+		for same < n && b[same] == last[same] {
+			same++
+		}
+		family := byte(0)
+		if p.Addr().Is4() {
+			family = 1
+		}
+		out = append(out, family<<7|byte(same), byte(p.Bits()))
+		out = append(out, b[same:max(n, same)]...)
+		last = b
+	}
+	return seal(out)
+}
+
+// DecodePrefixes reads a block set.
+func DecodePrefixes(data []byte) ([]netip.Prefix, error) {
+	r, err := open(data, formatPrefixes)
+	if err != nil {
+		return nil, err
+	}
+	n := r.count(maxBlocks, "blocks")
+	var out []netip.Prefix
+	var last [16]byte
+	for range n {
+		head := r.bytes(2)
+		is4, same, bits := head[0]&0x80 != 0, int(head[0]&0x7f), int(head[1])
+		end := (bits + 7) / 8
+		if is4 {
+			end += 12
+		}
+		if r.err != nil || end > 16 || same > 16 || (is4 && bits > 32) {
+			r.fail("prefix out of range")
+			return nil, r.err
+		}
+		var b [16]byte
+		copy(b[:], last[:same])
+		copy(b[same:], r.bytes(max(0, end-same)))
+		addr := netip.AddrFrom16(b)
+		if is4 {
+			addr = addr.Unmap()
+		}
+		if is4 != addr.Is4() {
+			r.fail("prefix of another address family")
+			return nil, r.err
+		}
+		out = append(out, netip.PrefixFrom(addr, bits))
+		last = b
+	}
+	return out, r.close()
+}
+
+// Checksum identifies a block set.
+func Checksum(prefixes []netip.Prefix) uint32 {
+	return crc32.Checksum(EncodePrefixes(prefixes), castagnoli)
+}
--- /dev/null
+++ b/internal/coordination/bfplacement/entry.go
@@ -0,0 +1,220 @@
+package bfplacement
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"briarferry"
+)
+
+const (
+	// mainWeight is the weight of the entries that the plan counts on, and
+	// otherWeight that of the ones to use when those fail. Callers that choose at
+	// random by weight stay within 0.3% of the plan.
+	mainWeight  = 1000
+	otherWeight = 1
+
+	// maxEntries bounds a look-up's answer.
+	maxEntries = 5
+)
+
+type (
+	// Entry answers look-ups from the last known assignment, or from the live VMs
+	// where there is none. Its exported fields are set before use.
+	Entry struct {
+		Members briarferry.Members
+		// SiteOf names the site of a VM; by default each VM is a site of its name.
+		SiteOf func(briarferry.VM) string
+		// MayTakeWork tells whether a VM takes new work; by default all live ones do.
+		MayTakeWork func(briarferry.VM) bool
+
+		current atomic.Pointer[view]
+	}
+
+	// view is an assignment with the index of its blocks.
+	view struct {
+		assignment *Assignment
+		index      *Index
+	}
+)
+
+// Set replaces the assignment in use. It refuses one of an older version, unless
+// the leader that made it recomputed everything for another block set.
+func (e *Entry) Set(a *Assignment, x *Index) error {
+	if x.blocks != len(a.List) || x.sum != a.BlockSet {
+		return fmt.Errorf("bfplacement: assignment %d is about another block set", a.Version)
+	}
+	next := &view{assignment: a, index: x}
+	for {
+		old := e.current.Load()
+		if old != nil && old.assignment.BlockSet == a.BlockSet && old.assignment.Version > a.Version {
+			return fmt.Errorf("bfplacement: assignment %d is older than %d", a.Version, old.assignment.Version)
+		}
+		if e.current.CompareAndSwap(old, next) {
+			return nil
+		}
+	}
+}
+
+// Version returns the version of the assignment in use, or 0.
+func (e *Entry) Version() uint64 {
+	if v := e.current.Load(); v != nil {
+		return v.assignment.Version
+	}
+	return 0
+}
+
+// List returns the ranked list of a client's block, or false where none is known.
+func (e *Entry) List(client netip.Addr) (List, bool) {
+	v := e.current.Load()
+	if v == nil {
+		return List{}, false
+	}
+	b, ok := v.index.Block(client)
+	if !ok {
+		return List{}, false
+	}
+	return v.assignment.Lists[v.assignment.List[b]], true
+}
+
+// Entries returns the entries for a client address, best first.
+func (e *Entry) Entries(_ string, client netip.Addr) []briarferry.PlacedEntry {
+	live := e.usable()
+	l, ok := e.List(client)
+	if !ok {
+		return e.fallBack(live, client)
+	}
+	sites := e.current.Load().assignment.Sites
+	var out []briarferry.PlacedEntry
+	for _, s := range l.Sites {
+		weight := otherWeight
+		if len(out) == 0 {
+			weight = mainWeight
+		}
+		for _, vm := range rank(e.ofSite(live, sites[s]), client) {
+			if len(out) < maxEntries-1 || (weight == otherWeight && len(out) < maxEntries) {
+				out = append(out, briarferry.PlacedEntry{VM: vm, Weight: weight})
+			}
+		}
+	}
+	if len(out) == 0 {
+		return e.fallBack(live, client)
+	}
+	return out
+}
+
+func (e *Entry) usable() []briarferry.VM {
+	live := e.Members.Live()
+	if e.MayTakeWork == nil {
+		return live
+	}
+	out := make([]briarferry.VM, 0, len(live))
+	for _, vm := range live {
+		if e.MayTakeWork(vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (e *Entry) ofSite(live []briarferry.VM, site string) []briarferry.VM {
+	var out []briarferry.VM
+	for _, vm := range live {
+		if (e.SiteOf == nil && vm.Name == site) || (e.SiteOf != nil && e.SiteOf(vm) == site) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// fallBack names this entry's own region first, spread over failure domains. The
+// client's address orders the VMs, so that clients spread evenly over them.
+func (e *Entry) fallBack(live []briarferry.VM, client netip.Addr) []briarferry.PlacedEntry {
+	own := e.Members.Self().Region
+	ranked := rank(live, client)
+	slices.SortStableFunc(ranked, func(a, b briarferry.VM) int {
+		return cmp.Compare(boolInt(a.Region != own), boolInt(b.Region != own))
+	})
+	var out []briarferry.PlacedEntry
+	for _, vm := range spread(ranked) {
+		weight := otherWeight
+		if vm.Region == own || ranked[0].Region != own {
+			weight = mainWeight
+		}
+		out = append(out, briarferry.PlacedEntry{VM: vm, Weight: weight})
+	}
+	// Entries of the own region stay first where spreading put another before them.
+	slices.SortStableFunc(out, func(a, b briarferry.PlacedEntry) int { return cmp.Compare(b.Weight, a.Weight) })
+	return out
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// spread picks the first VM of each failure domain, then the others.
+func spread(ranked []briarferry.VM) []briarferry.VM {
+	type domain struct{ region, name string }
+	seen := map[domain]bool{}
+	var out, rest []briarferry.VM
+	for _, vm := range ranked {
+		d := domain{vm.Region, vm.FailureDomain}
+		if seen[d] {
+			rest = append(rest, vm)
+			continue
+		}
+		seen[d] = true
+		out = append(out, vm)
+	}
+	out = append(out, rest...)
+	return out[:min(len(out), maxEntries)]
+}
+
+// rank orders VMs by a hash of their name and the client's network, so that each
+// client keeps its order when another VM leaves.
+func rank(vms []briarferry.VM, client netip.Addr) []briarferry.VM {
+	bits := 56
+	if client = client.Unmap(); client.Is4() {
+		bits = 24
+	}
+	network, _ := client.Prefix(bits)
+	address, _ := network.Addr().MarshalBinary()
+	type scored struct {
+		vm    briarferry.VM
+		score uint64
+	}
+	all := make([]scored, len(vms))
+	for i, vm := range vms {
+		h := fnv.New64a()
+		_, _ = h.Write(address)
+		_, _ = h.Write([]byte(vm.Name))
+		all[i] = scored{vm, mix(h.Sum64())}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.vm.Name, b.vm.Name)
+	})
+	out := make([]briarferry.VM, len(all))
+	for i, s := range all {
+		out[i] = s.vm
+	}
+	return out
+}
+
+// mix spreads FNV's weak upper bits, which differ little between names that differ
+// in their last letter only.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- /dev/null
+++ b/internal/coordination/bfplacement/planner.go
@@ -0,0 +1,229 @@
+package bfplacement
+
+import (
+	"fmt"
+	"time"
+)
+
+// unplaced marks a block without a site.
+const unplaced = -1
+
+// Planner assigns blocks to sites step by step.
+type Planner struct {
+	limits Limits
+	*table
+	site    []int16
+	level   []int8
+	load    loads
+	version uint64
+	// fresh is true until the first step or an adopted assignment.
+	fresh      bool
+	departures []departure
+	arrivals   []arrival
+	// upSince and seen remember, per site, when it came up and its last fresh load.
+	upSince []time.Time
+	wasDown []bool
+	seen    []Rate
+}
+
+// New returns a planner for the given blocks; the first step places all of them.
+func New(limits Limits, services []Service, blocks Blocks, regions int) (*Planner, error) {
+	t, err := newTable(services, blocks, regions)
+	if err != nil {
+		return nil, err
+	}
+	p := &Planner{limits: limits, table: t, fresh: true}
+	p.site, p.level = make([]int16, t.n), make([]int8, t.n)
+	for b := range p.site {
+		p.site[b] = unplaced
+	}
+	return p, nil
+}
+
+// Adopt continues from an earlier assignment, so that a new leader moves no block
+// without need. Sites holds one index a block, or -1.
+func (p *Planner) Adopt(version uint64, sites []int16, classes []int8) error {
+	if len(sites) != p.n || len(classes) != p.n {
+		return fmt.Errorf("bfplacement: adopt %d sites and %d levels for %d blocks", len(sites), len(classes), p.n)
+	}
+	copy(p.site, sites)
+	for b, c := range classes {
+		p.level[b] = min(max(c, 0), int8(p.k))
+	}
+	p.version, p.fresh = version, false
+	return nil
+}
+
+// SetDemand replaces the demand of every block.
+func (p *Planner) SetDemand(demand []Rate) error { return p.setDemand(demand) }
+
+// Site returns the site of a block, or -1, and how many classes it serves.
+func (p *Planner) Site(b int) (site, classes int) { return int(p.site[b]), int(p.level[b]) }
+
+// Step makes the decisions of one interval. Equal states and arguments give equal
+// plans. The plan of the first step lists no shifts, since no earlier assignment
+// is known that they could be counted from.
+func (p *Planner) Step(now time.Time, net Network) (Plan, error) {
+	if err := p.checkNetwork(net); err != nil {
+		return Plan{}, err
+	}
+	s := newStep(now, net, p.k)
+	s.unlimited = p.fresh
+	p.observe(s)
+	p.expire(now)
+	p.release(s)
+	p.sumLoads(s)
+	s.addDepartures(p.departures)
+	s.addMeasured(p.load, p.seen)
+	s.setCaps(p.limits, p.arrivals)
+	p.evictOverLimit(s)
+	for c := range p.k {
+		p.admit(s, c)
+	}
+	p.drain(s)
+	if !s.waiting() {
+		p.improve(s)
+	}
+	return p.finish(s), nil
+}
+
+func (p *Planner) checkNetwork(net Network) error {
+	if len(net.Regions) != p.r {
+		return fmt.Errorf("bfplacement: %d regions, not %d", len(net.Regions), p.r)
+	}
+	if p.seen == nil {
+		p.upSince = make([]time.Time, len(net.Sites))
+		p.wasDown = make([]bool, len(net.Sites))
+		p.seen = make([]Rate, len(net.Sites))
+	}
+	if len(net.Sites) != len(p.seen) {
+		return fmt.Errorf("bfplacement: %d sites, not %d", len(net.Sites), len(p.seen))
+	}
+	for i, site := range net.Sites {
+		if site.Region < 0 || site.Region >= p.r {
+			return fmt.Errorf("bfplacement: sites[%d] has region %d of %d", i, site.Region, p.r)
+		}
+	}
+	for i, l := range net.Links {
+		if min(l.A, l.B) < 0 || max(l.A, l.B) >= p.r || l.A == l.B {
+			return fmt.Errorf("bfplacement: links[%d] joins regions %d and %d of %d", i, l.A, l.B, p.r)
+		}
+	}
+	return nil
+}
+
+// observe keeps what the planner must remember of each site's measurements.
+func (p *Planner) observe(s *step) {
+	for i, site := range s.Sites {
+		s.frozen[i] = site.Age >= p.limits.Silence
+		if !s.frozen[i] {
+			p.seen[i] = site.Load
+		}
+		if site.State == SiteDown {
+			p.wasDown[i], p.seen[i] = true, 0
+			continue
+		}
+		if p.wasDown[i] {
+			p.wasDown[i], p.upSince[i] = false, s.now
+		}
+		warming := !p.upSince[i].IsZero() && s.now.Sub(p.upSince[i]) < p.limits.WarmUp
+		s.cold[i] = site.Cold || warming
+	}
+}
+
+// expire forgets departures whose look-ups have run out, and arrivals older than
+// an interval and a look-up's life: the load of a shift arrives spread over the
+// life, so that any interval sees at most the shifts of both together.
+func (p *Planner) expire(now time.Time) {
+	departures := p.departures[:0]
+	for _, d := range p.departures {
+		if d.until.After(now) {
+			departures = append(departures, d)
+		}
+	}
+	arrivals := p.arrivals[:0]
+	for _, a := range p.arrivals {
+		if a.until.After(now) {
+			arrivals = append(arrivals, a)
+		}
+	}
+	p.departures, p.arrivals = departures, arrivals
+}
+
+// release takes the blocks off sites that are down.
+func (p *Planner) release(s *step) {
+	for b, at := range p.site {
+		if at != unplaced && (int(at) >= len(s.Sites) || s.Sites[at].State == SiteDown) {
+			p.site[b], p.level[b] = unplaced, 0
+			s.changed = true
+		}
+	}
+}
+
+func (p *Planner) sumLoads(s *step) {
+	p.load = newLoads(len(s.Sites), p.r, p.k)
+	for b, at := range p.site {
+		if at != unplaced {
+			p.addLoad(s, b, int(at), 0, int(p.level[b]))
+		}
+	}
+}
+
+// addLoad changes the loads of a block's site from one level to another.
+func (p *Planner) addLoad(s *step, b, at, from, to int) {
+	rate := p.served(b, to) - p.served(b, from)
+	region, home := s.Sites[at].Region, int(p.home[b])
+	p.load.site[at] += rate
+	p.load.region[region] += rate
+	for c := min(from, to); c < max(from, to); c++ {
+		own := p.served(b, c+1) - p.served(b, c)
+		if to < from {
+			own = -own
+		}
+		p.load.class[at*p.k+c] += own
+	}
+	if home != region {
+		p.load.link[pair(home, region, p.r)] += p.servedBits(b, to) - p.servedBits(b, from)
+	}
+}
+
+func (p *Planner) finish(s *step) Plan {
+	for _, d := range s.left {
+		if d.rate > 0 || d.bits > 0 {
+			p.departures = append(p.departures, d)
+		}
+	}
+	for _, a := range s.arrived {
+		if a.rate > 0 {
+			p.arrivals = append(p.arrivals, a)
+		}
+	}
+	p.fresh = false
+	if s.changed {
+		p.version++
+	}
+	s.plan.Version = p.version
+	for _, h := range s.held {
+		if h.Blocks > 0 {
+			s.plan.Held = append(s.plan.Held, h)
+		}
+	}
+	s.plan.Refused = p.refusals()
+	return s.plan
+}
+
+func (p *Planner) refusals() []Refusal {
+	sums := make([]Rate, p.r*p.k)
+	for b := range p.n {
+		for c := int(p.level[b]); c < p.k; c++ {
+			sums[int(p.home[b])*p.k+c] += p.served(b, c+1) - p.served(b, c)
+		}
+	}
+	var out []Refusal
+	for i, rate := range sums {
+		if rate > 0 {
+			out = append(out, Refusal{Region: i / p.k, Urgency: p.urgencies[i%p.k], Rate: rate})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/bfplacement/types.go
@@ -0,0 +1,197 @@
+// Package bfplacement assigns client blocks to sites under the limits of sites,
+// regions, links and shifts. The planner is a pure state machine: the caller
+// passes time and measurements in.
+package bfplacement
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// SiteUp is a site that may receive blocks.
+	SiteUp SiteState = iota
+	// SiteDraining is a site that serves its blocks until they have moved.
+	SiteDraining
+	// SiteDown is a site that serves nothing.
+	SiteDown
+)
+
+const (
+	// ForAdmission is a shift that serves more classes of a block, or a block of a
+	// lost site.
+	ForAdmission Cause = iota
+	// ForDrain is a shift off a draining site.
+	ForDrain
+	// ForDelay is a shift to a nearer region.
+	ForDelay
+	// ForBalance is a shift to a less loaded site of the same region.
+	ForBalance
+)
+
+const (
+	// HeldByShiftCap is demand that waits for the next interval of a destination.
+	HeldByShiftCap Reason = iota + 1
+	// HeldByColdCap is demand that waits for the smaller cap of a cold site.
+	HeldByColdCap
+	// HeldBySite is demand without room at any site of the region.
+	HeldBySite
+	// HeldByRegion is demand without room below the region's limit.
+	HeldByRegion
+	// HeldByLink is demand without room on the link to the region.
+	HeldByLink
+	// HeldBySilence is demand whose destination sends no fresh measurements.
+	HeldBySilence
+	// HeldByOutage is demand whose region has no site that is up.
+	HeldByOutage
+
+	reasons = int(HeldByOutage) + 1
+)
+
+type (
+	// Rate is a request rate in thousandths of a request per second. It is an
+	// integer so that sums do not depend on the order of additions.
+	Rate int64
+
+	// SiteState is the state of a site as membership and drains give it.
+	SiteState uint8
+
+	// Cause names why a shift was made.
+	Cause uint8
+
+	// Reason names the limit that holds demand back.
+	Reason uint8
+
+	// Region is a destination with a limit over all its sites.
+	Region struct {
+		Name string
+		// Limit bounds the region's served rate; 0 stands for the sum of its sites.
+		Limit Rate
+	}
+
+	// Site is a group of entries that blocks are assigned to; today it is one VM.
+	Site struct {
+		Name          string
+		Region        int
+		FailureDomain string
+		Capacity      Rate
+		State         SiteState
+		// Cold marks a site with cold caches beyond the planner's own warm-up time.
+		Cold bool
+		// Age is the age of the newest measurement of the site.
+		Age time.Duration
+		// Load is the measured rate.
+		Load Rate
+	}
+
+	// Link is the path between two regions; its capacity holds each way.
+	Link struct {
+		A, B          int
+		BitsPerSecond int64
+		OneWayDelay   time.Duration
+	}
+
+	// Network is everything that may change between two steps but the blocks. The
+	// number and order of regions and sites stay the same during a planner's life.
+	Network struct {
+		Regions []Region
+		Sites   []Site
+		Links   []Link
+	}
+
+	// Service is a column of the demand; a single service stands for all demand.
+	Service struct {
+		Name           string
+		Urgency        int
+		BitsPerRequest int64
+	}
+
+	// Blocks holds the client blocks as parallel arrays, row by row.
+	Blocks struct {
+		Prefixes []netip.Prefix
+		// Demand has one column for each service.
+		Demand []Rate
+		// DelayMicros has one column for each region.
+		DelayMicros []uint32
+	}
+
+	// Limits bounds the planner's decisions.
+	Limits struct {
+		ShiftCapShare float64
+		ShiftInterval time.Duration
+		LookupTTL     time.Duration
+		// Hysteresis is the gain below which no block moves for a better delay.
+		Hysteresis float64
+		// ColdShare is the part of the cap that may go to cold sites.
+		ColdShare float64
+		// Silence is the age from which a measurement counts as missing.
+		Silence time.Duration
+		// WarmUp is how long a site counts as cold after it came up.
+		WarmUp time.Duration
+	}
+
+	// Shift is one block's move or the admission of more of its classes.
+	Shift struct {
+		Block    int32
+		From, To int16
+		// Classes is the number of classes served after the shift, most urgent first.
+		Classes int8
+		Cause   Cause
+		// Rate counts against the destination's cap.
+		Rate Rate
+		// Left is what cached look-ups still bring to the former site.
+		Left Rate
+	}
+
+	// Held sums the demand that one limit of one region holds back.
+	Held struct {
+		Region int
+		Reason Reason
+		Blocks int
+		Rate   Rate
+	}
+
+	// Refusal is the demand of one class that fits nowhere, by its callers' region.
+	Refusal struct {
+		Region  int
+		Urgency int
+		Rate    Rate
+	}
+
+	// DrainProgress describes a draining site.
+	DrainProgress struct {
+		Site      int
+		Remaining Rate
+		Blocks    int
+		// WouldBreakLimit tells that some blocks have no room elsewhere.
+		WouldBreakLimit bool
+	}
+
+	// Plan is the result of one step.
+	Plan struct {
+		Version uint64
+		Shifts  []Shift
+		Held    []Held
+		Refused []Refusal
+		Drains  []DrainProgress
+	}
+)
+
+// DefaultLimits returns the limits of the design page.
+func DefaultLimits() Limits {
+	return Limits{
+		ShiftCapShare: 0.05, ShiftInterval: 10 * time.Second, LookupTTL: 5 * time.Second,
+		Hysteresis: 0.10, ColdShare: 0.25, Silence: 3 * time.Second, WarmUp: time.Minute,
+	}
+}
+
+// Drain returns a copy of the sites in which those that match are draining.
+func Drain(sites []Site, match func(Site) bool) []Site {
+	out := append([]Site(nil), sites...)
+	for i := range out {
+		if out[i].State == SiteUp && match(out[i]) {
+			out[i].State = SiteDraining
+		}
+	}
+	return out
+}
