--- a/internal/coordination/bfplacement/improve.go
+++ b/internal/coordination/bfplacement/improve.go
@@ -1,5 +1,7 @@
 package bfplacement
 
+import "math"
+
 // drain moves blocks off draining sites as far as the limits allow.
 func (p *Planner) drain(s *step) {
 	index := make([]int, len(s.Sites))
@@ -17,7 +19,7 @@
 		if at == unplaced || index[at] == 0 {
 			continue
 		}
-		q := search{b: b, level: int(p.level[b]), fill: 1, cause: ForDrain}
+		q := search{b: b, level: int(p.level[b]), fill: 1, cause: ForDrain, patient: true}
 		to, region, reason, passing := p.find(s, q)
 		if to != unplaced {
 			p.move(s, q, to)
@@ -72,6 +74,9 @@
 	if p.served(q.b, q.level) == 0 {
 		return unplaced
 	}
+	if p.isBalanced(s, s.Sites[at].Region) {
+		return unplaced
+	}
 	own := p.used(s, at)
 	if own <= p.limits.Hysteresis {
 		return unplaced
@@ -87,6 +92,22 @@
 	return to
 }
 
+func (p *Planner) isBalanced(s *step, region int) bool {
+	if s.balance[region] == unknown {
+		low, high := math.Inf(1), 0.0
+		for _, at := range s.bySite[region] {
+			if s.Sites[at].State == SiteUp {
+				low, high = min(low, p.used(s, at)), max(high, p.used(s, at))
+			}
+		}
+		s.balance[region] = unbalanced
+		if high-low <= p.limits.Hysteresis {
+			s.balance[region] = balanced
+		}
+	}
+	return s.balance[region] == balanced
+}
+
 func (p *Planner) used(s *step, at int) float64 {
 	return float64(p.load.site[at]+s.extra.site[at]) / float64(max(1, s.siteLimit[at]))
 }
--- a/internal/coordination/bfplacement/network.go
+++ b/internal/coordination/bfplacement/network.go
@@ -2,7 +2,15 @@
 
 import "time"
 
+const (
+	unknown balance = iota
+	balanced
+	unbalanced
+)
+
 type (
+	balance uint8
+
 	// loads is the assigned rate of every destination and link.
 	loads struct {
 		site   []Rate
@@ -39,6 +47,9 @@
 		left    []departure
 		arrived []arrival
 		changed bool
+		// balance caches, by region, whether its sites' loads differ by more than the
+		// hysteresis; a shift resets it.
+		balance []balance
 	}
 
 	// departure is a rate that cached look-ups still bring to a former site.
@@ -82,6 +93,7 @@
 	s.extra = newLoads(len(net.Sites), r, classes)
 	s.cursor = make([]int, len(net.Sites)*classes)
 	s.held = make([]Held, r*reasons)
+	s.balance = make([]balance, r)
 	s.left = make([]departure, len(net.Sites)*r*2)
 	s.arrived = make([]arrival, r*2)
 	for i, site := range net.Sites {
--- a/internal/coordination/bfplacement/shift.go
+++ b/internal/coordination/bfplacement/shift.go
@@ -6,6 +6,8 @@
 	// fill is the share of each limit that may be used.
 	fill  float64
 	cause Cause
+	// patient waits for the caps of nearer regions instead of going further.
+	patient bool
 }
 
 // admit tries to serve one more class of every block that serves all more urgent
@@ -44,6 +46,9 @@
 		if i == 0 {
 			region, reason = int(r), why
 		}
+		if q.patient && (why == HeldByShiftCap || why == HeldByColdCap) {
+			return unplaced, int(r), why, true
+		}
 		passing = passing || why == HeldByShiftCap || why == HeldByColdCap || why == HeldBySilence
 	}
 	return unplaced, region, reason, passing
@@ -178,6 +183,10 @@
 	p.addLoad(s, q.b, to, 0, q.level)
 	p.site[q.b], p.level[q.b] = int16(to), int8(q.level)
 	s.changed = true
+	s.balance[region] = unknown
+	if from != unplaced {
+		s.balance[s.Sites[from].Region] = unknown
+	}
 	if s.unlimited {
 		return
 	}
