Answer look-ups from the placement package

Look-ups named every live VM with equal weights in random order, so callers left their region without need. They now use bfplacement.Entry, which names the own region first and spreads over failure domains while no assignment is known.

--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/transport/bfentry"
 	"briarferry/internal/transport/bftrace"
 	"briarferry/internal/transport/bfupstream"
@@ -111,7 +112,7 @@
 	entry := &bfentry.Entry{
 		Config:           bfentry.FixedConfig{Config: s.config},
 		Members:          members,
-		Placement:        bfentry.EqualPlacement{Members: members},
+		Placement:        &bfplacement.Entry{Members: members},
 		Announcements:    pool,
 		TrustedResolvers: s.resolvers,
 		Pipeline: &bfentry.Pipeline{
--- a/internal/transport/bfentry/plain.go
+++ b/internal/transport/bfentry/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -27,11 +26,6 @@
 		All []briarferry.VM
 	}
 
-	// EqualPlacement names every live VM with the same weight.
-	EqualPlacement struct {
-		Members briarferry.Members
-	}
-
 	// MemoryClaims keeps claims in the memory of one process.
 	MemoryClaims struct {
 		mu    sync.Mutex
@@ -79,16 +73,6 @@
 // Connected is always true.
 func (f FixedMembers) Connected() bool { return true }
 
-// Entries returns every live VM.
-func (p EqualPlacement) Entries(string, netip.Addr) []briarferry.PlacedEntry {
-	var out []briarferry.PlacedEntry
-	for _, vm := range p.Members.Live() {
-		out = append(out, briarferry.PlacedEntry{VM: vm, Weight: 100})
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
-}
-
 // Claim grants a key to its first attempt.
 func (m *MemoryClaims) Claim(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
 	m.mu.Lock()
