Add drains with their progress

Operators need to see how far a drain has come, and a drain of a failure domain or region must not leave too little capacity.

bfdrain is a pure state machine over readings of backend servers and VMs. Single targets begin at once and report a breach; domains and regions begin target by target as capacity allows. Silent readings never count as empty.

--- /dev/null
+++ b/internal/coordination/bfdrain/set.go
@@ -0,0 +1,248 @@
+package bfdrain
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+type (
+	// Set tracks all drains of one process.
+	Set struct {
+		limits  Limits
+		drains  []*tracked
+		targets map[targetKey]Target
+	}
+
+	// tracked is a drain with what it has begun.
+	tracked struct {
+		Drain
+		begun       map[targetKey]start
+		breaksLimit bool
+	}
+
+	// start is when a target began to drain, with its requests in flight then.
+	start struct {
+		at       time.Time
+		inFlight int
+	}
+
+	targetKey struct {
+		kind    Kind
+		service string
+		name    string
+	}
+
+	// pool is the targets that can take each other's work.
+	pool struct {
+		kind    Kind
+		service string
+	}
+)
+
+// New returns an empty set.
+func New(limits Limits) *Set {
+	return &Set{limits: limits, targets: map[targetKey]Target{}}
+}
+
+func (t Target) key() targetKey { return targetKey{t.Kind, t.Service, t.Name} }
+
+// Announce adds a drain. The same drain may be announced again.
+func (s *Set) Announce(d Drain) error {
+	if err := d.Validate().Err(); err != nil {
+		return fmt.Errorf("bfdrain: %w", err)
+	}
+	for _, known := range s.drains {
+		if known.ID == d.ID {
+			if known.Drain != d {
+				return fmt.Errorf("bfdrain: drain %s was announced for another target", d.ID)
+			}
+			return nil
+		}
+	}
+	if len(s.drains) >= maxDrains {
+		return fmt.Errorf("bfdrain: more than %d drains", maxDrains)
+	}
+	s.drains = append(s.drains, &tracked{Drain: d, begun: map[targetKey]start{}})
+	return nil
+}
+
+// End forgets a drain; its targets take new work again.
+func (s *Set) End(id string) bool {
+	before := len(s.drains)
+	s.drains = slices.DeleteFunc(s.drains, func(d *tracked) bool { return d.ID == id })
+	return len(s.drains) < before
+}
+
+// Step takes the newest readings of all targets and begins what capacity allows. A
+// target that is missing from the readings keeps its last one as silent.
+func (s *Set) Step(now time.Time, readings []Target) {
+	for k, t := range s.targets {
+		t.Age = s.limits.Silence
+		s.targets[k] = t
+	}
+	for _, t := range readings {
+		s.targets[t.key()] = t
+	}
+	s.forget()
+	ordered := s.ordered()
+	for _, d := range s.drains {
+		s.begin(now, d, ordered)
+	}
+}
+
+// forget drops silent targets that no drain covers.
+func (s *Set) forget() {
+	for k, t := range s.targets {
+		covered := slices.ContainsFunc(s.drains, func(d *tracked) bool { return d.Covers(t) })
+		if t.Age >= s.limits.Silence && !covered {
+			delete(s.targets, k)
+		}
+	}
+}
+
+func (s *Set) ordered() []Target {
+	out := make([]Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func (s *Set) begin(now time.Time, d *tracked, ordered []Target) {
+	d.breaksLimit = false
+	for _, t := range ordered {
+		if !d.Covers(t) {
+			continue
+		}
+		_, begun := d.begun[t.key()]
+		if !s.fits(t, ordered) {
+			d.breaksLimit = true
+			if d.paced() {
+				continue
+			}
+		}
+		if !begun {
+			d.begun[t.key()] = start{now, t.InFlight}
+		}
+	}
+}
+
+// fits tells whether the other targets can carry the pool's load without the given
+// one and all that have begun. Silent targets carry nothing, but their last known
+// load still counts.
+func (s *Set) fits(without Target, ordered []Target) bool {
+	p, capacity, load := pool{without.Kind, without.Service}, 0, 0
+	for _, t := range ordered {
+		if (pool{t.Kind, t.Service}) != p {
+			continue
+		}
+		load += t.InFlight
+		if t.key() != without.key() && t.Age < s.limits.Silence && !s.hasBegun(t) {
+			capacity += t.Capacity
+		}
+	}
+	return float64(load) <= float64(capacity)*s.limits.FillShare
+}
+
+func (s *Set) hasBegun(t Target) bool {
+	for _, d := range s.drains {
+		if _, ok := d.begun[t.key()]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// MayTakeWork tells whether a backend server or VM may get new work. An entry asks
+// this before each dispatch and for each look-up. A target that has not begun to
+// drain, for lack of capacity, still takes work. A target that is new in a draining
+// failure domain or region takes none until a step has counted it.
+func (s *Set) MayTakeWork(t Target) bool {
+	for _, d := range s.drains {
+		if !d.Covers(t) {
+			continue
+		}
+		_, begun := d.begun[t.key()]
+		_, known := s.targets[t.key()]
+		if begun || !known || !d.paced() {
+			return false
+		}
+	}
+	return true
+}
+
+// Progress describes all drains in the order of their announcement.
+func (s *Set) Progress(now time.Time) []Progress {
+	out := make([]Progress, 0, len(s.drains))
+	ordered := s.ordered()
+	for _, d := range s.drains {
+		out = append(out, s.progress(now, d, ordered))
+	}
+	return out
+}
+
+func (s *Set) progress(now time.Time, d *tracked, ordered []Target) Progress {
+	p := Progress{Drain: d.Drain, State: StateWaiting, BreaksLimit: d.breaksLimit, Known: true}
+	newest := time.Time{}
+	for _, t := range ordered {
+		if !d.Covers(t) {
+			continue
+		}
+		p.Targets++
+		began, ok := d.begun[t.key()]
+		if !ok {
+			p.Known = false
+			continue
+		}
+		p.Begun++
+		p.InFlight += t.InFlight
+		if began.at.After(newest) {
+			newest = began.at
+		}
+		s.addTarget(&p, now, t, began)
+	}
+	switch {
+	case p.Begun == 0:
+		p.Known = false
+	case p.Empty == p.Targets:
+		p.State, p.Remaining = StateEmpty, 0
+	case now.Sub(newest) < StopWithin:
+		p.State = StateStopping
+	default:
+		p.State = StateEmptying
+	}
+	return p
+}
+
+// addTarget counts one begun target and extends the estimate: a target is empty no
+// sooner than its callers have stopped using cached look-ups, and its requests go on
+// finishing at the pace they had since it began.
+func (s *Set) addTarget(p *Progress, now time.Time, t Target, began start) {
+	if t.Age >= s.limits.Silence {
+		p.Silent++
+		p.Known = false
+		return
+	}
+	elapsed, least := now.Sub(began.at), StopWithin
+	if t.Kind == KindVM {
+		least += s.limits.LookupTTL
+	}
+	remaining := max(0, least-elapsed)
+	if t.InFlight == 0 && remaining == 0 {
+		p.Empty++
+		return
+	}
+	switch done := began.inFlight - t.InFlight; {
+	case t.InFlight == 0:
+	case done > 0:
+		remaining = max(remaining, time.Duration(float64(elapsed)*float64(t.InFlight)/float64(done)))
+	default:
+		p.Known = false
+	}
+	p.Remaining = max(p.Remaining, remaining)
+}
--- /dev/null
+++ b/internal/coordination/bfdrain/set_test.go
@@ -0,0 +1,134 @@
+package bfdrain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var at = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// servers returns backend servers in two failure domains of each of two regions.
+func servers(n, capacity, inFlight int) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, Target{Kind: KindBackendServer, Name: fmt.Sprintf("10.0.0.%d:80", i), Service: "s",
+			Region: fmt.Sprint("r", i%2), FailureDomain: fmt.Sprint("d", i/2%2), Capacity: capacity, InFlight: inFlight})
+	}
+	return out
+}
+
+func announced(t *testing.T, d Drain) *Set {
+	t.Helper()
+	s := New(DefaultLimits())
+	if err := s.Announce(d); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestCovers guards against drains that reach too far or not far enough.
+func TestCovers(t *testing.T) {
+	target := Target{Kind: KindVM, Name: "a", Region: "r", FailureDomain: "d"}
+	for _, c := range []struct {
+		kind   Kind
+		target string
+		want   bool
+	}{
+		{KindVM, "a", true}, {KindVM, "b", false}, {KindBackendServer, "a", false},
+		{KindFailureDomain, "d", true}, {KindFailureDomain, "r/d", true}, {KindFailureDomain, "x/d", false},
+		{KindRegion, "r", true}, {KindRegion, "d", false},
+	} {
+		if d := (Drain{Kind: c.kind, Target: c.target}); d.Covers(target) != c.want {
+			t.Errorf("%s %s covers %t", c.kind, c.target, !c.want)
+		}
+	}
+}
+
+// TestServerDrain guards against new work after the announcement, and against a
+// server that counts as empty while it runs requests or sends no readings.
+func TestServerDrain(t *testing.T) {
+	all := servers(4, 10, 4)
+	s := announced(t, Drain{ID: "1", Kind: KindBackendServer, Target: all[0].Name})
+	if s.MayTakeWork(all[0]) || !s.MayTakeWork(all[1]) {
+		t.Fatal("the drained server takes work, or another one does not")
+	}
+	for _, c := range []struct {
+		after, age time.Duration
+		inFlight   int
+		want       State
+		known      bool
+	}{
+		{0, 0, 4, StateStopping, false},
+		{2 * time.Second, 0, 2, StateStopping, true},
+		{4 * time.Second, 0, 1, StateEmptying, true},
+		{5 * time.Second, time.Minute, 0, StateEmptying, false},
+		{6 * time.Second, 0, 0, StateEmpty, true},
+	} {
+		all[0].InFlight, all[0].Age = c.inFlight, c.age
+		s.Step(at.Add(c.after), all)
+		if p := s.Progress(at.Add(c.after))[0]; p.State != c.want || p.Known != c.known || p.BreaksLimit {
+			t.Errorf("after %s: %+v", c.after, p)
+		}
+	}
+	s.Step(at.Add(time.Minute), all[1:])
+	if p := s.Progress(at.Add(time.Minute))[0]; p.State == StateEmpty || p.Silent != 1 {
+		t.Errorf("a server that vanished counts as empty: %+v", p)
+	}
+	if !s.End("1") || !s.MayTakeWork(all[0]) {
+		t.Error("the server takes no work after the drain's end")
+	}
+}
+
+// TestVMWaitsForLookups guards against stopping a VM that cached look-ups name.
+func TestVMWaitsForLookups(t *testing.T) {
+	vms := []Target{{Kind: KindVM, Name: "a", Capacity: 9}, {Kind: KindVM, Name: "b", Capacity: 9}}
+	s := announced(t, Drain{ID: "1", Kind: KindVM, Target: "a"})
+	s.Step(at, vms)
+	if p := s.Progress(at.Add(4 * time.Second))[0]; p.State != StateEmptying || p.Remaining != 4*time.Second {
+		t.Errorf("before the look-ups' end: %+v", p)
+	}
+	if p := s.Progress(at.Add(8 * time.Second))[0]; p.State != StateEmpty {
+		t.Errorf("after the look-ups' end: %+v", p)
+	}
+}
+
+// TestRegionDrainIsPaced guards against a drain that leaves too little capacity at
+// any step, and against one that does not go on when load falls.
+func TestRegionDrainIsPaced(t *testing.T) {
+	all := servers(8, 10, 6)
+	s := announced(t, Drain{ID: "1", Kind: KindRegion, Target: "r0"})
+	for i, load := range []int{6, 6, 5, 4, 3} {
+		for j := range all {
+			all[j].InFlight = load
+		}
+		s.Step(at.Add(time.Duration(i)*time.Second), all)
+		capacity := 0
+		for _, target := range all {
+			if s.MayTakeWork(target) {
+				capacity += target.Capacity
+			}
+		}
+		p := s.Progress(at.Add(time.Duration(i) * time.Second))[0]
+		if float64(8*load) > float64(capacity)*0.9 {
+			t.Errorf("load %d of %d", 8*load, capacity)
+		}
+		if wantAll := load <= 4; (p.Begun == p.Targets) != wantAll || p.BreaksLimit == wantAll {
+			t.Errorf("load %d: %+v", load, p)
+		}
+	}
+}
+
+// TestSingleDrainReportsBreach guards against a leaving server that goes on getting
+// work because others are too small, and against hiding that they are.
+func TestSingleDrainReportsBreach(t *testing.T) {
+	all := servers(2, 10, 9)
+	s := announced(t, Drain{ID: "1", Kind: KindBackendServer, Target: all[0].Name})
+	s.Step(at, all)
+	if p := s.Progress(at)[0]; s.MayTakeWork(all[0]) || !p.BreaksLimit {
+		t.Errorf("got %+v", p)
+	}
+	if err := s.Announce(Drain{ID: "1", Kind: KindRegion, Target: "r0"}); err == nil {
+		t.Error("an id was used for two drains")
+	}
+}
