Add the table of announced backend servers

Entries need one view of the announced servers that is bounded and that can be sent as changes only. The table keeps the newest announcement per server under a 3 s lease, sharded by key, with versioned deltas, short refreshes and a digest of content.

--- /dev/null
+++ b/internal/state/bfbackend/table.go
@@ -0,0 +1,212 @@
+// Package bfbackend keeps the table of announced backend servers.
+package bfbackend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"briarferry"
+)
+
+const (
+	// Lease is how long an announcement counts.
+	Lease = 3 * time.Second
+	// DefaultCapacity bounds the table; it is far above the 132 servers of today.
+	DefaultCapacity = 16_384
+
+	shardCount = 16
+	// remember is how long the sequence of a lapsed server is kept, so that a
+	// delayed older announcement doesn't bring it back.
+	remember = 10 * time.Second
+)
+
+var (
+	// ErrFull is returned where the table has no room for another server.
+	ErrFull = eris.New("bfbackend: table of backend servers is full")
+	// ErrStale is returned for an announcement older than the known one.
+	ErrStale = eris.New("bfbackend: announcement is older than the known one")
+)
+
+type (
+	// Table holds the newest announcement of each backend server.
+	Table struct {
+		// Origin is the name of this VM; it is set before use.
+		Origin string
+		// Capacity bounds the number of servers; 0 stands for DefaultCapacity.
+		Capacity int
+
+		shards  [shardCount]shard
+		version atomic.Uint64
+		size    atomic.Int64
+	}
+
+	shard struct {
+		mu      sync.RWMutex
+		entries map[uint64]*entry
+	}
+
+	entry struct {
+		a         briarferry.Announcement
+		origin    string
+		heardAt   time.Time
+		startedAt time.Time
+		content   uint64
+		// version is the table's version at the last change, contentVersion at the
+		// last change other than of sequence and load.
+		version, contentVersion uint64
+	}
+)
+
+// Announce stores an announcement that a backend server sent to this VM, and
+// returns it with its sequence.
+func (t *Table) Announce(now time.Time, a briarferry.Announcement) (briarferry.Announcement, error) {
+	key := Key(a.ID())
+	s := t.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Sequence == 0 {
+		// Clocks of VMs differ, so the stamp is always above the known one.
+		a.Sequence = uint64(now.UnixMilli())
+		if e := s.entries[key]; e != nil {
+			a.Sequence = max(a.Sequence, e.a.Sequence+1)
+		}
+	}
+	return a, t.store(s, key, a, t.Origin, now)
+}
+
+// Merge stores what another VM sent and returns whether anything changed.
+func (t *Table) Merge(now time.Time, r Record) (bool, error) {
+	age := time.Duration(r.AgeMillis) * time.Millisecond
+	a := r.Announcement()
+	key := Key(a.ID())
+	s := t.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if age >= Lease && s.entries[key] == nil {
+		return false, nil
+	}
+	switch err := t.store(s, key, a, r.Origin, now.Add(-age)); err {
+	case nil:
+		return true, nil
+	case ErrStale:
+		return false, nil
+	default:
+		return false, err
+	}
+}
+
+// Refresh renews a known record and returns false where the server is unknown.
+func (t *Table) Refresh(now time.Time, origin string, r Refresh) bool {
+	s := t.shard(r.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[r.Key]
+	if e == nil {
+		return false
+	}
+	a := e.a
+	a.Sequence, a.Load = r.Sequence, float64(r.LoadMilli)/loadScale
+	_ = t.store(s, r.Key, a, origin, now.Add(-time.Duration(r.AgeMillis)*time.Millisecond))
+	return true
+}
+
+func (t *Table) store(s *shard, key uint64, a briarferry.Announcement, origin string, heardAt time.Time) error {
+	e := s.entries[key]
+	if e != nil && a.Sequence <= e.a.Sequence {
+		return ErrStale
+	}
+	if e == nil {
+		if t.size.Add(1) > int64(t.capacity()) {
+			t.size.Add(-1)
+			return ErrFull
+		}
+		if s.entries == nil {
+			s.entries = make(map[uint64]*entry)
+		}
+		e = &entry{startedAt: heardAt}
+		s.entries[key] = e
+	}
+	if e.a.State == briarferry.StateDraining || heardAt.Sub(e.heardAt) >= Lease || a.State == briarferry.StateStarting && e.a.State != a.State {
+		e.startedAt = heardAt
+	}
+	e.version = t.version.Add(1)
+	if c := content(&a); c != e.content {
+		e.content, e.contentVersion = c, e.version
+	}
+	e.a, e.origin, e.heardAt = a, origin, heardAt
+	return nil
+}
+
+// Get returns a server with a valid lease by its key.
+func (t *Table) Get(now time.Time, key uint64) (briarferry.Backend, bool) {
+	s := t.shard(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.entries[key]
+	if e == nil || e.lapsed(now) {
+		return briarferry.Backend{}, false
+	}
+	return e.backend(), true
+}
+
+// All calls f for each server with a valid lease; startedAt is when the server
+// last started or returned.
+func (t *Table) All(now time.Time, f func(key uint64, b briarferry.Backend, startedAt time.Time)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		for key, e := range s.entries {
+			if !e.lapsed(now) {
+				f(key, e.backend(), e.startedAt)
+			}
+		}
+		s.mu.RUnlock()
+	}
+}
+
+// Service returns the servers of a service that have a valid lease.
+func (t *Table) Service(now time.Time, service string) []briarferry.Backend {
+	var list []briarferry.Backend
+	t.All(now, func(_ uint64, b briarferry.Backend, _ time.Time) {
+		if b.Service == service {
+			list = append(list, b)
+		}
+	})
+	return list
+}
+
+// Sweep removes servers that lapsed a while ago.
+func (t *Table) Sweep(now time.Time) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for key, e := range s.entries {
+			if now.Sub(e.heardAt) > Lease+remember {
+				delete(s.entries, key)
+				t.size.Add(-1)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Version returns the number of the last change.
+func (t *Table) Version() uint64 { return t.version.Load() }
+
+func (t *Table) capacity() int {
+	if t.Capacity > 0 {
+		return t.Capacity
+	}
+	return DefaultCapacity
+}
+
+func (t *Table) shard(key uint64) *shard { return &t.shards[key%shardCount] }
+
+func (e *entry) lapsed(now time.Time) bool { return now.Sub(e.heardAt) >= Lease }
+
+func (e *entry) backend() briarferry.Backend {
+	return briarferry.Backend{Announcement: e.a, HeardAt: e.heardAt, ExpiresAt: e.heardAt.Add(Lease)}
+}
