Add membership by heartbeats

Entries must agree on which VMs are up, and one that is cut off or was frozen must stop by itself. A VM counts as connected only with those that echo a sequence sent after its last freeze.

--- /dev/null
+++ b/internal/coordination/bfmember/heartbeat.go
@@ -0,0 +1,110 @@
+package bfmember
+
+import (
+	"fmt"
+	"net/netip"
+
+	"briarferry"
+)
+
+const (
+	maxVMs     = 1024
+	maxLearned = 8
+)
+
+const (
+	// FlagLeaving is set by a VM that stops by plan.
+	FlagLeaving Flags = 1 << iota
+	// FlagSynced is set by a VM that knows all backend servers.
+	FlagSynced
+	// FlagReady is set by a VM that takes new work.
+	FlagReady
+)
+
+type (
+	// Flags is what a VM tells about itself in each heartbeat.
+	Flags uint8
+
+	// Descriptor is a briarferry.VM in compact form.
+	Descriptor struct {
+		_                 struct{} `cbor:",toarray"`
+		Name              string
+		Region            string
+		FailureDomain     string
+		HTTP, RPC, Gossip netip.AddrPort
+		Incarnation       uint64
+		Control           bool
+	}
+
+	// Heartbeat is what each VM sends to all others.
+	Heartbeat struct {
+		_        struct{} `cbor:",toarray"`
+		VM       Descriptor
+		Sequence uint64
+		Flags    Flags
+		Heard    []Heard
+		// Learned carries descriptors of other VMs in turn, so that a VM with few
+		// seeds learns of all.
+		Learned []Descriptor
+	}
+
+	// Heard tells when the sender last heard another VM.
+	Heard struct {
+		_           struct{} `cbor:",toarray"`
+		Name        string
+		Incarnation uint64
+		Sequence    uint64
+		AgeMillis   uint32
+	}
+)
+
+// Describe returns the compact form of a VM.
+func Describe(vm briarferry.VM) Descriptor {
+	return Descriptor{Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain, HTTP: vm.HTTP,
+		RPC: vm.RPC, Gossip: vm.Gossip, Incarnation: vm.Incarnation, Control: vm.Control}
+}
+
+// VM returns the domain type.
+func (d *Descriptor) VM() briarferry.VM {
+	return briarferry.VM{Name: d.Name, Region: d.Region, FailureDomain: d.FailureDomain, HTTP: d.HTTP,
+		RPC: d.RPC, Gossip: d.Gossip, Incarnation: d.Incarnation, Control: d.Control}
+}
+
+// Validate reports every field that is out of range.
+func (d *Descriptor) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	for place, s := range map[string]string{"name": d.Name, "region": d.Region, "failure_domain": d.FailureDomain} {
+		if !briarferry.ValidName(s) {
+			f.Add(place, "must be a name: %q", s)
+		}
+	}
+	if !d.Gossip.IsValid() || d.Gossip.Port() == 0 {
+		f.Add("gossip", "must be an IP address with a port")
+	}
+	return f
+}
+
+// Validate reports every field that is out of range.
+func (h *Heartbeat) Validate() briarferry.Findings {
+	f := h.VM.Validate()
+	if h.Sequence == 0 {
+		f.Add("sequence", "must be set")
+	}
+	if len(h.Heard) > maxVMs {
+		f.Add("heard", "must have at most %d entries", maxVMs)
+		return f
+	}
+	for i := range h.Heard {
+		if !briarferry.ValidName(h.Heard[i].Name) {
+			f.Add(fmt.Sprintf("heard[%d].name", i), "must be a name")
+		}
+	}
+	if len(h.Learned) > maxLearned {
+		f.Add("learned", "must have at most %d entries", maxLearned)
+		return f
+	}
+	for i := range h.Learned {
+		f.Merge(fmt.Sprintf("learned[%d]", i), h.Learned[i].Validate())
+	}
+	return f
+}
--- /dev/null
+++ b/internal/coordination/bfmember/members.go
@@ -0,0 +1,117 @@
+package bfmember
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"briarferry"
+)
+
+// Members is a Machine under a lock and with the runtime's clock; it implements
+// briarferry.Members.
+type Members struct {
+	mu sync.Mutex
+	m  *Machine
+}
+
+var _ briarferry.Members = (*Members)(nil)
+
+// NewMembers returns the membership of a VM that starts now.
+func NewMembers(self briarferry.VM, seeds []netip.AddrPort) *Members {
+	return &Members{m: NewMachine(time.Now(), self, seeds)}
+}
+
+// Tick returns where a heartbeat is due and the heartbeat.
+func (s *Members) Tick() ([]Outgoing, Heartbeat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	out := s.m.Tick(now)
+	if len(out) == 0 {
+		return nil, Heartbeat{}
+	}
+	return out, s.m.Heartbeat(now)
+}
+
+// Receive takes a heartbeat and returns false where it is to be ignored.
+func (s *Members) Receive(h *Heartbeat) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Receive(time.Now(), h)
+}
+
+// SetFlag sets or clears a flag of this VM.
+func (s *Members) SetFlag(f Flags, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.SetFlag(f, on)
+}
+
+// Leave tells the others that this VM stops by plan.
+func (s *Members) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.Leave(time.Now())
+}
+
+// Self returns this VM.
+func (s *Members) Self() briarferry.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Self()
+}
+
+// Live returns the VMs that are up and linked both ways, this one included.
+func (s *Members) Live() []briarferry.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Live(time.Now())
+}
+
+// Up returns the VMs that are not down by the verdict of most.
+func (s *Members) Up() []briarferry.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Up()
+}
+
+// Ready returns the live VMs that take new work.
+func (s *Members) Ready() []briarferry.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Ready(time.Now())
+}
+
+// Connected is false while this VM considers itself cut off.
+func (s *Members) Connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Connected(time.Now())
+}
+
+// FlagsOf returns what a linked VM last told about itself, and false for others.
+func (s *Members) FlagsOf(name string) (Flags, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.m.peers[name]
+	if p == nil || !p.linked(time.Now()) {
+		return 0, false
+	}
+	return p.flags, true
+}
+
+// Hears tells whether the named VM reported to have heard the other one lately.
+func (s *Members) Hears(name, other string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.m.peers[name]
+	return p != nil && p.reports[other].fresh
+}
+
+// Stats returns the counted events.
+func (s *Members) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Stats
+}
