--- a/internal/transport/bfgossip/cluster_test.go
+++ b/internal/transport/bfgossip/cluster_test.go
@@ -141,6 +141,12 @@
 	n.done.Wait()
 }
 
+func (n *simNode) isDead() bool {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	return n.dead
+}
+
 func (n *simNode) freeze() {
 	n.net.mu.Lock()
 	defer n.net.mu.Unlock()
@@ -172,7 +178,7 @@
 
 func stopAll(nodes []*simNode) {
 	for _, n := range nodes {
-		if n != nil && !n.dead {
+		if n != nil && !n.isDead() {
 			n.crash()
 		}
 	}
@@ -186,7 +192,7 @@
 // announce repeats announcements every second at changing entries until the context ends.
 func announce(ctx context.Context, t *testing.T, at func(round int) *simNode, a func() briarferry.Announcement) {
 	for round := 0; ctx.Err() == nil; round++ {
-		if n := at(round); n != nil && !n.dead {
+		if n := at(round); n != nil && !n.isDead() {
 			if _, err := n.table.Announce(time.Now(), a()); err != nil {
 				t.Error(err)
 			}
