Use membership, gossip and slot leases in serve

Entries kept their own list of servers and divided slots by a fixed share. serve now runs bfmember, bfgossip, bfbackend and bfslot; look-ups name only VMs that report to be ready, and readyz fails until the table is synced.

--- a/internal/coordination/bfmember/members.go
+++ b/internal/coordination/bfmember/members.go
@@ -128,6 +128,18 @@
 	return len(s.m.seeds)+len(s.m.peers) > 0
 }
 
+// IsReady tells whether a VM takes new work by its own account.
+func (s *Members) IsReady(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if name == s.m.self.Name {
+		return s.m.flags&FlagReady != 0 && s.m.Connected(now)
+	}
+	p := s.m.peers[name]
+	return p != nil && !p.down && p.linked(now) && p.flags&FlagReady != 0
+}
+
 // Ready returns the live VMs that take new work.
 func (s *Members) Ready() []briarferry.VM {
 	s.mu.Lock()
--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -81,6 +81,18 @@
 	return n
 }
 
+// Slots returns the number of slots that all servers of a service have together.
+func (p *Pool) Slots(service string) int {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, r := range p.byName[service] {
+		n += r.slots
+	}
+	return n
+}
+
 // SetDemand tells how many requests of each urgency wait for a service. More
 // demand than before is sent at once.
 func (p *Pool) SetDemand(service string, waiting map[int]int) {
--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"net/netip"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfadmission"
+	"briarferry/internal/coordination/bfbalancer"
 	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/transport/bfentry"
 	"briarferry/internal/transport/bftrace"
@@ -107,18 +110,39 @@
 		return err
 	}
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
-	members := bfentry.FixedMembers{Own: s.vm, All: []briarferry.VM{s.vm}}
-	pool := &bfentry.PlainPool{Share: 1}
+	config := bfentry.FixedConfig{Config: s.config}
+	sharing := &bfentry.Sharing{
+		VM: s.vm, Seeds: s.peers, Balancer: &bfbalancer.Balancer{Seed: s.vm.Incarnation}, Config: config, Log: s.log,
+	}
+	sharing.Open()
 	entry := &bfentry.Entry{
-		Config:           bfentry.FixedConfig{Config: s.config},
-		Members:          members,
-		Placement:        &bfplacement.Entry{Members: members},
-		Announcements:    pool,
+		Config:           config,
+		Members:          sharing.Members,
+		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: sharing.MayTakeWork},
+		Announcements:    sharing,
 		TrustedResolvers: s.resolvers,
 		Pipeline: &bfentry.Pipeline{
-			Claims: &bfentry.MemoryClaims{}, Admitter: pool, Upstream: bfupstream.New(),
+			Claims:   &bfentry.MemoryClaims{},
+			Admitter: &bfadmission.Admitter{Pool: sharing.Slots, Slots: sharing.Slots.Slots},
+			Upstream: bfupstream.New(),
 		},
 	}
 	server := &bfentry.Server{Listen: s.vm.HTTP, Entry: entry, Log: s.log, DrainFor: s.drainFor, StopWithin: stopWithin}
-	return server.Run(ctx)
+	return runBoth(ctx, server, sharing)
+}
+
+// runBoth keeps sharing alive until the server has drained, since requests in
+// flight still occupy slots.
+func runBoth(ctx context.Context, server *bfentry.Server, sharing *bfentry.Sharing) error {
+	serveCtx, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	shareCtx, stopSharing := context.WithCancel(context.WithoutCancel(ctx))
+	failed := make(chan error, 1)
+	go func() {
+		failed <- sharing.Run(shareCtx, server.Entry.Ready)
+		stopServing()
+	}()
+	err := server.Run(serveCtx)
+	stopSharing()
+	return errors.Join(err, <-failed)
 }
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -75,11 +75,19 @@
 	bfapi.WriteJSON(w, http.StatusOK, map[string]string{"status": "ready"})
 }
 
+// Ready tells whether look-ups may name this VM: it takes new work and doesn't drain.
+func (e *Entry) Ready() bool { return !e.leaving.Load() && e.unfit() == "" }
+
 // unready returns why the entry takes no new work, or "".
 func (e *Entry) unready() string {
 	if e.isDraining() {
 		return "the VM is draining"
 	}
+	return e.unfit()
+}
+
+// unfit returns why the entry takes no new work apart from a drain, or "".
+func (e *Entry) unfit() string {
 	if _, _, ok := e.Config.Current(); !ok {
 		return "no valid configuration lease"
 	}
--- a/internal/transport/bfentry/plain.go
+++ b/internal/transport/bfentry/plain.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"briarferry"
-	"briarferry/internal/protocol/bfapi"
 )
 
-const plainPoll = 2 * time.Millisecond
-
 type (
 	// FixedConfig is a configuration that never changes.
 	FixedConfig struct {
@@ -37,26 +31,6 @@
 		done   bool
 		answer briarferry.Answer
 	}
-
-	// PlainPool admits requests to announced servers at random while they have a
-	// free slot by this entry's own count.
-	PlainPool struct {
-		// Share divides the announced slots among the entries.
-		Share int
-
-		mu       sync.Mutex
-		backends map[briarferry.BackendID]*plainBackend
-	}
-
-	plainBackend struct {
-		backend  briarferry.Backend
-		inFlight int
-	}
-
-	plainSlot struct {
-		pool *PlainPool
-		b    *plainBackend
-	}
 )
 
 // Current returns the configuration with a lease that does not end.
@@ -121,65 +95,3 @@
 	}
 	return briarferry.ClaimReply{Result: briarferry.ClaimReleased}, nil
 }
-
-// Announce stores the announcement for one lease.
-func (p *PlainPool) Announce(a briarferry.Announcement) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.backends == nil {
-		p.backends = map[briarferry.BackendID]*plainBackend{}
-	}
-	b, ok := p.backends[a.ID()]
-	if !ok {
-		b = &plainBackend{}
-		p.backends[a.ID()] = b
-	}
-	now := time.Now()
-	b.backend = briarferry.Backend{Announcement: a, HeardAt: now, ExpiresAt: now.Add(bfapi.AnnouncementLease)}
-	return nil
-}
-
-// Synced is always true.
-func (p *PlainPool) Synced() bool { return true }
-
-// Acquire polls for a free slot until the deadline.
-func (p *PlainPool) Acquire(ctx context.Context, t briarferry.Ticket) (briarferry.Slot, error) {
-	for {
-		if s, ok := p.take(t); ok {
-			return s, nil
-		}
-		if time.Until(t.Deadline) < t.Expected {
-			return nil, refuseNotRun("no slot becomes free in time")
-		}
-		select {
-		case <-ctx.Done():
-			return nil, refuseNotRun("the caller gave up while waiting")
-		case <-time.After(plainPoll):
-		}
-	}
-}
-
-func (p *PlainPool) take(t briarferry.Ticket) (briarferry.Slot, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	ids := slices.Collect(maps.Keys(p.backends))
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids {
-		b := p.backends[id]
-		free := b.inFlight < max(1, b.backend.Slots/p.Share)
-		takes := b.backend.State != briarferry.StateDraining && time.Now().Before(b.backend.ExpiresAt)
-		if id.Service == t.Service && takes && free && !slices.Contains(t.Avoid, id) {
-			b.inFlight++
-			return &plainSlot{pool: p, b: b}, true
-		}
-	}
-	return nil, false
-}
-
-func (s *plainSlot) Backend() briarferry.Backend { return s.b.backend }
-
-func (s *plainSlot) Done(briarferry.TryReport) {
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	s.b.inFlight--
-}
--- /dev/null
+++ b/internal/transport/bfentry/sharing.go
@@ -0,0 +1,111 @@
+package bfentry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfmember"
+	"briarferry/internal/coordination/bfslot"
+	"briarferry/internal/state/bfbackend"
+	"briarferry/internal/transport/bfgossip"
+)
+
+const readyInterval = 50 * time.Millisecond
+
+// Sharing is what an entry shares with the other VMs: membership, announced
+// backend servers and their slots. Its exported fields are set before Start.
+type Sharing struct {
+	VM       briarferry.VM
+	Seeds    []netip.AddrPort
+	Balancer briarferry.Balancer
+	// Config gives the delays between regions; nil stands for none.
+	Config briarferry.ConfigSource
+	Log    zerolog.Logger
+
+	// Members, Table and Slots are set by Open.
+	Members *bfmember.Members
+	Table   *bfbackend.Table
+	Slots   *bfslot.Pool
+
+	node *bfgossip.Node
+	net  *bfgossip.Gnet
+}
+
+// Open creates the parts, so that others can refer to them before Run.
+func (s *Sharing) Open() {
+	s.Members = bfmember.NewMembers(s.VM, s.Seeds)
+	s.Table = &bfbackend.Table{Origin: s.VM.Name}
+	s.net = &bfgossip.Gnet{Listen: s.VM.Gossip, Log: s.Log}
+	s.node = &bfgossip.Node{Members: s.Members, Table: s.Table, Network: s.net, Log: s.Log}
+	s.Slots = &bfslot.Pool{Members: s.Members, Table: s.Table, Balancer: s.Balancer, Sender: s.node, Delay: s.delay}
+	s.node.Slots = s.Slots
+	s.net.Receive = s.node.Receive
+}
+
+// Run exchanges messages until the context ends; ready tells whether this VM takes
+// new work.
+func (s *Sharing) Run(ctx context.Context, ready func() bool) error {
+	stop, err := s.net.Start()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = s.Slots.Run(ctx) })
+	wg.Go(func() { s.publishReady(ctx, ready) })
+	return s.node.Run(ctx)
+}
+
+func (s *Sharing) publishReady(ctx context.Context, ready func() bool) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		s.Members.SetFlag(bfmember.FlagReady, ready())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Announce stores what a backend server told this VM; the heartbeats spread it.
+func (s *Sharing) Announce(a briarferry.Announcement) error {
+	_, err := s.Table.Announce(time.Now(), a)
+	switch {
+	case errors.Is(err, bfbackend.ErrStale):
+		return nil // the server announced something newer meanwhile
+	case errors.Is(err, bfbackend.ErrFull):
+		return refuseNotRun("the table of backend servers is full")
+	}
+	return err
+}
+
+// Synced tells whether this VM knows all announced backend servers.
+func (s *Sharing) Synced() bool { return s.node.Synced() }
+
+// MayTakeWork tells whether a live VM reports that it takes new work.
+func (s *Sharing) MayTakeWork(vm briarferry.VM) bool { return s.Members.IsReady(vm.Name) }
+
+func (s *Sharing) delay(region string) time.Duration {
+	if s.Config == nil || region == s.VM.Region {
+		return 0
+	}
+	cfg, _, ok := s.Config.Current()
+	if !ok {
+		return 0
+	}
+	for _, l := range cfg.Links {
+		if l.Regions == [2]string{region, s.VM.Region} || l.Regions == [2]string{s.VM.Region, region} {
+			return l.OneWayDelay.Std()
+		}
+	}
+	return 0
+}
