--- a/internal/coordination/bfslot/share.go
+++ b/internal/coordination/bfslot/share.go
@@ -7,13 +7,11 @@
 )
 
 const (
-	// quantum is how long an entry keeps a slot that others with equal urgency wait for.
-	quantum = 200 * time.Millisecond
-	// floorShare is the share of a service's slots kept for each lower urgency.
-	floorShare = 0.1
-	// smallTotal is the number of slots below which a floor is a share of the time:
-	// one quantum in floorTurns.
-	smallTotal = 4
+	// quantum is how long an entry keeps a slot that others with equal urgency wait
+	// for. A slot that moves between regions is idle for a round trip of 110 ms.
+	quantum = 400 * time.Millisecond
+	// floorTurns is the inverse of the share of a service's slots that is kept for
+	// each lower urgency. A part of a slot is kept as a share of the time.
 	floorTurns = 10
 )
 
@@ -55,13 +53,11 @@
 }
 
 func floor(now time.Time, total int) int {
-	if total >= smallTotal {
-		return max(1, int(float64(total)*floorShare))
+	n := total / floorTurns
+	if turn := now.UnixMilli() / quantum.Milliseconds() % floorTurns; int(turn) < total%floorTurns {
+		n++
 	}
-	if now.UnixMilli()/quantum.Milliseconds()%floorTurns == 0 {
-		return 1
-	}
-	return 0
+	return n
 }
 
 // divide gives out up to n slots evenly and returns how many it gave.
