Rotate slots fairly and keep deltas from falling behind

Entries that had held a slot for longest came first when slots were divided, so a slot hardly moved; they now come last. Deltas were repeated until acknowledged and cut at 1,000 bytes, so that with 67 announcements a second at one entry renewals came late and leases lapsed: deltas are now sent once, again only after a timeout, and continue in further datagrams.

--- a/internal/coordination/bfmember/members.go
+++ b/internal/coordination/bfmember/members.go
@@ -154,6 +154,16 @@
 	return s.m.Connected(time.Now())
 }
 
+// FlagsOf returns what a VM last told about itself, and false for an unknown one.
+func (s *Members) FlagsOf(name string) (Flags, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.m.peers[name]; p != nil && !p.heardAt.IsZero() {
+		return p.flags, true
+	}
+	return 0, false
+}
+
 // Hears tells whether the named VM reported to have heard the other one lately.
 func (s *Members) Hears(name, other string) bool {
 	s.mu.Lock()
--- a/internal/coordination/bfslot/share.go
+++ b/internal/coordination/bfslot/share.go
@@ -30,10 +30,7 @@
 // more urgent one goes first except for the floors of the others; among equals the
 // slots are divided evenly, and what can't be divided goes around.
 func share(now time.Time, total int, list []*claimant) {
-	slices.SortFunc(list, func(a, b *claimant) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), -compareBool(a.inQuantum(now), b.inQuantum(now)),
-			a.gainedAt.Compare(b.gainedAt), cmp.Compare(a.name, b.name))
-	})
+	slices.SortFunc(list, func(a, b *claimant) int { return cmp.Compare(a.urgency, b.urgency) })
 	tiers := slices.Collect(chunkByUrgency(list))
 	floors := make([]int, len(tiers))
 	reserved := 0
@@ -44,12 +41,31 @@
 	left := total
 	for i, tier := range tiers {
 		reserved -= floors[i]
+		order(now, tier, (left-reserved)/len(tier))
 		left -= divide(left-reserved, tier)
 	}
 }
 
-func (c *claimant) inQuantum(now time.Time) bool {
-	return c.held > 0 && now.Sub(c.gainedAt) < quantum
+// order sorts equals for the slots that remain when each has the even part: first
+// those that just got one, then those without by their waiting time, and last those
+// that have had one for longest.
+func order(now time.Time, tier []*claimant, even int) {
+	rank := func(c *claimant) int {
+		switch {
+		case c.held <= even:
+			return 1
+		case now.Sub(c.gainedAt) < quantum:
+			return 0
+		}
+		return 2
+	}
+	slices.SortFunc(tier, func(a, b *claimant) int {
+		byGain := a.gainedAt.Compare(b.gainedAt)
+		if rank(a) == 2 {
+			byGain = -byGain
+		}
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), byGain, cmp.Compare(a.name, b.name))
+	})
 }
 
 func floor(now time.Time, total int) int {
@@ -105,13 +121,3 @@
 	}
 	return n
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -17,7 +17,7 @@
 	// MaxDatagram bounds gossip datagrams. Most stay below 1,400 bytes; only
 	// heartbeats among some 50 VMs need more.
 	MaxDatagram = 16 << 10
-	// DeltaBytes is the room for changed backend servers in one heartbeat.
+	// DeltaBytes is the room for changed backend servers in one datagram.
 	DeltaBytes = 1000
 	// PageRecords is the number of records in one page of the full table.
 	PageRecords = 12
@@ -36,6 +36,8 @@
 	KindSlotRequest
 	// KindSlotGrant marks a *bfslot.Grant.
 	KindSlotGrant
+	// KindChanges marks a *Changes.
+	KindChanges
 )
 
 var (
@@ -58,6 +60,14 @@
 		Digest         bfbackend.Digest
 	}
 
+	// Changes carries what had no room in a heartbeat.
+	Changes struct {
+		_           struct{} `cbor:",toarray"`
+		From        string
+		Incarnation uint64
+		Delta       bfbackend.Delta
+	}
+
 	// Pull asks for the full table above a key.
 	Pull struct {
 		_     struct{} `cbor:",toarray"`
@@ -85,12 +95,24 @@
 // Validate reports every field that is out of range.
 func (b *Beat) Validate() briarferry.Findings {
 	f := b.Heartbeat.Validate()
-	if len(b.Delta.Records) > maxDelta || len(b.Delta.Refreshes) > maxDelta {
-		f.Add("delta", "must have at most %d entries", maxDelta)
+	f.Merge("delta", validateDelta(&b.Delta))
+	return f
+}
+
+// Validate reports every field that is out of range.
+func (c *Changes) Validate() briarferry.Findings {
+	f := validateFrom(c.From)
+	f.Merge("delta", validateDelta(&c.Delta))
+	return f
+}
+
+func validateDelta(d *bfbackend.Delta) briarferry.Findings {
+	var f briarferry.Findings
+	if len(d.Records) > maxDelta || len(d.Refreshes) > maxDelta {
+		f.Add("records", "must have at most %d entries", maxDelta)
 		return f
 	}
-	f.Merge("delta", validateRecords(b.Delta.Records))
-	return f
+	return validateRecords(d.Records)
 }
 
 // Validate reports every field that is out of range.
@@ -159,6 +181,8 @@
 		m = new(bfslot.Request)
 	case KindSlotGrant:
 		m = new(bfslot.Grant)
+	case KindChanges:
+		m = new(Changes)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -180,6 +204,8 @@
 		return KindSlotRequest, nil
 	case *bfslot.Grant:
 		return KindSlotGrant, nil
+	case *Changes:
+		return KindChanges, nil
 	}
 	return 0, ErrUnknownKind
 }
--- a/internal/state/bfbackend/changes.go
+++ b/internal/state/bfbackend/changes.go
@@ -25,6 +25,9 @@
 	Delta struct {
 		Records   []Record
 		Refreshes []Refresh
+		// Since is the version that the delta builds on; a receiver that is behind it
+		// missed an earlier delta.
+		Since uint64
 		// Upto is the version that the receiver has after applying the delta.
 		Upto uint64
 	}
@@ -65,14 +68,14 @@
 	// one is visible to the scan below.
 	upto := t.version.Load()
 	if upto == since {
-		return Delta{Upto: upto}
+		return Delta{Since: since, Upto: upto}
 	}
 	var list []change
 	for i := range t.shards {
 		list = t.shards[i].changes(list, now, since, wanted)
 	}
 	slices.SortFunc(list, func(a, b change) int { return cmp.Compare(a.position, b.position) })
-	d := Delta{Upto: upto}
+	d := Delta{Since: since, Upto: upto}
 	for i, c := range list {
 		if maxBytes -= c.bytes; maxBytes < 0 && i > 0 {
 			d.Upto = list[i-1].position
--- a/internal/transport/bfgossip/node.go
+++ b/internal/transport/bfgossip/node.go
@@ -30,6 +30,14 @@
 	// pullAttempts is how often a pull without progress is sent.
 	pullAttempts = 4
 	leaveBeats   = 3
+	// maxMore bounds the datagrams with changes that follow a heartbeat.
+	maxMore = 8
+	// ackTimeout is above a round trip of 110 ms and two heartbeat intervals.
+	ackTimeout = 550 * time.Millisecond
+	// recentTicks is the time, in ticks, whose changes a VM gets that is about to
+	// pull the full table. Older ones are in the table of any synced VM, and sending
+	// them would hold up the renewals of leases.
+	recentTicks = int(2 * time.Second / bfmember.TickInterval)
 )
 
 type (
@@ -59,6 +67,8 @@
 		// connectedSince is zero while this VM isn't connected.
 		connectedSince time.Time
 		lastSweep      time.Time
+		// versions are those of the table at the last ticks, oldest first.
+		versions []uint64
 	}
 
 	// peerState is what this VM knows about the exchange with another one.
@@ -67,7 +77,13 @@
 		// applied is the version of the other VM's table that this VM has applied,
 		// acked the version of this VM's table that the other one has.
 		applied, acked uint64
-		mismatches     int
+		// sent is the version up to which deltas were sent; they are sent again from
+		// acked where no acknowledgement moves it within ackTimeout.
+		sent       uint64
+		progressAt time.Time
+		// based is true once deltas to this VM have a start.
+		based      bool
+		mismatches int
 	}
 
 	// pull is a transfer of the full table that is under way.
@@ -111,6 +127,8 @@
 	switch m := m.(type) {
 	case *bfwire.Beat:
 		n.receiveBeat(m)
+	case *bfwire.Changes:
+		n.receiveChanges(m)
 	case *bfwire.Pull:
 		n.answerPull(m)
 	case *bfwire.Page:
@@ -153,6 +171,7 @@
 	now := time.Now()
 	n.updateSynced(now)
 	n.retryPull(now)
+	n.noteVersion()
 	if now.Sub(n.lastSweep) > time.Second {
 		n.lastSweep = now
 		n.Table.Sweep(now)
@@ -161,11 +180,52 @@
 	countMembers(n.Members.Stats())
 	digest := n.Table.Digest(now)
 	for _, o := range out {
-		n.send(o.To, n.beat(now, o.Name, h, digest))
+		b := n.beat(now, o.Name, h, digest)
+		n.send(o.To, b)
 		counters.heartbeatsOut.Add(1)
+		n.sendMore(now, o, b.Delta.Upto)
+	}
+}
+
+// sendMore sends the changes that had no room in the heartbeat.
+func (n *Node) sendMore(now time.Time, o bfmember.Outgoing, upto uint64) {
+	target := n.Table.Version()
+	for range maxMore {
+		if upto == 0 || upto >= target {
+			return
+		}
+		c := &bfwire.Changes{From: n.Table.Origin, Incarnation: n.Members.Self().Incarnation}
+		n.mu.Lock()
+		c.Delta = n.delta(now, o.Name, n.peers[o.Name])
+		n.mu.Unlock()
+		upto = c.Delta.Upto
+		n.send(o.To, c)
 	}
 }
 
+func (n *Node) receiveChanges(c *bfwire.Changes) {
+	n.mu.Lock()
+	p := n.peers[c.From]
+	known := p != nil && p.incarnation == c.Incarnation
+	n.mu.Unlock()
+	if !known {
+		return // the heartbeat before it was lost; the sender starts again
+	}
+	n.apply(time.Now(), c.From, &c.Delta)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.advance(&c.Delta)
+}
+
+func (n *Node) noteVersion() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.versions) > recentTicks {
+		n.versions = append(n.versions[:0], n.versions[1:]...)
+	}
+	n.versions = append(n.versions, n.Table.Version())
+}
+
 func (n *Node) leave() {
 	n.Members.Leave()
 	for range leaveBeats {
@@ -180,21 +240,55 @@
 func (n *Node) beat(now time.Time, to string, h bfmember.Heartbeat, digest bfbackend.Digest) *bfwire.Beat {
 	b := &bfwire.Beat{Heartbeat: h, Digest: digest}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	p := n.peers[to]
-	var acked uint64
-	if p != nil {
-		b.AckIncarnation, b.Ack, acked = p.incarnation, p.applied, p.acked
-	}
-	n.mu.Unlock()
 	if p == nil {
 		// The receiver may not exist, so nothing but the heartbeat is sent.
 		return b
 	}
-	// An origin that the receiver doesn't hear itself is relayed.
-	b.Delta = n.Table.Changes(now, acked, func(origin string) bool {
+	b.AckIncarnation, b.Ack = p.incarnation, p.applied
+	if flags, ok := n.Members.FlagsOf(to); ok && flags&bfmember.FlagSynced == 0 && !p.based {
+		p.based = true
+		p.acked, p.sent = max(p.acked, n.versions[0]), max(p.sent, n.versions[0])
+	}
+	if p.sent < p.acked || p.sent > p.acked && now.Sub(p.progressAt) > ackTimeout {
+		p.sent, p.progressAt = p.acked, now
+	}
+	if p.sent == p.acked {
+		p.progressAt = now
+	}
+	b.Delta = n.delta(now, to, p)
+	return b
+}
+
+// delta returns what comes next for a VM. An origin that the VM doesn't hear itself
+// is relayed. The lock is held.
+func (n *Node) delta(now time.Time, to string, p *peerState) bfbackend.Delta {
+	d := n.Table.Changes(now, p.sent, func(origin string) bool {
 		return origin == n.Table.Origin || origin != to && !n.Members.Hears(to, origin)
 	}, bfwire.DeltaBytes)
-	return b
+	p.sent = d.Upto
+	return d
+}
+
+// apply stores a delta and returns false where it renews an unknown server.
+func (n *Node) apply(now time.Time, from string, d *bfbackend.Delta) bool {
+	for i := range d.Records {
+		n.merge(now, d.Records[i])
+	}
+	known := true
+	for i := range d.Refreshes {
+		known = n.Table.Refresh(now, from, d.Refreshes[i]) && known
+	}
+	return known
+}
+
+// advance notes a delta that was applied. The first one is where the sender chose to
+// start; one after a gap doesn't count, so that the sender goes back.
+func (p *peerState) advance(d *bfbackend.Delta) {
+	if p.applied == 0 || d.Since <= p.applied {
+		p.applied = max(p.applied, d.Upto)
+	}
 }
 
 func (n *Node) receiveBeat(b *bfwire.Beat) {
@@ -203,31 +297,26 @@
 	}
 	counters.heartbeatsIn.Add(1)
 	now, name := time.Now(), b.Heartbeat.VM.Name
-	known := true
-	for i := range b.Delta.Records {
-		n.merge(now, b.Delta.Records[i])
-	}
-	for i := range b.Delta.Refreshes {
-		known = n.Table.Refresh(now, name, b.Delta.Refreshes[i]) && known
-	}
+	known := n.apply(now, name, &b.Delta)
 	digest := n.Table.Digest(now)
 	n.mu.Lock()
 	p := n.peerState(name, b.Heartbeat.VM.Incarnation)
-	if b.Delta.Upto > 0 {
-		p.applied = b.Delta.Upto
-	}
-	p.acked = 0
+	p.advance(&b.Delta)
+	acked := uint64(0)
 	if b.AckIncarnation == n.Members.Self().Incarnation {
-		p.acked = b.Ack
+		acked = b.Ack
+	}
+	if acked > p.acked {
+		p.acked, p.progressAt = acked, now
 	}
 	p.mismatches++
 	if digest == b.Digest {
 		p.mismatches = 0
 	}
-	wanted := p.mismatches >= mismatchLimit || !known
+	wanted := p.mismatches >= mismatchLimit || !known && n.Synced()
 	n.mu.Unlock()
 	switch {
-	case !n.Synced() && b.Heartbeat.Flags&bfmember.FlagSynced != 0, n.Synced() && wanted:
+	case !n.Synced() && b.Heartbeat.Flags&bfmember.FlagSynced != 0, wanted:
 		n.startPull(now, name)
 	}
 }
--- a/internal/transport/bfgossip/sync.go
+++ b/internal/transport/bfgossip/sync.go
@@ -25,7 +25,7 @@
 			return
 		}
 		for _, p := range n.Members.Peers() {
-			if p.Linked && p.Flags&bfmember.FlagSynced != 0 {
+			if p.Linked && (p.Flags&bfmember.FlagSynced != 0 || n.differs(p.VM.Name)) {
 				return
 			}
 		}
@@ -33,6 +33,14 @@
 	n.setSynced("no synced VM was found")
 }
 
+// differs tells whether a VM's table has differed from this one's for a while.
+func (n *Node) differs(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers[name]
+	return p == nil || p.mismatches >= mismatchLimit
+}
+
 func (n *Node) setSynced(reason string) {
 	if n.synced.CompareAndSwap(false, true) {
 		n.Members.SetFlag(bfmember.FlagSynced, true)
@@ -124,7 +132,7 @@
 		}
 		p.cursor = page.Next
 	}
-	if m.Last || !m.More {
+	if m.Last || !m.More || len(p.ahead) > 0 && now.Sub(p.askedAt) > pullTimeout {
 		n.ask(now, p)
 	}
 	return false
