Add control procedures and the client that follows the leader

Entries reach the control plane through any control VM: sync, claims, changes, configuration and status as connect-go calls in CBOR. Calls are safe to repeat, so the client goes to another VM after an error, a timeout or a not-leader answer with the leader's address. Claims leave in batches at the client and share log entries at the server.

porcupine checks 10 histories each of the configuration register and of claims with lost answers, leader changes and frozen holders.

--- a/internal/coordination/bflease/lease_test.go
+++ b/internal/coordination/bflease/lease_test.go
@@ -294,6 +294,22 @@
 	})
 }
 
+// TestNewLeaderAppliesFirst guards against a new leader that hands a restarted
+// entry a state from before a change that an earlier leader finished.
+func TestNewLeaderAppliesFirst(t *testing.T) {
+	inBubble(t, func(ctx context.Context, g *group, _ []*client) {
+		revision, err := g.nodes[0].change(ctx, 1)
+		if err != nil {
+			t.Error(err)
+		}
+		g.elect(1, 2*time.Second)
+		reply, err := g.nodes[1].Sync(ctx, SyncRequest{Entry: "e9", Full: true})
+		if err != nil || reply.Revision < revision {
+			t.Errorf("new leader grants revision %d after %d: %v", reply.Revision, revision, err)
+		}
+	})
+}
+
 // TestRandomFaults guards against any order of freezes, cuts, leader changes and
 // changes in which an accepted revision is concurrent with work under an older one.
 func TestRandomFaults(t *testing.T) {
--- a/internal/state/bfmachine/command.go
+++ b/internal/state/bfmachine/command.go
@@ -157,7 +157,7 @@
 	}
 	if o.Claim != nil {
 		set++
-		f.Merge("claim", o.Claim.validate())
+		f.Merge("claim", o.Claim.Validate())
 	}
 	if set != 1 {
 		f.Add("operation", "must have exactly one kind, not %d", set)
@@ -165,7 +165,8 @@
 	return f
 }
 
-func (c *ClaimOp) validate() briarferry.Findings {
+// Validate reports every field that is out of range.
+func (c *ClaimOp) Validate() briarferry.Findings {
 	f := c.Claim.Validate()
 	switch c.Kind {
 	case OpClaim, OpComplete, OpRelease, OpRefuse:
--- /dev/null
+++ b/internal/transport/bfrpc/control.go
@@ -0,0 +1,187 @@
+package bfrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"briarferry"
+	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/state/bfmachine"
+)
+
+// Procedures of the control service.
+const (
+	procedureSync   = "/briarferry.Control/Sync"
+	procedureClaims = "/briarferry.Control/Claims"
+	procedureChange = "/briarferry.Control/Change"
+	procedureConfig = "/briarferry.Control/Config"
+	procedureStatus = "/briarferry.Control/Status"
+
+	// headerLeader carries the leader's RPC address with a not-leader error.
+	headerLeader = "Leader-Rpc"
+
+	// proposalInterval lies between the starts of two log entries with claims, so
+	// that an entry carries many under load and none waits long.
+	proposalInterval  = time.Millisecond
+	proposalsInFlight = 256
+	maxEntryBytes     = 1 << 20
+	proposeTimeout    = 5 * time.Second
+	readPoll          = time.Millisecond
+)
+
+// Control serves the control plane's procedures on a control replica. The
+// exported fields are set before Routes.
+type Control struct {
+	Replica briarferry.Replica
+	Machine *bfmachine.Machine
+	Leases  *bflease.Leader
+	// Address returns the RPC address of a replica.
+	Address func(id string) (netip.AddrPort, bool)
+
+	claims *batcher[bfmachine.Op, indexedResult]
+}
+
+type indexedResult struct {
+	index  uint64
+	result bfmachine.OpResult
+}
+
+// Routes adds the procedures to the mux.
+func (c *Control) Routes(mux *http.ServeMux) {
+	c.claims = &batcher[bfmachine.Op, indexedResult]{
+		flush: c.propose, size: opSize, interval: proposalInterval, inFlight: proposalsInFlight,
+		maxOps: bfmachine.MaxOps, maxBytes: maxEntryBytes, timeout: proposeTimeout,
+	}
+	handle(mux, procedureSync, c, c.sync)
+	handle(mux, procedureClaims, c, c.serveClaims)
+	handle(mux, procedureChange, c, c.change)
+	handle(mux, procedureConfig, c, c.config)
+	handle(mux, procedureStatus, c, c.status)
+}
+
+func handle[Req, Res any](mux *http.ServeMux, procedure string, c *Control, f func(context.Context, *Req) (*Res, error)) {
+	unary := func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+		res, err := f(ctx, r.Msg)
+		if err != nil {
+			return nil, c.wireError(err)
+		}
+		return connect.NewResponse(res), nil
+	}
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary,
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(bfwire.MaxMessage)))
+}
+
+// wireError gives an error its code, and a not-leader error the leader's address.
+func (c *Control) wireError(err error) error {
+	switch {
+	case errors.Is(err, briarferry.ErrNotLeader):
+		wire := connect.NewError(connect.CodeFailedPrecondition, err)
+		if address, ok := c.Address(c.Replica.Status().Leader); ok {
+			wire.Meta().Set(headerLeader, address.String())
+		}
+		return wire
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+func (c *Control) sync(ctx context.Context, r *bfwire.SyncRequest) (*bfwire.SyncReply, error) {
+	reply, err := c.Leases.Sync(ctx, *r)
+	return &reply, err
+}
+
+func (c *Control) serveClaims(ctx context.Context, r *bfwire.ClaimsRequest) (*bfwire.ClaimsReply, error) {
+	if !c.Replica.Status().IsLeader {
+		return nil, briarferry.ErrNotLeader
+	}
+	ops := make([]bfmachine.Op, len(r.Ops))
+	for i := range r.Ops {
+		ops[i].Claim = &r.Ops[i]
+	}
+	results, err := c.claims.do(ctx, ops...)
+	if err != nil {
+		return nil, err
+	}
+	reply := &bfwire.ClaimsReply{Results: make([]bfmachine.OpResult, len(results))}
+	for i, r := range results {
+		reply.Results[i] = r.result
+		reply.Index = max(reply.Index, r.index)
+	}
+	return reply, nil
+}
+
+// propose commits operations as one log entry.
+func (c *Control) propose(ctx context.Context, ops []bfmachine.Op) ([]indexedResult, error) {
+	cmd, err := bfmachine.Encode(time.Now().UnixMilli(), ops...)
+	if err != nil {
+		return nil, err
+	}
+	data, err := c.Replica.Propose(ctx, cmd)
+	if err != nil {
+		return nil, fmt.Errorf("bfrpc: propose: %w", err)
+	}
+	r, err := bfmachine.DecodeResult(data, len(ops))
+	if err != nil {
+		return nil, err
+	}
+	results := make([]indexedResult, len(ops))
+	for i, op := range r.Ops {
+		results[i] = indexedResult{r.Index, op}
+	}
+	return results, nil
+}
+
+// change commits an operator's change and answers once it is in force. A resend
+// after a lost answer finds the first result and waits for it the same way.
+func (c *Control) change(ctx context.Context, r *bfwire.ChangeRequest) (*bfwire.ChangeReply, error) {
+	results, err := c.propose(ctx, []bfmachine.Op{r.Op})
+	if err != nil {
+		return nil, err
+	}
+	result := results[0].result
+	if result.Code == bfmachine.CodeOK {
+		if err := c.Leases.WaitInForce(ctx, result.Revision); err != nil {
+			return nil, err
+		}
+	}
+	return &bfwire.ChangeReply{Result: result}, nil
+}
+
+func (c *Control) config(ctx context.Context, _ *bfwire.ConfigRequest) (*bfwire.ConfigReply, error) {
+	if !c.Replica.Status().IsLeader {
+		return nil, briarferry.ErrNotLeader
+	}
+	index, err := c.Replica.ReadIndex(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("bfrpc: read index: %w", err)
+	}
+	for c.Replica.Status().Applied < index {
+		select {
+		case <-time.After(readPoll):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return &bfwire.ConfigReply{State: *c.Machine.State()}, nil
+}
+
+func (c *Control) status(context.Context, *bfwire.ControlStatusRequest) (*bfwire.ControlStatus, error) {
+	s := c.Machine.State()
+	return &bfwire.ControlStatus{
+		Replica: c.Replica.Status(), Version: s.Version(), Revision: s.Revision,
+		Checksum: s.Checksum(), Claims: c.Machine.Claims(),
+	}, nil
+}
+
+func opSize(op bfmachine.Op) int {
+	const overhead = 128
+	return overhead + len(op.Claim.Answer) + len(op.Claim.Claim.Key) + len(op.Claim.Claim.Service)
+}
--- /dev/null
+++ b/internal/transport/bfrpc/control_test.go
@@ -0,0 +1,442 @@
+package bfrpc
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/anishathalye/porcupine"
+
+	"briarferry"
+	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/state/bfcodec"
+	"briarferry/internal/state/bfmachine"
+)
+
+type history struct {
+	mu   sync.Mutex
+	base time.Time
+	ops  []porcupine.Operation
+}
+
+// add records an operation. One without an answer may take effect at any later time.
+func (h *history) add(client int, in any, start time.Time, out any, answered bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end := time.Since(h.base).Nanoseconds()
+	if !answered {
+		end = time.Hour.Nanoseconds()
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: start.Sub(h.base).Nanoseconds(), Return: end})
+}
+
+func (h *history) check(t *testing.T, m porcupine.NondeterministicModel) {
+	t.Helper()
+	if r := porcupine.CheckOperationsTimeout(m.ToModel(), h.ops, 30*time.Second); r != porcupine.Ok {
+		t.Errorf("history of %d operations: %s", len(h.ops), r)
+	}
+}
+
+// faults changes the leader at random until ctx ends.
+func (g *fakeGroup) faults(ctx context.Context) {
+	for pause(ctx, time.Duration(20+rand.IntN(300))*time.Millisecond) == nil {
+		g.elect(rand.IntN(len(g.nodes)))
+	}
+}
+
+// testConfig is told from others by its number of workers.
+func testConfig(workers int) briarferry.Config {
+	return briarferry.Config{
+		Regions:  []briarferry.Region{{Name: "koshi", FailureDomains: []string{"k1"}, CapacityShare: 0.8}},
+		Classes:  []briarferry.PriorityClass{{Name: "high", Target: 1}},
+		Services: []briarferry.Service{{Name: "orders", Class: "high", Slots: 1, Expected: 1, Workers: workers}},
+		Limits:   briarferry.DefaultLimits(),
+	}
+}
+
+type (
+	registerState struct {
+		version uint64
+		workers int
+	}
+
+	registerInput struct {
+		put  bool
+		base uint64
+		to   int
+	}
+
+	registerOutput struct {
+		code  bfmachine.Code
+		state registerState
+	}
+)
+
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{registerState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(registerState), input.(registerInput), output.(registerOutput)
+		next := registerState{s.version + 1, in.to}
+		switch {
+		case !in.put && out.state == s:
+			return []any{s}
+		case in.put && out.code == bfmachine.CodeOK && in.base == s.version && out.state.version == next.version:
+			return []any{next}
+		case in.put && out.code == bfmachine.CodeConflict && in.base != s.version && out.state.version == s.version:
+			return []any{s}
+		case in.put && out.code == "" && in.base == s.version:
+			return []any{s, next}
+		case in.put && out.code == "":
+			return []any{s}
+		}
+		return nil
+	},
+}
+
+// TestConfigRegister guards against changes that are lost, doubled or ordered
+// differently for different clients, with lost answers and leader changes.
+func TestConfigRegister(t *testing.T) {
+	for seed := range 10 {
+		t.Run(fmt.Sprint("run", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newFakeGroup(3)
+				g.delay, g.lose = 5*time.Millisecond, 0.2
+				h := &history{base: time.Now()}
+				var clients, rest sync.WaitGroup
+				ctx, cancel := context.WithCancel(t.Context())
+				rest.Go(func() { g.faults(ctx) })
+				for id := range 5 {
+					clients.Go(func() { useRegister(t, g.client(), id, h) })
+				}
+				clients.Wait()
+				cancel()
+				rest.Wait()
+				h.check(t, registerModel)
+			})
+		})
+	}
+}
+
+func useRegister(t *testing.T, c *ControlClient, id int, h *history) {
+	known := uint64(0)
+	for i := range 10 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(30+rand.IntN(2000))*time.Millisecond)
+		start := time.Now()
+		if rand.IntN(2) == 0 {
+			if s, err := c.Config(ctx); err == nil {
+				out := registerOutput{state: registerState{version: s.Version()}}
+				if s.Config != nil {
+					out.state.workers = s.Config.Services[0].Workers
+				}
+				known = s.Version()
+				h.add(id, registerInput{}, start, out, true)
+			}
+			cancel()
+			continue
+		}
+		in := registerInput{put: true, base: known, to: id*100 + i}
+		op := bfmachine.Op{Put: &bfmachine.PutConfig{Base: known, Config: testConfig(in.to), Key: fmt.Sprint(id, "-", i)}}
+		r, err := c.Change(ctx, op)
+		cancel()
+		known = max(known, r.Version)
+		h.add(id, in, start, registerOutput{r.Code, registerState{version: r.Version}}, err == nil)
+	}
+}
+
+type (
+	claimState struct{ phase, token string }
+
+	claimInput struct {
+		kind       bfmachine.ClaimKind
+		key, token string
+	}
+)
+
+// claimModel knows nothing of indexes: a stale denial is right only while no
+// attempt holds the key.
+var claimModel = porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[string][]porcupine.Operation{}
+		for _, op := range ops {
+			key := op.Input.(claimInput).key
+			parts[key] = append(parts[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, p := range parts {
+			out = append(out, p)
+		}
+		return out
+	},
+	Init: func() []any { return []any{claimState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(claimState), input.(claimInput), output.(briarferry.ClaimResult)
+		after := map[briarferry.ClaimResult]claimState{}
+		free := s.phase == "" || s.phase == "released"
+		own := s.phase == "claimed" && s.token == in.token
+		switch {
+		case s.phase == "completed":
+			after[briarferry.ClaimCompleted] = s
+		case in.kind == bfmachine.OpComplete && own:
+			after[briarferry.ClaimCompleted] = claimState{"completed", in.token}
+		case in.kind == bfmachine.OpClaim && (free || own):
+			after[briarferry.ClaimGranted] = claimState{"claimed", in.token}
+			if s.phase == "released" {
+				after[briarferry.ClaimStale] = s
+			}
+		case in.kind != bfmachine.OpComplete && (free || own):
+			after[briarferry.ClaimReleased] = claimState{phase: "released"}
+		default:
+			after[briarferry.ClaimHeld] = s
+		}
+		if out != "" {
+			if next, ok := after[out]; ok {
+				return []any{next}
+			}
+			return nil
+		}
+		next := []any{s}
+		for _, a := range after {
+			next = append(next, a)
+		}
+		return next
+	},
+}
+
+type (
+	// notRun is a caller that was told that its request did not run.
+	notRun struct {
+		key     string
+		invoked time.Time
+	}
+
+	attempts struct {
+		mu     sync.Mutex
+		runs   map[string][]time.Time
+		notRun []notRun
+	}
+)
+
+// TestClaims guards against a second run of a key and against a not_run answer
+// after which an attempt from before it runs, with lost answers, leader changes
+// and holders that freeze between their claim and the run.
+func TestClaims(t *testing.T) {
+	for seed := range 10 {
+		t.Run(fmt.Sprint("run", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { claimHistory(t) })
+		})
+	}
+}
+
+func claimHistory(t *testing.T) {
+	g := newFakeGroup(3)
+	g.delay, g.lose = 5*time.Millisecond, 0.15
+	h := &history{base: time.Now()}
+	a := &attempts{runs: map[string][]time.Time{}}
+	var clients, rest sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	rest.Go(func() { g.faults(ctx) })
+	for id := range 6 {
+		c, seen := g.client(), &atomic.Uint64{}
+		c.OnIndex = seen.Store
+		clients.Go(func() {
+			for i := range 12 {
+				attempt(t, c, id, fmt.Sprint("key", rand.IntN(6)), fmt.Sprint(id, "-", i), seen.Load(), h, a)
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(2 * claimsTimeout)
+	cancel()
+	rest.Wait()
+	h.check(t, claimModel)
+	for key, runs := range a.runs {
+		if len(runs) > 1 {
+			t.Errorf("%s ran %d times", key, len(runs))
+		}
+		for _, n := range a.notRun {
+			if n.key == key && slices.ContainsFunc(runs, n.invoked.After) {
+				t.Errorf("%s ran by an attempt from before its not_run answer", key)
+			}
+		}
+	}
+}
+
+// attempt does what an entry does with one keyed request.
+func attempt(t *testing.T, c *ControlClient, id int, key, token string, seen uint64, h *history, a *attempts) {
+	begin := time.Now()
+	claim := briarferry.Claim{Service: "orders", Key: key, Token: token, SeenIndex: seen}
+	send := func(kind bfmachine.ClaimKind, within time.Duration) briarferry.ClaimResult {
+		ctx, cancel := context.WithTimeout(t.Context(), within)
+		defer cancel()
+		start := time.Now()
+		r, err := c.claim(ctx, bfmachine.ClaimOp{Kind: kind, Claim: claim})
+		h.add(id, claimInput{kind, key, token}, start, r.Result, err == nil)
+		if err == nil && kind != bfmachine.OpClaim && r.Result != briarferry.ClaimReleased {
+			// The client repeats a call whose answer was lost: a first release may
+			// have taken effect before the one that was answered as held.
+			h.add(id, claimInput{kind, key, token}, start, briarferry.ClaimResult(""), true)
+		}
+		if r.Result == briarferry.ClaimReleased || r.Result == briarferry.ClaimStale {
+			a.mu.Lock()
+			a.notRun = append(a.notRun, notRun{key, start})
+			a.mu.Unlock()
+		}
+		return r.Result
+	}
+	switch send(bfmachine.OpClaim, time.Duration(10+rand.IntN(1000))*time.Millisecond) {
+	case briarferry.ClaimGranted:
+	case "":
+		// An entry whose claim got no answer dispatches nothing.
+		send(bfmachine.OpRefuse, time.Second)
+		return
+	default:
+		return
+	}
+	time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
+	if rand.IntN(2) == 0 {
+		send(bfmachine.OpRelease, time.Second)
+		return
+	}
+	a.mu.Lock()
+	a.runs[key] = append(a.runs[key], begin)
+	a.mu.Unlock()
+	send(bfmachine.OpComplete, time.Second)
+}
+
+// TestSyncOverRPC guards against a lease or a change that does not pass the wire.
+func TestSyncOverRPC(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(3)
+		g.delay = 10 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		holder := &bflease.Holder{Name: "e1", Incarnation: 7, Transport: g.client()}
+		var wg sync.WaitGroup
+		wg.Go(func() { holder.Run(ctx) })
+		for i := range 3 {
+			r, err := g.client().Change(ctx, bfmachine.Op{Put: &bfmachine.PutConfig{Base: uint64(i), Config: testConfig(i), Key: fmt.Sprint(i)}})
+			if err != nil || r.Code != bfmachine.CodeOK {
+				t.Errorf("change %d: %+v, %v", i, r, err)
+			}
+			if cfg, lease, ok := holder.Current(); i > 0 && (!ok || lease.Version != uint64(i+1) || cfg.Services[0].Workers != i) {
+				t.Errorf("after change %d: lease %+v, %t", i, lease, ok)
+			}
+			time.Sleep(time.Second)
+		}
+		g.elect(2)
+		time.Sleep(4 * time.Second)
+		if _, _, ok := holder.Current(); !ok || holder.Rejected.Load() > 0 {
+			t.Errorf("lease after a leader change: %t, %d replies rejected", ok, holder.Rejected.Load())
+		}
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestLargeAnswer guards against an answer that is changed on its way, and
+// against one above the limit that keeps its claim from completing.
+func TestLargeAnswer(t *testing.T) {
+	g := newFakeGroup(1)
+	c := g.client()
+	for size, kept := range map[int]bool{1000: true, 20_000: false} {
+		claim := briarferry.Claim{Service: "orders", Key: fmt.Sprint(size), Token: "t"}
+		if r, err := c.Claim(t.Context(), claim); err != nil || r.Result != briarferry.ClaimGranted {
+			t.Fatal(r, err)
+		}
+		if err := c.Complete(t.Context(), claim, briarferry.Answer{Status: 201, Body: bytes.Repeat([]byte{1}, size)}); err != nil {
+			t.Fatal(err)
+		}
+		claim.Token = "other"
+		r, err := c.Claim(t.Context(), claim)
+		if err != nil || r.Result != briarferry.ClaimCompleted || (r.Answer != nil) != kept || kept && len(r.Answer.Body) != size {
+			t.Errorf("answer of %d bytes: %+v, %v", size, r, err)
+		}
+	}
+}
+
+// FuzzMessages guards against messages that make a receiver panic.
+func FuzzMessages(f *testing.F) {
+	for i, v := range []any{
+		bfwire.SyncRequest{Entry: "e1", Revision: 3},
+		bfwire.SyncReply{Revision: 3, Full: &bfmachine.ConfigState{Revision: 3}},
+		bfwire.ClaimsRequest{Ops: []bfmachine.ClaimOp{{Kind: bfmachine.OpClaim, Claim: briarferry.Claim{Service: "s", Key: "k", Token: "t"}}}},
+		bfwire.ClaimsReply{Index: 4, Results: []bfmachine.OpResult{{Claim: &bfmachine.ClaimResult{}}}},
+		bfwire.ChangeRequest{Op: bfmachine.Op{RemoveDrain: &bfmachine.RemoveDrain{ID: "d"}}},
+		bfwire.ConfigReply{State: bfmachine.ConfigState{}},
+	} {
+		data, err := bfcodec.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(byte(i), data)
+	}
+	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
+		messages := []any{&bfwire.SyncRequest{}, &bfwire.SyncReply{}, &bfwire.ClaimsRequest{}, &bfwire.ClaimsReply{}, &bfwire.ChangeRequest{}, &bfwire.ConfigReply{}}
+		message := messages[int(kind)%len(messages)]
+		if (codec{}).Unmarshal(data, message) != nil {
+			return
+		}
+		if r, ok := message.(*bfwire.SyncReply); ok && r.Delta != nil {
+			cfg := testConfig(1)
+			_, _ = (&bfmachine.ConfigState{Revision: r.Delta.Base, Config: &cfg}).Patch(r.Delta)
+		}
+		if _, err := (codec{}).Marshal(message); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkClaims measures claims of concurrent requests, with one-way delays
+// between the entry, the leader and its majority.
+func BenchmarkClaims(b *testing.B) {
+	for _, delay := range []time.Duration{time.Millisecond, 55 * time.Millisecond} {
+		for _, callers := range []int{32, 512} {
+			b.Run(fmt.Sprintf("delay=%s/callers=%d", delay, callers), func(b *testing.B) {
+				benchmarkClaims(b, delay, callers)
+			})
+		}
+	}
+}
+
+func benchmarkClaims(b *testing.B, delay time.Duration, callers int) {
+	g := newFakeGroup(3)
+	g.delay = delay
+	c := g.client()
+	hist, mu := hdrhistogram.New(1, 60_000_000, 3), sync.Mutex{}
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	// The first call finds the leader.
+	if _, err := c.Claim(b.Context(), briarferry.Claim{Service: "orders", Key: "first", Token: "t"}); err != nil {
+		b.Fatal(err)
+	}
+	b.ResetTimer()
+	for range callers {
+		wg.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				start := time.Now()
+				r, err := c.Claim(b.Context(), briarferry.Claim{Service: "orders", Key: fmt.Sprint("key", i), Token: "t"})
+				if err != nil || r.Result != briarferry.ClaimGranted {
+					b.Errorf("claim: %+v, %v", r, err)
+					return
+				}
+				mu.Lock()
+				_ = hist.RecordValue(time.Since(start).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(len(g.log)), "entries")
+}
