--- a/internal/protocol/bfwire/control.go
+++ b/internal/protocol/bfwire/control.go
@@ -9,12 +9,8 @@
 	"briarferry/internal/state/bfmachine"
 )
 
-const (
-	// MaxMessage bounds an encoded message.
-	MaxMessage = 8 << 20
-	// MaxClaims bounds the operations of one claims call.
-	MaxClaims = 256
-)
+// MaxClaims bounds the operations of one claims call.
+const MaxClaims = 256
 
 type (
 	// SyncRequest asks the leader for a configuration lease.
--- a/internal/transport/bfrpc/client.go
+++ b/internal/transport/bfrpc/client.go
@@ -65,12 +65,14 @@
 		Leader netip.AddrPort
 	}
 
+	rpc[Req, Res any] = func(context.Context, *Req) (*Res, error)
+
 	procedures struct {
-		sync   *connect.Client[bfwire.SyncRequest, bfwire.SyncReply]
-		claims *connect.Client[bfwire.ClaimsRequest, bfwire.ClaimsReply]
-		change *connect.Client[bfwire.ChangeRequest, bfwire.ChangeReply]
-		config *connect.Client[bfwire.ConfigRequest, bfwire.ConfigReply]
-		status *connect.Client[bfwire.ControlStatusRequest, bfwire.ControlStatus]
+		sync   rpc[bfwire.SyncRequest, bfwire.SyncReply]
+		claims rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply]
+		change rpc[bfwire.ChangeRequest, bfwire.ChangeReply]
+		config rpc[bfwire.ConfigRequest, bfwire.ConfigReply]
+		status rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus]
 	}
 )
 
@@ -102,7 +104,7 @@
 
 // Sync makes one sync call.
 func (c *ControlClient) Sync(ctx context.Context, r bfwire.SyncRequest) (bfwire.SyncReply, error) {
-	reply, err := call(ctx, c, syncAttempt, &r, func(p *procedures) *connect.Client[bfwire.SyncRequest, bfwire.SyncReply] { return p.sync })
+	reply, err := call(ctx, c, syncAttempt, &r, func(p *procedures) rpc[bfwire.SyncRequest, bfwire.SyncReply] { return p.sync })
 	if err != nil {
 		return bfwire.SyncReply{}, err
 	}
@@ -112,7 +114,7 @@
 // Change makes an operator's change and returns once it is in force. The
 // operation carries an idempotency key, so that repeating it is safe.
 func (c *ControlClient) Change(ctx context.Context, op bfmachine.Op) (bfmachine.OpResult, error) {
-	reply, err := call(ctx, c, changeAttempt, &bfwire.ChangeRequest{Op: op}, func(p *procedures) *connect.Client[bfwire.ChangeRequest, bfwire.ChangeReply] { return p.change })
+	reply, err := call(ctx, c, changeAttempt, &bfwire.ChangeRequest{Op: op}, func(p *procedures) rpc[bfwire.ChangeRequest, bfwire.ChangeReply] { return p.change })
 	if err != nil {
 		return bfmachine.OpResult{}, err
 	}
@@ -121,7 +123,7 @@
 
 // Config returns the newest committed configuration state.
 func (c *ControlClient) Config(ctx context.Context) (*bfmachine.ConfigState, error) {
-	reply, err := call(ctx, c, attemptTimeout, &bfwire.ConfigRequest{}, func(p *procedures) *connect.Client[bfwire.ConfigRequest, bfwire.ConfigReply] { return p.config })
+	reply, err := call(ctx, c, attemptTimeout, &bfwire.ConfigRequest{}, func(p *procedures) rpc[bfwire.ConfigRequest, bfwire.ConfigReply] { return p.config })
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +132,7 @@
 
 // Status describes the replica that answers first.
 func (c *ControlClient) Status(ctx context.Context) (*bfwire.ControlStatus, error) {
-	return call(ctx, c, attemptTimeout, &bfwire.ControlStatusRequest{}, func(p *procedures) *connect.Client[bfwire.ControlStatusRequest, bfwire.ControlStatus] {
+	return call(ctx, c, attemptTimeout, &bfwire.ControlStatusRequest{}, func(p *procedures) rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus] {
 		return p.status
 	})
 }
@@ -186,7 +188,7 @@
 }
 
 func (c *ControlClient) sendClaims(ctx context.Context, ops []bfmachine.ClaimOp) ([]bfmachine.ClaimResult, error) {
-	reply, err := call(ctx, c, attemptTimeout, &bfwire.ClaimsRequest{Ops: ops}, func(p *procedures) *connect.Client[bfwire.ClaimsRequest, bfwire.ClaimsReply] { return p.claims })
+	reply, err := call(ctx, c, attemptTimeout, &bfwire.ClaimsRequest{Ops: ops}, func(p *procedures) rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply] { return p.claims })
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +205,7 @@
 // call repeats a request at one control VM after another until one answers or
 // ctx ends. Every request is safe to repeat: claims carry a token, changes an
 // idempotency key, and the others change nothing.
-func call[Req, Res any](ctx context.Context, c *ControlClient, attempt time.Duration, r *Req, client func(*procedures) *connect.Client[Req, Res]) (*Res, error) {
+func call[Req, Res any](ctx context.Context, c *ControlClient, attempt time.Duration, r *Req, procedure func(*procedures) rpc[Req, Res]) (*Res, error) {
 	c.once.Do(c.init)
 	if len(c.Targets) == 0 {
 		return nil, fmt.Errorf("bfrpc: no control VM is configured")
@@ -211,7 +213,7 @@
 	pause := firstPause
 	for {
 		target, p := c.target()
-		res, err := callOnce(ctx, attempt, r, client(p))
+		res, err := callOnce(ctx, attempt, r, procedure(p))
 		if err == nil {
 			return res, nil
 		}
@@ -230,12 +232,12 @@
 	}
 }
 
-func callOnce[Req, Res any](ctx context.Context, attempt time.Duration, r *Req, client *connect.Client[Req, Res]) (*Res, error) {
+func callOnce[Req, Res any](ctx context.Context, attempt time.Duration, r *Req, send rpc[Req, Res]) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, attempt)
 	defer cancel()
-	res, err := client.CallUnary(ctx, connect.NewRequest(r))
+	res, err := send(ctx, r)
 	if err == nil {
-		return res.Msg, nil
+		return res, nil
 	}
 	var wire *connect.Error
 	if errors.As(err, &wire) && wire.Code() == connect.CodeFailedPrecondition {
@@ -282,13 +284,12 @@
 }
 
 func newProcedures(h *http.Client, a netip.AddrPort) *procedures {
-	url := "http://" + a.String()
-	options := connect.WithClientOptions(connect.WithCodec(codec{}), connect.WithReadMaxBytes(bfwire.MaxMessage))
+	base := "http://" + a.String()
 	return &procedures{
-		sync:   connect.NewClient[bfwire.SyncRequest, bfwire.SyncReply](h, url+procedureSync, options),
-		claims: connect.NewClient[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, url+procedureClaims, options),
-		change: connect.NewClient[bfwire.ChangeRequest, bfwire.ChangeReply](h, url+procedureChange, options),
-		config: connect.NewClient[bfwire.ConfigRequest, bfwire.ConfigReply](h, url+procedureConfig, options),
-		status: connect.NewClient[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, url+procedureStatus, options),
+		sync:   NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
+		claims: NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
+		change: NewCall[bfwire.ChangeRequest, bfwire.ChangeReply](h, base, procedureChange),
+		config: NewCall[bfwire.ConfigRequest, bfwire.ConfigReply](h, base, procedureConfig),
+		status: NewCall[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, base, procedureStatus),
 	}
 }
--- a/internal/transport/bfrpc/control.go
+++ b/internal/transport/bfrpc/control.go
@@ -12,6 +12,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bfmachine"
 )
@@ -31,9 +32,10 @@
 	// that an entry carries many under load and none waits long.
 	proposalInterval  = time.Millisecond
 	proposalsInFlight = 256
-	maxEntryBytes     = 1 << 20
-	proposeTimeout    = 5 * time.Second
-	readPoll          = time.Millisecond
+	// maxEntryBytes is half of what the replica takes as one command.
+	maxEntryBytes  = 512 << 10
+	proposeTimeout = 5 * time.Second
+	readPoll       = time.Millisecond
 )
 
 // Control serves the control plane's procedures on a control replica. The
@@ -67,15 +69,13 @@
 }
 
 func handle[Req, Res any](mux *http.ServeMux, procedure string, c *Control, f func(context.Context, *Req) (*Res, error)) {
-	unary := func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
-		res, err := f(ctx, r.Msg)
+	Handle(mux, procedure, func(ctx context.Context, r *Req) (*Res, error) {
+		res, err := f(ctx, r)
 		if err != nil {
 			return nil, c.wireError(err)
 		}
-		return connect.NewResponse(res), nil
-	}
-	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary,
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(bfwire.MaxMessage)))
+		return res, nil
+	})
 }
 
 // wireError gives an error its code, and a not-leader error the leader's address.
@@ -87,6 +87,8 @@
 			wire.Meta().Set(headerLeader, address.String())
 		}
 		return wire
+	case errors.Is(err, bfreplica.ErrTooLarge):
+		return connect.NewError(connect.CodeInvalidArgument, err)
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
--- a/internal/transport/bfrpc/control_test.go
+++ b/internal/transport/bfrpc/control_test.go
@@ -382,14 +382,14 @@
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
 		messages := []any{&bfwire.SyncRequest{}, &bfwire.SyncReply{}, &bfwire.ClaimsRequest{}, &bfwire.ClaimsReply{}, &bfwire.ChangeRequest{}, &bfwire.ConfigReply{}}
 		message := messages[int(kind)%len(messages)]
-		if (codec{}).Unmarshal(data, message) != nil {
+		if (Codec{}).Unmarshal(data, message) != nil {
 			return
 		}
 		if r, ok := message.(*bfwire.SyncReply); ok && r.Delta != nil {
 			cfg := testConfig(1)
 			_, _ = (&bfmachine.ConfigState{Revision: r.Delta.Base, Config: &cfg}).Patch(r.Delta)
 		}
-		if _, err := (codec{}).Marshal(message); err != nil {
+		if _, err := (Codec{}).Marshal(message); err != nil {
 			t.Fatal(err)
 		}
 	})
