Add the operators' handlers for configuration and drains

Operators change the configuration with If-Match and Idempotency-Key and get all findings at once: 428 without If-Match, 412 with the current version, 422 for a key of another change, 503 with an unknown outcome where the control group does not answer. A removal without a key gets one, so that the resend after a lost answer does not report a missing drain.

--- /dev/null
+++ b/internal/transport/bfentry/operators.go
@@ -0,0 +1,227 @@
+package bfentry
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/state/bfcodec"
+	"briarferry/internal/state/bfmachine"
+)
+
+const (
+	readTimeout = 5 * time.Second
+	// changeTimeout outlasts an election (2 s), leases of an earlier leader and of a
+	// frozen entry (3.3 s) and one resend.
+	changeTimeout = 12 * time.Second
+	// maxChangeBytes keeps a change below the agreement log's 1 MB bound on commands.
+	maxChangeBytes = 900 << 10
+)
+
+type (
+	// ControlPlane is what the operators' paths need of the control plane.
+	ControlPlane interface {
+		// Config returns the newest committed configuration state.
+		Config(ctx context.Context) (*bfmachine.ConfigState, error)
+		// Change makes a change and returns once it is in force. Repeating it with
+		// the same key is safe.
+		Change(ctx context.Context, op bfmachine.Op) (bfmachine.OpResult, error)
+	}
+
+	// Operators serves the operators' paths. Its fields are set before use.
+	Operators struct {
+		Control ControlPlane
+		// Token must come with each change; empty asks for none.
+		Token string
+	}
+)
+
+// Handler returns the routes.
+func (o *Operators) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+bfapi.PathConfig, o.getConfig)
+	mux.HandleFunc("PUT "+bfapi.PathConfig, o.authorized(o.putConfig))
+	mux.HandleFunc("GET "+bfapi.PathDrains, o.listDrains)
+	mux.HandleFunc("POST "+bfapi.PathDrains, o.authorized(o.addDrain))
+	mux.HandleFunc("DELETE "+bfapi.PathDrains+"/{id}", o.authorized(o.removeDrain))
+	return mux
+}
+
+func (o *Operators) authorized(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if o.Token != "" && (!ok || subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) != 1) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			bfapi.WriteProblem(w, bfapi.Problem{Status: http.StatusUnauthorized, Detail: "changes need the operators' token"}, 0)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (o *Operators) getConfig(w http.ResponseWriter, r *http.Request) {
+	s, ok := o.state(w, r)
+	if !ok {
+		return
+	}
+	cfg := s.Config
+	if cfg == nil {
+		cfg = &briarferry.Config{}
+	}
+	w.Header().Set(bfapi.HeaderETag, formatETag(cfg.Version))
+	bfapi.WriteJSON(w, http.StatusOK, cfg)
+}
+
+func (o *Operators) listDrains(w http.ResponseWriter, r *http.Request) {
+	if s, ok := o.state(w, r); ok {
+		drains := append([]briarferry.Drain{}, s.Drains...)
+		bfapi.WriteJSON(w, http.StatusOK, map[string][]briarferry.Drain{"drains": drains})
+	}
+}
+
+func (o *Operators) state(w http.ResponseWriter, r *http.Request) (*bfmachine.ConfigState, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	s, err := o.Control.Config(ctx)
+	if err != nil {
+		writeUnavailable(w, "the control group does not answer")
+		return nil, false
+	}
+	return s, true
+}
+
+func (o *Operators) putConfig(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(bfapi.HeaderIfMatch) == "" {
+		bfapi.WriteProblem(w, bfapi.Problem{Status: http.StatusPreconditionRequired, Detail: "If-Match must name the version that the change is based on"}, 0)
+		return
+	}
+	var f briarferry.Findings
+	put := &bfmachine.PutConfig{Key: changeKey(&f, r)}
+	base, err := parseETag(r.Header.Get(bfapi.HeaderIfMatch))
+	if err != nil {
+		f.Add(bfapi.HeaderIfMatch, "%s", err.Error())
+	}
+	put.Base = base
+	addFindings(&f, bfapi.DecodeBody(w, r, &put.Config))
+	op := bfmachine.Op{Put: put}
+	if data, err := bfcodec.Marshal(op); err != nil || len(data) > maxChangeBytes {
+		f.Add("body", "must have at most %d bytes in its encoded form", maxChangeBytes)
+	}
+	result, ok := o.change(w, r, f, op)
+	if !ok {
+		return
+	}
+	put.Config.Version = result.Version
+	w.Header().Set(bfapi.HeaderETag, formatETag(result.Version))
+	bfapi.WriteJSON(w, http.StatusOK, put.Config)
+}
+
+func (o *Operators) addDrain(w http.ResponseWriter, r *http.Request) {
+	var f briarferry.Findings
+	add := &bfmachine.AddDrain{Key: changeKey(&f, r)}
+	addFindings(&f, bfapi.DecodeBody(w, r, &add.Drain))
+	if add.Drain.ID != "" {
+		f.Add("id", "is given by the system")
+	}
+	result, ok := o.change(w, r, f, bfmachine.Op{AddDrain: add})
+	if ok {
+		bfapi.WriteJSON(w, http.StatusCreated, result.Drain)
+	}
+}
+
+func (o *Operators) removeDrain(w http.ResponseWriter, r *http.Request) {
+	var f briarferry.Findings
+	// Without a key of its own the resend after a lost answer would find no drain.
+	if r.Header.Get(bfapi.HeaderIdempotencyKey) == "" {
+		r.Header.Set(bfapi.HeaderIdempotencyKey, bfapi.NewRequestID())
+	}
+	remove := &bfmachine.RemoveDrain{ID: r.PathValue("id"), Key: changeKey(&f, r)}
+	if !briarferry.ValidName(remove.ID) {
+		f.Add("id", "must be a name: %q", remove.ID)
+	}
+	if _, ok := o.change(w, r, f, bfmachine.Op{RemoveDrain: remove}); ok {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// change makes the change unless there are findings, and answers every failure.
+func (o *Operators) change(w http.ResponseWriter, r *http.Request, f briarferry.Findings, op bfmachine.Op) (bfmachine.OpResult, bool) {
+	if err := f.Err(); err != nil {
+		bfapi.WriteError(w, "", err)
+		return bfmachine.OpResult{}, false
+	}
+	// The change goes on where the operator's connection breaks: it is committed as
+	// a whole or not at all, and a resend finds its result.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), changeTimeout)
+	defer cancel()
+	result, err := o.Control.Change(ctx, op)
+	if err != nil {
+		writeUnavailable(w, "the change could not be confirmed; send it again with the same Idempotency-Key")
+		return result, false
+	}
+	if result.Code == bfmachine.CodeOK {
+		return result, true
+	}
+	writeResult(w, result)
+	return result, false
+}
+
+func writeResult(w http.ResponseWriter, result bfmachine.OpResult) {
+	p := bfapi.Problem{Outcome: briarferry.OutcomeNotRun}
+	switch result.Code {
+	case bfmachine.CodeConflict:
+		w.Header().Set(bfapi.HeaderETag, formatETag(result.Version))
+		p.Status, p.Detail = http.StatusPreconditionFailed, fmt.Sprintf("the current version is %d", result.Version)
+	case bfmachine.CodeKeyReused:
+		p.Status, p.Detail = http.StatusUnprocessableEntity, "the idempotency key was used for another change"
+	case bfmachine.CodeNotFound:
+		p.Status, p.Detail = http.StatusNotFound, "there is no such drain"
+	case bfmachine.CodeFull:
+		p.Status, p.Detail = http.StatusInsufficientStorage, "there is no room for another drain"
+	default:
+		p.Status, p.Detail = http.StatusBadRequest, "the control plane found the change invalid"
+	}
+	bfapi.WriteProblem(w, p, 0)
+}
+
+func writeUnavailable(w http.ResponseWriter, detail string) {
+	bfapi.WriteProblem(w, bfapi.Problem{Status: http.StatusServiceUnavailable, Detail: detail, Outcome: briarferry.OutcomeUnknown}, retrySoon)
+}
+
+func changeKey(f *briarferry.Findings, r *http.Request) string {
+	key := r.Header.Get(bfapi.HeaderIdempotencyKey)
+	if key == "" || len(key) > bfapi.MaxKeyLength {
+		f.Add(bfapi.HeaderIdempotencyKey, "must have 1 to %d characters", bfapi.MaxKeyLength)
+	}
+	return key
+}
+
+func addFindings(f *briarferry.Findings, err error) {
+	var more briarferry.Findings
+	if errors.As(err, &more) {
+		*f = append(*f, more...)
+	} else if err != nil {
+		f.Add("body", "%s", err.Error())
+	}
+}
+
+func formatETag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+func parseETag(text string) (uint64, error) {
+	quoted := strings.TrimSpace(text)
+	if len(quoted) < 2 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
+		return 0, fmt.Errorf("must be one quoted version: %q", text)
+	}
+	version, err := strconv.ParseUint(quoted[1:len(quoted)-1], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("must be one quoted version: %q", text)
+	}
+	return version, nil
+}
