Assemble the node from its parts

Cause: serve wired plain parts by hand, and the parts of several developers would meet in one function.

--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -9,14 +9,10 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
-	"briarferry/internal/coordination/bfplacement"
-	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bfnode"
 	"briarferry/internal/transport/bftrace"
-	"briarferry/internal/transport/bfupstream"
 )
 
-const stopWithin = 60 * time.Second
-
 type (
 	// serveFlags are the settings of a serve process as text.
 	serveFlags struct {
@@ -33,7 +29,7 @@
 	serveSettings struct {
 		vm        briarferry.VM
 		peers     []netip.AddrPort
-		control   []netip.AddrPort
+		control   map[string]netip.AddrPort
 		data      string
 		config    *briarferry.Config
 		resolvers []netip.Prefix
@@ -67,7 +63,7 @@
 	fs.StringVar(&f.rpc, "rpc", "127.0.0.1:7100", "address for calls between the system's processes")
 	fs.StringVar(&f.gossip, "gossip", "127.0.0.1:7200", "address for heartbeats")
 	fs.StringVar(&f.peers, "peers", "", "gossip addresses of the other VMs, comma separated")
-	fs.StringVar(&f.control, "control", "", "RPC addresses of the control VMs, comma separated")
+	fs.StringVar(&f.control, "control", "", "control VMs as NAME=RPC-ADDRESS, comma separated")
 	fs.StringVar(&f.data, "data", "", "data folder; makes this VM a control replica")
 	fs.StringVar(&f.config, "config", "", "configuration file for a process that runs alone")
 	fs.StringVar(&f.resolvers, "trusted-resolvers", "", "prefixes of resolvers that may name the client of a look-up")
@@ -87,7 +83,7 @@
 			Incarnation: uint64(time.Now().UnixMicro()), Control: f.data != "",
 		},
 		peers:     v.addresses("peers", f.peers),
-		control:   v.addresses("control", f.control),
+		control:   v.namedAddresses("control", f.control),
 		data:      f.data,
 		resolvers: v.prefixes("trusted-resolvers", f.resolvers),
 		log:       v.logger(f.logLevel).With().Str("vm", f.name).Logger(),
@@ -107,18 +103,9 @@
 		return err
 	}
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
-	members := bfentry.FixedMembers{Own: s.vm, All: []briarferry.VM{s.vm}}
-	pool := &bfentry.PlainPool{Share: 1}
-	entry := &bfentry.Entry{
-		Config:           bfentry.FixedConfig{Config: s.config},
-		Members:          members,
-		Placement:        &bfplacement.Entry{Members: members},
-		Announcements:    pool,
-		TrustedResolvers: s.resolvers,
-		Pipeline: &bfentry.Pipeline{
-			Claims: &bfentry.MemoryClaims{}, Admitter: pool, Upstream: bfupstream.New(),
-		},
+	node := &bfnode.Node{
+		VM: s.vm, Peers: s.peers, Control: s.control, Data: s.data, Alone: s.config,
+		Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
 	}
-	server := &bfentry.Server{Listen: s.vm.HTTP, Entry: entry, Log: s.log, DrainFor: s.drainFor, StopWithin: stopWithin}
-	return server.Run(ctx)
+	return node.Run(ctx)
 }
--- a/internal/transport/bfcommand/values.go
+++ b/internal/transport/bfcommand/values.go
@@ -40,6 +40,16 @@
 	return out
 }
 
+// namedAddresses reads a list of NAME=ADDRESS.
+func (v *values) namedAddresses(flag, text string) map[string]netip.AddrPort {
+	out := map[string]netip.AddrPort{}
+	for _, part := range splitList(text) {
+		name, address, _ := strings.Cut(part, "=")
+		out[v.name(flag, name)] = v.address(flag, address)
+	}
+	return out
+}
+
 func (v *values) prefixes(flag, text string) []netip.Prefix {
 	var out []netip.Prefix
 	for _, part := range splitList(text) {
--- a/internal/transport/bfentry/plain.go
+++ b/internal/transport/bfentry/plain.go
@@ -12,8 +12,6 @@
 	"briarferry/internal/protocol/bfapi"
 )
 
-const plainPoll = 2 * time.Millisecond
-
 type (
 	// FixedConfig is a configuration that never changes.
 	FixedConfig struct {
@@ -38,7 +36,7 @@
 		answer briarferry.Answer
 	}
 
-	// PlainPool admits requests to announced servers at random while they have a
+	// PlainPool hands out slots of announced servers at random while they have a
 	// free slot by this entry's own count.
 	PlainPool struct {
 		// Share divides the announced slots among the entries.
@@ -142,24 +140,8 @@
 // Synced is always true.
 func (p *PlainPool) Synced() bool { return true }
 
-// Acquire polls for a free slot until the deadline.
-func (p *PlainPool) Acquire(ctx context.Context, t briarferry.Ticket) (briarferry.Slot, error) {
-	for {
-		if s, ok := p.take(t); ok {
-			return s, nil
-		}
-		if time.Until(t.Deadline) < t.Expected {
-			return nil, refuseNotRun("no slot becomes free in time")
-		}
-		select {
-		case <-ctx.Done():
-			return nil, refuseNotRun("the caller gave up while waiting")
-		case <-time.After(plainPoll):
-		}
-	}
-}
-
-func (p *PlainPool) take(t briarferry.Ticket) (briarferry.Slot, bool) {
+// TryAcquire takes a free slot of a random server.
+func (p *PlainPool) TryAcquire(service string, avoid []briarferry.BackendID) (briarferry.Slot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ids := slices.Collect(maps.Keys(p.backends))
@@ -167,8 +149,7 @@
 	for _, id := range ids {
 		b := p.backends[id]
 		free := b.inFlight < max(1, b.backend.Slots/p.Share)
-		takes := b.backend.State != briarferry.StateDraining && time.Now().Before(b.backend.ExpiresAt)
-		if id.Service == t.Service && takes && free && !slices.Contains(t.Avoid, id) {
+		if id.Service == service && b.takesWork() && free && !slices.Contains(avoid, id) {
 			b.inFlight++
 			return &plainSlot{pool: p, b: b}, true
 		}
@@ -176,6 +157,29 @@
 	return nil, false
 }
 
+// Capacity returns the slots of the servers that take work.
+func (p *PlainPool) Capacity(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for id, b := range p.backends {
+		if id.Service == service && b.takesWork() {
+			n += max(1, b.backend.Slots/p.Share)
+		}
+	}
+	return n
+}
+
+// SetDemand does nothing, since no other entry could be asked for slots.
+func (p *PlainPool) SetDemand(string, map[int]int) {}
+
+// Freed returns no channel; the queue polls.
+func (p *PlainPool) Freed(string) <-chan struct{} { return nil }
+
+func (b *plainBackend) takesWork() bool {
+	return b.backend.State != briarferry.StateDraining && time.Now().Before(b.backend.ExpiresAt)
+}
+
 func (s *plainSlot) Backend() briarferry.Backend { return s.b.backend }
 
 func (s *plainSlot) Done(briarferry.TryReport) {
--- /dev/null
+++ b/internal/transport/bfnode/node.go
@@ -0,0 +1,104 @@
+// Package bfnode assembles the process of an entry VM from its parts.
+package bfnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfplacement"
+	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bfrpc"
+)
+
+const (
+	stopWithin = 60 * time.Second
+	// lingerFor keeps the RPC server and the replica up after the entry has stopped,
+	// so that the last claims are completed and leadership is handed over.
+	lingerFor = time.Second
+)
+
+// Node is the process of one entry VM. Its fields are set before Run.
+type Node struct {
+	VM briarferry.VM
+	// Peers are the gossip addresses of the other VMs.
+	Peers []netip.AddrPort
+	// Control gives the RPC addresses of the control VMs by name.
+	Control map[string]netip.AddrPort
+	// Data is the data folder; it makes this VM a control replica.
+	Data string
+	// Alone is the configuration of a process that runs without a control group.
+	Alone     *briarferry.Config
+	Resolvers []netip.Prefix
+	DrainFor  time.Duration
+	Log       zerolog.Logger
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (n *Node) Run(ctx context.Context) error {
+	// Parts outlive ctx: they serve the entry while it drains.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, parts := errgroup.WithContext(parts)
+	mux := http.NewServeMux()
+
+	control, err := n.startControl(parts, group, mux)
+	if err != nil {
+		return err
+	}
+	fleet, err := n.startFleet(parts, group, control)
+	if err != nil {
+		return err
+	}
+	entry := &bfentry.Entry{
+		Config:           control.config,
+		Members:          fleet.members,
+		Placement:        &bfplacement.Entry{Members: fleet.members},
+		Announcements:    fleet.announcements,
+		TrustedResolvers: n.Resolvers,
+		Pipeline:         n.newPipeline(parts, group, mux, control, fleet),
+		Operators:        control.operators,
+	}
+	if err := n.serveRPC(parts, group, mux); err != nil {
+		return err
+	}
+	server := &bfentry.Server{
+		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin, OnDrain: fleet.leave,
+	}
+	group.Go(func() error {
+		defer stop()
+		defer func() { time.Sleep(lingerFor) }()
+		// The server also stops where another part has failed.
+		both, cancel := context.WithCancel(ctx)
+		defer context.AfterFunc(parts, cancel)()
+		return server.Run(both)
+	})
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (n *Node) serveRPC(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) error {
+	ln, err := net.Listen("tcp", n.VM.RPC.String())
+	if err != nil {
+		return fmt.Errorf("bfnode: listen for calls: %w", err)
+	}
+	srv := bfrpc.NewServer(mux)
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	group.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("bfnode: serve calls: %w", err)
+		}
+		return nil
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/transport/bfnode/pipeline.go
@@ -0,0 +1,45 @@
+package bfnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfadmission"
+	"briarferry/internal/coordination/bfquarantine"
+	"briarferry/internal/coordination/bfretry"
+	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bfrpc"
+	"briarferry/internal/transport/bfupstream"
+)
+
+// callTimeout bounds a call between entries.
+const callTimeout = 2 * time.Second
+
+// newPipeline assembles the decisions that a request passes.
+func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, f *fleet) *bfentry.Pipeline {
+	quarantine := &bfquarantine.Quarantine{
+		Members: f.members,
+		Peers:   bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: callTimeout}},
+		Keep: func() time.Duration {
+			if cfg, _, ok := c.config.Current(); ok {
+				return cfg.Limits.QuarantineFor.Std()
+			}
+			return briarferry.DefaultLimits().QuarantineFor.Std()
+		},
+	}
+	bfrpc.HandleQuarantine(mux, quarantine)
+	group.Go(func() error { return quarantine.Run(ctx) })
+	upstream := bfupstream.New()
+	return &bfentry.Pipeline{
+		Claims:     c.claims,
+		Admitter:   &bfadmission.Admitter{Pool: f.pool, Slots: f.serviceSlots},
+		Upstream:   upstream,
+		Retry:      &bfretry.Policy{Seed: n.VM.Incarnation},
+		Quarantine: quarantine,
+		Config:     c.config,
+	}
+}
