Answer early refusals of keyed requests with an unknown outcome

Cause: an entry that refuses a request before it looked at the key, such as for an unready entry, a bad header or a removed service, answered not_run although an earlier attempt with the key may have run. Change: such refusals of requests with a key have the outcome unknown. Result: TestEarlyRefusals fails without the change and passes with it.

--- a/internal/protocol/bfapi/problem.go
+++ b/internal/protocol/bfapi/problem.go
@@ -40,23 +40,24 @@
 
 // WriteError answers with the problem that the error describes.
 func WriteError(w http.ResponseWriter, requestID string, err error) {
+	p, retryAfter := ProblemOf(err)
+	p.RequestID = requestID
+	WriteProblem(w, p, retryAfter)
+}
+
+// ProblemOf returns the problem that an error describes, and when to try again.
+func ProblemOf(err error) (Problem, time.Duration) {
 	var refusal *briarferry.Refusal
 	if errors.As(err, &refusal) {
-		WriteProblem(w, Problem{
-			Status: refusal.Status, Detail: refusal.Reason, Outcome: refusal.Outcome, RequestID: requestID,
-		}, refusal.RetryAfter)
-		return
+		return Problem{Status: refusal.Status, Detail: refusal.Reason, Outcome: refusal.Outcome}, refusal.RetryAfter
 	}
 	var findings briarferry.Findings
 	if errors.As(err, &findings) {
-		WriteProblem(w, Problem{
-			Status: http.StatusBadRequest, Findings: findings, Outcome: briarferry.OutcomeNotRun, RequestID: requestID,
-		}, 0)
-		return
+		return Problem{Status: http.StatusBadRequest, Findings: findings, Outcome: briarferry.OutcomeNotRun}, 0
 	}
-	WriteProblem(w, Problem{
-		Status: http.StatusInternalServerError, Detail: "internal error", Outcome: briarferry.OutcomeUnknown, RequestID: requestID,
-	}, 0)
+	return Problem{
+		Status: http.StatusInternalServerError, Detail: "internal error", Outcome: briarferry.OutcomeUnknown,
+	}, 0
 }
 
 // WriteJSON answers with a JSON document.
--- a/internal/transport/bfentry/request.go
+++ b/internal/transport/bfentry/request.go
@@ -17,23 +17,23 @@
 		w.Header().Set("Connection", "close")
 	}
 	if reason := e.unready(); reason != "" {
-		bfapi.WriteError(w, r.Header.Get(bfapi.HeaderRequestID), refuseUnready(reason))
+		refuseEarly(w, r, refuseUnready(reason))
 		return
 	}
 	cfg, lease, ok := e.Config.Current()
 	if !ok {
-		bfapi.WriteError(w, r.Header.Get(bfapi.HeaderRequestID), refuseNoLease())
+		refuseEarly(w, r, refuseNoLease())
 		return
 	}
 	name := bfapi.RequestService(r)
 	s, ok := cfg.Service(name)
 	if !ok {
-		bfapi.WriteError(w, r.Header.Get(bfapi.HeaderRequestID), refuseUnknownService(name))
+		refuseEarly(w, r, refuseUnknownService(name))
 		return
 	}
 	req, err := bfapi.ReadRequest(w, r, cfg, s)
 	if err != nil {
-		bfapi.WriteError(w, req.ID, err)
+		refuseEarly(w, r, err)
 		return
 	}
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
@@ -52,6 +52,17 @@
 	writeAnswer(w, req, a)
 }
 
+// refuseEarly ends a request before its key was looked at. A request with a key may
+// have run through an earlier attempt, so none is told that it did not run.
+func refuseEarly(w http.ResponseWriter, r *http.Request, err error) {
+	p, retryAfter := bfapi.ProblemOf(err)
+	p.RequestID = r.Header.Get(bfapi.HeaderRequestID)
+	if r.Header.Get(bfapi.HeaderIdempotencyKey) != "" {
+		p.Outcome = briarferry.OutcomeUnknown
+	}
+	bfapi.WriteProblem(w, p, retryAfter)
+}
+
 func writeAnswer(w http.ResponseWriter, req *briarferry.Request, a *briarferry.Answer) {
 	for name, values := range a.Header {
 		w.Header()[http.CanonicalHeaderKey(name)] = values
--- /dev/null
+++ b/internal/transport/bfentry/request_test.go
@@ -0,0 +1,60 @@
+package bfentry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+// TestEarlyRefusals guards against input that is refused with a wrong status, and
+// against "not run" for a key that an earlier attempt may have run.
+func TestEarlyRefusals(t *testing.T) {
+	cfg := &briarferry.Config{
+		Classes:  []briarferry.PriorityClass{{Name: "urgent", Urgency: 1, Target: 1}},
+		Services: []briarferry.Service{{Name: "orders", Class: "urgent", Slots: 1, Expected: briarferry.Duration(time.Millisecond)}},
+		Limits:   briarferry.DefaultLimits(),
+	}
+	cfg.Limits.MaxBodyBytes = 8
+	pool := &PlainPool{Share: 1}
+	e := &Entry{Config: FixedConfig{Config: cfg}, Members: FixedMembers{}, Announcements: pool, Pipeline: &Pipeline{}}
+	tests := []struct {
+		name, path, body string
+		header           map[string]string
+		status           int
+		outcome          briarferry.Outcome
+		place            string
+	}{
+		{"no key", "/s/orders/x", "", nil, 400, briarferry.OutcomeNotRun, bfapi.HeaderIdempotencyKey},
+		{"bad timeout", "/s/orders/x", "", map[string]string{bfapi.HeaderIdempotencyKey: "k", bfapi.HeaderRequestTimeout: "-1"}, 400, briarferry.OutcomeUnknown, bfapi.HeaderRequestTimeout},
+		{"bad priority", "/s/orders/x", "", map[string]string{bfapi.HeaderPriority: "u=9"}, 400, briarferry.OutcomeNotRun, bfapi.HeaderPriority},
+		{"large body", "/s/orders/x", "123456789", nil, 400, briarferry.OutcomeNotRun, "body"},
+		{"no service", "/s/nowhere/x", "", nil, 404, briarferry.OutcomeNotRun, ""},
+		{"no service with a key", "/s/nowhere/x", "", map[string]string{bfapi.HeaderIdempotencyKey: "k"}, 404, briarferry.OutcomeUnknown, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body))
+			for name, value := range test.header {
+				r.Header.Set(name, value)
+			}
+			w := httptest.NewRecorder()
+			e.Handler().ServeHTTP(w, r)
+			var p bfapi.Problem
+			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != test.status || p.Outcome != test.outcome {
+				t.Errorf("got %d %s, want %d %s", w.Code, p.Outcome, test.status, test.outcome)
+			}
+			if test.place != "" && !strings.Contains(p.Findings.Error(), test.place+": ") {
+				t.Errorf("no finding for %s: %v", test.place, p.Findings)
+			}
+		})
+	}
+}
