--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -216,6 +216,8 @@
 	r.role, r.leader = Follower, leader
 	r.progress, r.transferee, r.needRound = nil, "", false
 	r.transfer = false
+	// Chunks of another leader's snapshot may be encoded differently.
+	r.incoming = nil
 	r.resetTimer()
 }
 
--- a/internal/coordination/bfraft/replicate.go
+++ b/internal/coordination/bfraft/replicate.go
@@ -29,6 +29,8 @@
 		round  uint64
 		snap   *Snapshot
 		offset uint64
+		// resent is true after a chunk without a reply was sent again.
+		resent bool
 	}
 )
 
@@ -78,7 +80,7 @@
 }
 
 func (r *Raft) sendAppends(id string, p *progress) {
-	for !p.waiting && p.state != installing && p.next <= r.log.last() && len(p.inflight) < r.cfg.MaxInflight {
+	for !p.waiting && p.state != installing && r.hasAppend(p) && len(p.inflight) < r.cfg.MaxInflight {
 		prev, ok := r.log.term(p.next - 1)
 		if !ok {
 			r.startInstall(p)
@@ -98,6 +100,12 @@
 	}
 }
 
+// hasAppend tells whether the peer needs entries. A probe goes out even without
+// entries: a replica that joins an idle group would otherwise wait for the next command.
+func (r *Raft) hasAppend(p *progress) bool {
+	return p.next <= r.log.last() || p.state == probing && p.match < r.log.last()
+}
+
 func (r *Raft) startInstall(p *progress) {
 	if r.snapshot == nil {
 		return
@@ -126,14 +134,24 @@
 	case MsgAppendReply:
 		r.handleAppendReply(m, p)
 	case MsgSnapshotReply:
-		if p.state == installing && m.Index == p.snap.Index && m.HintIndex <= uint64(len(p.snap.Data)) && m.HintIndex > p.offset {
-			p.offset, p.waiting, p.idle = m.HintIndex, false, 0
-		}
+		r.handleSnapshotReply(m, p)
 	case MsgHeartbeatReply:
 		r.handleHeartbeatReply(m, p)
 	}
 }
 
+// handleSnapshotReply moves on to the chunk that the follower wants. A follower that
+// restarted lost the chunks before; its lower position counts only after a chunk was
+// sent again, so that late replies don't repeat parts of a working transfer.
+func (r *Raft) handleSnapshotReply(m Message, p *progress) {
+	if p.state != installing || m.Index != p.snap.Index || m.HintIndex >= uint64(len(p.snap.Data)) {
+		return
+	}
+	if m.HintIndex > p.offset || m.HintIndex < p.offset && p.resent {
+		p.offset, p.waiting, p.idle, p.resent = m.HintIndex, false, 0, false
+	}
+}
+
 func (r *Raft) handleHeartbeatReply(m Message, p *progress) {
 	p.round = max(p.round, m.Round)
 	r.roundAcked()
@@ -144,7 +162,7 @@
 	if p.idle++; p.idle < maxIdleBeats {
 		return
 	}
-	p.idle, p.waiting = 0, false
+	p.idle, p.waiting, p.resent = 0, false, true
 	if p.state == streaming {
 		r.startProbe(p, p.match+1)
 	}
--- /dev/null
+++ b/internal/coordination/bfraft/rules_test.go
@@ -0,0 +1,265 @@
+package bfraft
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+)
+
+func (n *network) run(ticks int) {
+	for range ticks {
+		n.tick()
+	}
+}
+
+func (n *network) elect() *simNode {
+	n.t.Helper()
+	for range 200 {
+		n.tick()
+		if l := n.leader(); l != nil && l.raft.Committed() == l.raft.LastIndex() {
+			return l
+		}
+	}
+	n.fail("no leader")
+	return nil
+}
+
+// TestTransfer guards against a planned stop that costs an election timeout.
+func TestTransfer(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	old := n.elect()
+	n.frozen[leaseKey(old)] = true
+	for n.lease[old.id] > n.now {
+		n.tick()
+	}
+	target := old.raft.Transfer()
+	if _, err := old.raft.Propose([]byte("x")); !errors.Is(err, ErrNotLeader) {
+		t.Errorf("propose during a transfer: %v", err)
+	}
+	n.run(5)
+	if l := n.leader(); l == nil || l.id != target {
+		t.Fatalf("leader is %v, want %s", l, target)
+	}
+}
+
+// TestLeaderKeepsLeaseAgainstReturningPeer guards against a replica that returns
+// from a cut with a newer term and unseats a working leader.
+func TestLeaderKeepsLeaseAgainstReturningPeer(t *testing.T) {
+	n := newNetwork(t, 2, 3)
+	l := n.elect()
+	var away *simNode
+	for _, id := range n.ids() {
+		if id != l.id {
+			away = n.nodes[id]
+		}
+	}
+	for _, id := range n.ids() {
+		n.cut[[2]string{away.id, id}], n.cut[[2]string{id, away.id}] = true, true
+	}
+	term := l.raft.Term()
+	n.run(200)
+	clear(n.cut)
+	n.run(50)
+	if got := n.leader(); got != l || l.raft.Term() != term {
+		t.Errorf("leader %s in term %d, want %s in term %d", got.id, got.raft.Term(), l.id, term)
+	}
+}
+
+// TestCheckQuorum guards against a cut-off leader that goes on leading.
+func TestCheckQuorum(t *testing.T) {
+	n := newNetwork(t, 3, 3)
+	l := n.elect()
+	for _, id := range n.ids() {
+		n.cut[[2]string{id, l.id}] = true
+	}
+	n.run(3 * simElection)
+	if l.raft.Role() == Leader {
+		t.Error("leader without answers still leads")
+	}
+}
+
+// TestEmptyReplicaNeverVotes guards against a lost disk that votes again.
+func TestEmptyReplicaNeverVotes(t *testing.T) {
+	r, err := New(Config{ID: "a/1", ElectionTicks: 10, SpreadTicks: 10, HeartbeatTicks: 1, MaxMessageBytes: 10, MaxInflight: 1,
+		Rand: rand.New(rand.NewPCG(1, 1))}, Recovered{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		r.Tick()
+	}
+	for _, kind := range []MessageType{MsgPreVote, MsgVote} {
+		r.Step(Message{Type: kind, From: "b/1", To: "a/1", Term: 9, Index: 5, LogTerm: 3, Transfer: true})
+	}
+	for _, m := range r.Ready().Messages {
+		if !m.Reject {
+			t.Errorf("sent %+v", m)
+		}
+	}
+}
+
+// follow returns a replica with the given log that is led by "b/0" in the term.
+func follow(t *testing.T, term uint64, entries ...Entry) *Raft {
+	t.Helper()
+	first, err := membershipEntry(Membership{Voters: []string{"a/0", "b/0", "c/0"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Index, first.Term = 1, 1
+	r, err := New(Config{ID: "a/0", ElectionTicks: 10, SpreadTicks: 10, HeartbeatTicks: 1, MaxMessageBytes: 1000, MaxInflight: 4,
+		Rand: rand.New(rand.NewPCG(1, 1))}, Recovered{HardState: HardState{Term: term}, Entries: append([]Entry{first}, entries...)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func drain(r *Raft) []Message {
+	var out []Message
+	for r.HasReady() {
+		rd := r.Ready()
+		out = append(append(out, rd.Early...), rd.Messages...)
+		r.Advance(rd)
+	}
+	return out
+}
+
+// lead makes the replica the leader of the term after its own.
+func lead(t *testing.T, r *Raft) {
+	t.Helper()
+	for r.Role() != PreCandidate {
+		r.Tick()
+	}
+	r.Step(Message{Type: MsgPreVoteReply, From: "b/0", To: "a/0", Term: r.Term() + 1})
+	r.Step(Message{Type: MsgVoteReply, From: "b/0", To: "a/0", Term: r.Term()})
+	if r.Role() != Leader {
+		t.Fatal("not elected")
+	}
+	drain(r)
+}
+
+func reply(r *Raft, index uint64) {
+	r.Step(Message{Type: MsgAppendReply, From: "b/0", To: "a/0", Term: r.Term(), Index: index})
+	drain(r)
+}
+
+// TestEarlierTermIsNotCommittedByCount guards against committing an entry of an
+// earlier term that a later leader may still replace.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	r := follow(t, 2, Entry{Index: 2, Term: 2, Kind: EntryCommand, Data: []byte("old")})
+	lead(t, r)
+	reply(r, 2)
+	if r.Committed() != 0 {
+		t.Errorf("committed %d by count alone", r.Committed())
+	}
+	reply(r, 3)
+	if r.Committed() != 3 {
+		t.Errorf("committed %d after an entry of the own term, want 3", r.Committed())
+	}
+}
+
+// TestRestartedReplicaRefusesVotes guards against a restart that forgets a lease
+// which the replica acknowledged just before.
+func TestRestartedReplicaRefusesVotes(t *testing.T) {
+	r := follow(t, 3)
+	vote := Message{Type: MsgVote, From: "b/0", To: "a/0", Term: 4, Index: 9, LogTerm: 3}
+	r.Step(vote)
+	if m := drain(r); len(m) != 0 || r.Term() != 3 {
+		t.Errorf("answered %+v in term %d right after the restart", m, r.Term())
+	}
+	for range 10 {
+		r.Tick()
+	}
+	r.Step(vote)
+	if m := drain(r); len(m) == 0 || m[len(m)-1].Reject {
+		t.Errorf("answered %+v after the election timeout", m)
+	}
+}
+
+// TestReadWaitsForNewRound guards against a deposed leader that answers a read from
+// an acknowledgement older than the read.
+func TestReadWaitsForNewRound(t *testing.T) {
+	r := follow(t, 1)
+	lead(t, r)
+	reply(r, 2)
+	r.Step(Message{Type: MsgHeartbeatReply, From: "b/0", To: "a/0", Term: r.Term(), Round: r.Round()})
+	r.ReadIndex(7)
+	r.HasReady()
+	if rd := r.Ready(); len(rd.ReadStates) != 0 {
+		t.Fatalf("read answered without a new round: %+v", rd.ReadStates)
+	}
+	r.Step(Message{Type: MsgHeartbeatReply, From: "b/0", To: "a/0", Term: r.Term(), Round: r.Round()})
+	if rd := r.Ready(); len(rd.ReadStates) != 1 || rd.ReadStates[0] != (ReadState{Request: 7, Index: 2}) {
+		t.Errorf("read states %+v", rd.ReadStates)
+	}
+}
+
+// TestOneChangeAtATime guards against two membership changes whose majorities do not overlap.
+func TestOneChangeAtATime(t *testing.T) {
+	r := follow(t, 1)
+	lead(t, r)
+	add := func(id string) error {
+		_, err := r.ProposeChange(Change{Kind: AddLearner, ID: id})
+		return err
+	}
+	if err := add("c/1"); !errors.Is(err, ErrChangePending) {
+		t.Errorf("change before an entry of the own term is committed: %v", err)
+	}
+	reply(r, 2)
+	if err := add("c/1"); err != nil {
+		t.Errorf("first change: %v", err)
+	}
+	if err := add("c/2"); !errors.Is(err, ErrChangePending) {
+		t.Errorf("second change: %v", err)
+	}
+	reply(r, 3)
+	if _, err := r.ProposeChange(Change{Kind: Promote, ID: "c/1"}); !errors.Is(err, ErrNotCaughtUp) {
+		t.Errorf("promotion of an empty learner: %v", err)
+	}
+	if _, err := r.ProposeChange(Change{Kind: Remove, ID: "a/0"}); !errors.Is(err, ErrInvalidChange) {
+		t.Errorf("removal of the leader: %v", err)
+	}
+}
+
+// TestTruncatedMembershipIsUndone guards against a membership that outlives its entry.
+func TestTruncatedMembershipIsUndone(t *testing.T) {
+	e, err := membershipEntry(Membership{Voters: []string{"a/0", "b/0"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Index, e.Term = 2, 2
+	r := follow(t, 2, e)
+	r.Step(Message{Type: MsgAppend, From: "b/0", To: "a/0", Term: 3, Index: 1, LogTerm: 1,
+		Entries: []Entry{{Index: 2, Term: 3, Kind: EntryCommand}}})
+	if got := r.Membership().Voters; len(got) != 3 {
+		t.Errorf("voters %v after the entry was replaced", got)
+	}
+}
+
+// TestFastBackOff guards against walking back one entry per round trip.
+func TestFastBackOff(t *testing.T) {
+	var own, other []Entry
+	for i := uint64(2); i <= 400; i++ {
+		own = append(own, Entry{Index: i, Term: 3, Kind: EntryCommand})
+		other = append(other, Entry{Index: i, Term: 2, Kind: EntryCommand})
+	}
+	leader, follower := follow(t, 3, own...), follow(t, 2, other[:300]...)
+	lead(t, leader)
+	follower.cfg.ID = "b/0"
+	leader.Propose([]byte("x"))
+	rejections := 0
+	for range 200 {
+		for _, m := range append(drain(leader), Message{Type: MsgHeartbeat, From: "a/0", To: "b/0", Term: leader.Term()}) {
+			follower.Step(m)
+		}
+		for _, m := range drain(follower) {
+			if m.Reject {
+				rejections++
+			}
+			leader.Step(m)
+		}
+	}
+	if follower.LastIndex() != leader.LastIndex() || rejections == 0 || rejections > 4 {
+		t.Errorf("follower at %d of %d after %d rejections", follower.LastIndex(), leader.LastIndex(), rejections)
+	}
+}
--- a/internal/coordination/bfraft/snapshot.go
+++ b/internal/coordination/bfraft/snapshot.go
@@ -13,7 +13,7 @@
 		r.send(Message{Type: MsgAppendReply, To: m.From, Index: max(r.log.committed, c.Index)})
 		return
 	}
-	if r.incoming == nil || r.incoming.Index != c.Index || r.incoming.Term != c.Term || c.Offset == 0 {
+	if r.incoming == nil || r.incoming.Index != c.Index || r.incoming.Term != c.Term {
 		r.incoming = &Snapshot{Index: c.Index, Term: c.Term, Membership: c.Membership.clone()}
 	}
 	if have := uint64(len(r.incoming.Data)); c.Offset == have {
