--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./...
 
-.PHONY: build test lint demo bench capacity guarantees soak
+.PHONY: build test lint demo bench bench-policies capacity guarantees soak
 
 build:
 	$(GO) build -o bin/briarferry ./cmd/briarferry
@@ -29,3 +29,8 @@
 bench-placement:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/transport/bfcapacity
 	$(GO) run ./internal/transport/bfcapacity/run -policies
+
+bench: bench-policies
+
+bench-policies:
+	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
