Run the control group in serve

A VM with a data folder runs the replica and the control service; every entry holds its configuration under a lease from the leader, claims through the control client and serves the operators' paths. Status shows the leader, the checksum and the drains. The replica stops before the network, so that leadership is handed over.

A test starts 3 control VMs and an entry on loopback addresses.

--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -20,6 +20,7 @@
 		http, rpc, gossip           string
 		peers, control, data        string
 		config, resolvers, logLevel string
+		token                       string
 		traceEndpoint               string
 		traceShare                  float64
 		drainFor                    time.Duration
@@ -32,6 +33,7 @@
 		control   map[string]netip.AddrPort
 		data      string
 		config    *briarferry.Config
+		token     string
 		resolvers []netip.Prefix
 		log       zerolog.Logger
 		trace     bftrace.Exporter
@@ -66,6 +68,7 @@
 	fs.StringVar(&f.control, "control", "", "control VMs as NAME=RPC-ADDRESS, comma separated")
 	fs.StringVar(&f.data, "data", "", "data folder; makes this VM a control replica")
 	fs.StringVar(&f.config, "config", "", "configuration file for a process that runs alone")
+	fs.StringVar(&f.token, "token", "", "token that operators' changes must carry; empty for none")
 	fs.StringVar(&f.resolvers, "trusted-resolvers", "", "prefixes of resolvers that may name the client of a look-up")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
@@ -85,6 +88,7 @@
 		peers:     v.addresses("peers", f.peers),
 		control:   v.namedAddresses("control", f.control),
 		data:      f.data,
+		token:     f.token,
 		resolvers: v.prefixes("trusted-resolvers", f.resolvers),
 		log:       v.logger(f.logLevel).With().Str("vm", f.name).Logger(),
 		trace:     bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + f.name},
@@ -105,7 +109,7 @@
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
 	node := &bfnode.Node{
 		VM: s.vm, Peers: s.peers, Control: s.control, Data: s.data, Alone: s.config,
-		Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
+		Token: s.token, Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
 	}
 	return node.Run(ctx)
 }
--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -2,12 +2,23 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"maps"
 	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
 
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/coordination/bfreplica"
+	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/state/bfmachine"
 	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bfrpc"
 )
 
 // control is this VM's side of the control group.
@@ -16,10 +27,103 @@
 	claims briarferry.Claimer
 	// operators serves the operators' paths; it may be nil.
 	operators http.Handler
+	// drains returns the drains in force.
+	drains func() []briarferry.Drain
+	// describe adds the control group to this VM's status.
+	describe func(s *bfapi.VMStatus)
+	// handOver stops the replica, which hands leadership to another VM.
+	handOver func()
 }
 
 // startControl starts the replica where this VM has a data folder, and the clients
 // of the control group.
-func (n *Node) startControl(_ context.Context, _ *errgroup.Group, _ *http.ServeMux) (*control, error) {
-	return &control{config: bfentry.FixedConfig{Config: n.Alone}, claims: &bfentry.MemoryClaims{}}, nil
+func (n *Node) startControl(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) (*control, error) {
+	if err := n.checkControl(); err != nil {
+		return nil, err
+	}
+	if len(n.Control) == 0 {
+		return n.aloneControl(), nil
+	}
+	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(n.Control))}
+	holder := &bflease.Holder{Name: n.VM.Name, Incarnation: n.VM.Incarnation, Transport: client}
+	client.OnIndex = holder.Observe
+	replica, handOver := n.startReplica(ctx, group, mux)
+	group.Go(func() error {
+		holder.Run(ctx)
+		return nil
+	})
+	publishLease(holder)
+	return &control{
+		config: holder, claims: client, handOver: handOver,
+		operators: (&bfentry.Operators{Control: client, Token: n.Token}).Handler(),
+		drains:    func() []briarferry.Drain { return holder.State().Drains },
+		describe:  func(s *bfapi.VMStatus) { describeControl(s, holder, replica) },
+	}, nil
+}
+
+func (n *Node) checkControl() error {
+	switch {
+	case len(n.Control) == 0 && n.Alone == nil:
+		return errors.New("bfnode: neither control VMs nor a configuration for a process that runs alone are given")
+	case len(n.Control) > 0 && n.Alone != nil:
+		return errors.New("bfnode: a configuration file is for a process without control VMs")
+	case n.Data != "" && !n.Control[n.VM.Name].IsValid():
+		return fmt.Errorf("bfnode: %s has a data folder but is not among the control VMs", n.VM.Name)
+	}
+	return nil
+}
+
+func (n *Node) aloneControl() *control {
+	return &control{
+		config:   bfentry.FixedConfig{Config: n.Alone},
+		claims:   &bfentry.MemoryClaims{},
+		drains:   func() []briarferry.Drain { return nil },
+		describe: func(*bfapi.VMStatus) {},
+		handOver: func() {},
+	}
+}
+
+// startReplica starts the replica and its control service where this VM has a data
+// folder. The returned function stops the replica alone: the network must outlive
+// it, since its last messages hand leadership over.
+func (n *Node) startReplica(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) (briarferry.Replica, func()) {
+	if n.Data == "" {
+		return nil, func() {}
+	}
+	network := &bfrpc.RaftClient{Peers: n.Control}
+	machine := bfmachine.New()
+	replica := &bfreplica.Node{
+		VM: n.VM.Name, Control: slices.Sorted(maps.Keys(n.Control)), Dir: n.Data,
+		Machine: machine, Transport: network, Discovery: network, Log: n.Log,
+	}
+	service := &bfrpc.Control{
+		Replica: replica, Machine: machine, Address: n.controlAddress,
+		Leases: &bflease.Leader{Replica: replica, Source: machine},
+	}
+	publishReplica(replica, machine, service.Leases)
+	bfrpc.HandleRaft(mux, replica)
+	service.Routes(mux)
+	group.Go(func() error { return network.Run(ctx) })
+	work, handOver := context.WithCancel(ctx)
+	group.Go(func() error { return replica.Run(work) })
+	return replica, handOver
+}
+
+// controlAddress returns the RPC address of a replica, whose id is "vm/disk".
+func (n *Node) controlAddress(id string) (netip.AddrPort, bool) {
+	vm, _, _ := strings.Cut(id, "/")
+	address, ok := n.Control[vm]
+	return address, ok
+}
+
+func describeControl(s *bfapi.VMStatus, holder *bflease.Holder, replica briarferry.Replica) {
+	if replica != nil && replica.Status().IsLeader {
+		s.Role = bfapi.RoleLeader
+	}
+	state := holder.State()
+	s.ConfigVersion = state.Version()
+	s.ConfigChecksum = fmt.Sprintf("%016x", state.Checksum())
+	for _, d := range state.Drains {
+		s.Drains = append(s.Drains, bfapi.DrainStatus{ID: d.ID, Kind: string(d.Kind), Target: d.Target})
+	}
 }
--- /dev/null
+++ b/internal/transport/bfnode/control_test.go
@@ -0,0 +1,231 @@
+package bfnode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+type (
+	// testSystem is a group of nodes in one process on loopback addresses.
+	testSystem struct {
+		t       *testing.T
+		dir     string
+		vms     []briarferry.VM
+		control map[string]netip.AddrPort
+		stops   map[string]func()
+	}
+
+	testAnswer struct {
+		status int
+		etag   string
+		body   []byte
+	}
+)
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// newTestSystem starts 3 control VMs and an entry without a data folder.
+func newTestSystem(t *testing.T) *testSystem {
+	s := &testSystem{t: t, dir: t.TempDir(), control: map[string]netip.AddrPort{}, stops: map[string]func(){}}
+	for i := range 4 {
+		vm := briarferry.VM{
+			Name: fmt.Sprint("vm", i), Region: "koshi", FailureDomain: "k1", Control: i < 3,
+			HTTP: freeAddress(t), RPC: freeAddress(t), Gossip: freeAddress(t),
+		}
+		s.vms = append(s.vms, vm)
+		if vm.Control {
+			s.control[vm.Name] = vm.RPC
+		}
+	}
+	for i := range s.vms {
+		s.start(i)
+	}
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+	})
+	return s
+}
+
+func (s *testSystem) start(i int) {
+	vm := s.vms[i]
+	vm.Incarnation = uint64(time.Now().UnixMicro())
+	n := &Node{VM: vm, Control: s.control, DrainFor: time.Millisecond}
+	for j, other := range s.vms {
+		if i != j {
+			n.Peers = append(n.Peers, other.Gossip)
+		}
+	}
+	if vm.Control {
+		n.Data = filepath.Join(s.dir, vm.Name)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() {
+		if err := n.Run(ctx); err != nil {
+			s.t.Errorf("%s: %v", vm.Name, err)
+		}
+	})
+	s.stops[vm.Name] = func() { cancel(); done.Wait() }
+}
+
+func (s *testSystem) stop(i int) {
+	name := s.vms[i].Name
+	s.stops[name]()
+	delete(s.stops, name)
+}
+
+func (s *testSystem) call(i int, method, path string, header map[string]string, body any) (testAnswer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return testAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.vms[i].HTTP.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return testAnswer{}, err
+	}
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return testAnswer{}, err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return testAnswer{resp.StatusCode, resp.Header.Get("ETag"), got}, err
+}
+
+// put changes the configuration through a VM, resending as an operator would.
+func (s *testSystem) put(i int, base uint64, key string) testAnswer {
+	header := map[string]string{"If-Match": fmt.Sprintf("%q", fmt.Sprint(base)), "Idempotency-Key": key}
+	cfg := briarferry.Config{
+		Regions: []briarferry.Region{{Name: "koshi", FailureDomains: []string{"k1"}, CapacityShare: 0.8}},
+		Classes: []briarferry.PriorityClass{{Name: "high", Target: 1}},
+		Limits:  briarferry.DefaultLimits(),
+	}
+	for range 5 {
+		a, err := s.call(i, "PUT", "/v1/config", header, cfg)
+		if err == nil && a.status != http.StatusServiceUnavailable {
+			return a
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.t.Errorf("change %s got no answer", key)
+	return testAnswer{}
+}
+
+func (s *testSystem) status(i int) bfapi.VMStatus {
+	var v bfapi.VMStatus
+	if a, err := s.call(i, "GET", "/v1/status?scope=local", nil, nil); err == nil {
+		_ = json.Unmarshal(a.body, &v)
+	}
+	return v
+}
+
+func (s *testSystem) leader() int {
+	for range 100 {
+		for i, vm := range s.vms {
+			if s.stops[vm.Name] != nil && s.status(i).Role == bfapi.RoleLeader {
+				return i
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatal("no leader")
+	return -1
+}
+
+// expectVersion checks every running VM: one with a lease must have the version at
+// once, and each must get one soon.
+func (s *testSystem) expectVersion(version uint64) {
+	s.t.Helper()
+	checksums := map[string]bool{}
+	for i, vm := range s.vms {
+		if s.stops[vm.Name] == nil {
+			continue
+		}
+		v := s.status(i)
+		if v.LeaseSeconds > 0 && v.ConfigVersion < version {
+			s.t.Errorf("%s works under version %d after %d was accepted", vm.Name, v.ConfigVersion, version)
+		}
+		for range 50 {
+			if v = s.status(i); v.LeaseSeconds > 0 && v.ConfigVersion == version {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if v.ConfigVersion != version || v.LeaseSeconds <= 0 {
+			s.t.Errorf("%s has version %d with %.1f s of lease, not %d", vm.Name, v.ConfigVersion, v.LeaseSeconds, version)
+		}
+		checksums[v.ConfigChecksum] = true
+	}
+	if len(checksums) != 1 {
+		s.t.Errorf("checksums differ: %v", checksums)
+	}
+}
+
+// TestControlGroup guards against parts that work alone but not as a system: a
+// change through any VM is in force everywhere when it is answered, also after the
+// leader has stopped, and a restarted VM agrees with the others.
+func TestControlGroup(t *testing.T) {
+	s := newTestSystem(t)
+	s.leader()
+	if a := s.put(3, 0, "first"); a.status != http.StatusOK || a.etag != `"1"` {
+		t.Fatalf("first change: %d %s", a.status, a.body)
+	}
+	s.expectVersion(1)
+	start := time.Now()
+	if a := s.put(0, 1, "second"); a.status != http.StatusOK {
+		t.Errorf("second change: %d %s", a.status, a.body)
+	}
+	t.Logf("second change took %s", time.Since(start).Round(time.Millisecond))
+	if a := s.put(1, 1, "late"); a.status != http.StatusPreconditionFailed || a.etag != `"2"` {
+		t.Errorf("change on an old version: %d %s", a.status, a.body)
+	}
+	stopped := s.leader()
+	s.stop(stopped)
+	start = time.Now()
+	if a := s.put(3, 2, "third"); a.status != http.StatusOK {
+		t.Errorf("change after the leader stopped: %d %s", a.status, a.body)
+	}
+	t.Logf("change after the leader stopped took %s", time.Since(start).Round(time.Millisecond))
+	if a := s.put(3, 1, "second"); a.status != http.StatusOK || a.etag != `"2"` {
+		t.Errorf("resend of the second change: %d %s", a.status, a.body)
+	}
+	s.expectVersion(3)
+	s.start(stopped)
+	s.expectVersion(3)
+	drain := briarferry.Drain{Kind: briarferry.DrainVM, Target: "vm3"}
+	if a, err := s.call(stopped, "POST", "/v1/drains", map[string]string{"Idempotency-Key": "d"}, drain); err != nil || a.status != http.StatusCreated {
+		t.Errorf("drain: %d %s %v", a.status, a.body, err)
+	}
+	for i, vm := range s.vms {
+		if v := s.status(i); len(v.Drains) != 1 || v.Drains[0].Target != "vm3" {
+			t.Errorf("%s does not know the drain: %+v", vm.Name, v.Drains)
+		}
+	}
+}
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -38,8 +38,10 @@
 	// Alone is the configuration of a process that runs without a control group.
 	Alone     *briarferry.Config
 	Resolvers []netip.Prefix
-	DrainFor  time.Duration
-	Log       zerolog.Logger
+	// Token must come with operators' changes; empty asks for none.
+	Token    string
+	DrainFor time.Duration
+	Log      zerolog.Logger
 }
 
 // Run serves until ctx ends, then drains and stops.
@@ -66,6 +68,7 @@
 		TrustedResolvers: n.Resolvers,
 		Pipeline:         n.newPipeline(parts, group, mux, control, fleet),
 		Operators:        control.operators,
+		Local:            control.describe,
 	}
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
@@ -76,6 +79,7 @@
 	group.Go(func() error {
 		defer stop()
 		defer func() { time.Sleep(lingerFor) }()
+		defer control.handOver()
 		// The server also stops where another part has failed.
 		both, cancel := context.WithCancel(ctx)
 		defer context.AfterFunc(parts, cancel)()
