--- a/internal/protocol/bfapi/status.go
+++ b/internal/protocol/bfapi/status.go
@@ -27,18 +27,21 @@
 
 	// VMStatus is what one VM tells about itself.
 	VMStatus struct {
-		Name           string          `json:"name"`
-		Region         string          `json:"region"`
-		FailureDomain  string          `json:"failure_domain"`
-		HTTP           netip.AddrPort  `json:"http"`
-		Role           string          `json:"role"`
-		Ready          bool            `json:"ready"`
-		Reason         string          `json:"reason,omitempty"`
-		ConfigVersion  uint64          `json:"config_version"`
-		ConfigChecksum string          `json:"config_checksum"`
-		LeaseSeconds   float64         `json:"lease_seconds"`
-		Services       []ServiceStatus `json:"services"`
-		Drains         []DrainStatus   `json:"drains"`
+		Name           string         `json:"name"`
+		Region         string         `json:"region"`
+		FailureDomain  string         `json:"failure_domain"`
+		HTTP           netip.AddrPort `json:"http"`
+		Role           string         `json:"role"`
+		Ready          bool           `json:"ready"`
+		Reason         string         `json:"reason,omitempty"`
+		ConfigVersion  uint64         `json:"config_version"`
+		ConfigChecksum string         `json:"config_checksum"`
+		LeaseSeconds   float64        `json:"lease_seconds"`
+		// Voters and Learners are the members of the control group, as a leader tells.
+		Voters   []string        `json:"voters,omitempty"`
+		Learners []string        `json:"learners,omitempty"`
+		Services []ServiceStatus `json:"services"`
+		Drains   []DrainStatus   `json:"drains"`
 	}
 
 	// ServiceStatus is a service as one VM or the whole system sees it in a region.
--- /dev/null
+++ b/internal/systemtest/config_test.go
@@ -0,0 +1,225 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"briarferry"
+)
+
+type (
+	// registerInput is a read, or a compare-and-set of the configuration.
+	registerInput struct {
+		write     bool
+		from, mib int
+	}
+
+	// registerOutput is what the operator was told.
+	registerOutput struct {
+		version, mib int
+		ok, unknown  bool
+	}
+
+	// registerState is the version in force and the value written with it.
+	registerState struct{ version, mib int }
+)
+
+// registerModel is the configuration as one register with compare-and-set. The
+// value of a configuration is its body limit in MiB.
+var registerModel = porcupine.Model{
+	Init: func() any { return registerState{version: 1, mib: 1} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(registerState), input.(registerInput), output.(registerOutput)
+		if !in.write {
+			return out.version == s.version && out.mib == s.mib, s
+		}
+		matches := in.from == s.version
+		next := registerState{version: s.version + 1, mib: in.mib}
+		switch {
+		case out.unknown && matches:
+			return true, next
+		case out.unknown:
+			return true, s
+		case out.ok:
+			return matches, next
+		default:
+			return !matches, s
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+// history collects the operations of concurrent operators.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, in registerInput, out registerOutput, call, ret time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end := ret.UnixNano()
+	if out.unknown {
+		// A change without an answer may take effect at any later time.
+		end = time.Now().Add(time.Hour).UnixNano()
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call.UnixNano(), Return: end})
+}
+
+// operate reads the configuration and changes it, and records both.
+func (c *cluster) operate(ctx context.Context, h *history, client int, rng *rand.Rand, base *briarferry.Config) {
+	v := c.vms[rng.IntN(len(c.vms))]
+	call := time.Now()
+	cfg, etag, err := c.config(v)
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+		return
+	}
+	version := versionOf(etag)
+	h.add(client, registerInput{}, registerOutput{version: version, mib: int(cfg.Limits.MaxBodyBytes >> 20)}, call, time.Now())
+	next := *base
+	next.Limits.MaxBodyBytes = int64(1+rng.IntN(200)) << 20
+	in := registerInput{write: true, from: version, mib: int(next.Limits.MaxBodyBytes >> 20)}
+	key := fmt.Sprintf("change-%016x", rng.Uint64())
+	call = time.Now()
+	status := 0
+	// The change is sent again after a lost answer, through any VM.
+	for try := 0; try < 3 && (status == 0 || status >= 500); try++ {
+		status = c.put(ctx, c.vms[rng.IntN(len(c.vms))], &next, etag, key)
+	}
+	out := registerOutput{ok: status == http.StatusOK, unknown: status != http.StatusOK && status != http.StatusPreconditionFailed}
+	h.add(client, in, out, call, time.Now())
+}
+
+func versionOf(etag string) int {
+	n, _ := strconv.Atoi(strings.Trim(etag, `W/"`))
+	return n
+}
+
+// TestConfigHistory guards against an accepted change that is lost, reverted or
+// made twice, while operators race with equal versions and control VMs are killed,
+// frozen and lose their disks.
+func TestConfigHistory(t *testing.T) {
+	seed := testSeed(t)
+	c := startCluster(t)
+	base, etag, err := c.config(c.vms[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if versionOf(etag) != 1 {
+		t.Fatalf("first configuration has the tag %s", etag)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testLength(t, 12*time.Second))
+	defer cancel()
+	h := &history{}
+	var wg sync.WaitGroup
+	for client := range 4 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(client)))
+			for ctx.Err() == nil {
+				c.operate(ctx, h, client, rng, base)
+			}
+		})
+	}
+	c.disturbControl(ctx, rand.New(rand.NewPCG(seed, 99)))
+	wg.Wait()
+	result, _ := porcupine.CheckOperationsVerbose(registerModel, h.ops, time.Minute)
+	accepted := 0
+	for _, op := range h.ops {
+		if op.Output.(registerOutput).ok {
+			accepted++
+		}
+	}
+	t.Logf("%d operations, %d changes accepted: %s", len(h.ops), accepted, result)
+	if result != porcupine.Ok || accepted < 5 {
+		t.Errorf("the history is not linearizable, or too few changes were accepted")
+	}
+	c.expectAgreement()
+}
+
+// disturbControl kills, freezes and wipes one control VM at a time.
+func (c *cluster) disturbControl(ctx context.Context, rng *rand.Rand) {
+	for i := 0; ctx.Err() == nil; i++ {
+		v := c.vms[rng.IntN(controlCount)]
+		switch i % 3 {
+		case 0:
+			v.kill()
+			time.Sleep(500 * time.Millisecond)
+			v.start()
+		case 1:
+			v.freeze()
+			time.Sleep(2500 * time.Millisecond)
+			v.resume()
+		case 2:
+			v.kill()
+			_ = os.RemoveAll(v.folder)
+			v.start()
+		}
+		c.waitReady(v)
+		c.awaitVoters()
+	}
+}
+
+// awaitVoters waits until the group is whole again: while a replaced member still
+// catches up, the loss of another one is more than three control VMs can take.
+func (c *cluster) awaitVoters() {
+	c.t.Helper()
+	c.await("three voters follow one leader", readyWithin, func() bool {
+		return c.voters() == controlCount
+	})
+}
+
+// expectAgreement checks that every VM shows the same version and checksum.
+func (c *cluster) expectAgreement() {
+	c.t.Helper()
+	c.await("all VMs agree on the configuration", readyWithin, func() bool {
+		tags := map[string]bool{}
+		for _, v := range c.vms {
+			_, etag, err := c.config(v)
+			if err != nil {
+				return false
+			}
+			tags[etag] = true
+		}
+		return len(tags) == 1
+	})
+}
+
+func testSeed(t *testing.T) uint64 {
+	t.Helper()
+	seed := uint64(1)
+	if text := os.Getenv("BRIARFERRY_TEST_SEED"); text != "" {
+		var err error
+		if seed, err = strconv.ParseUint(text, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("seed %d", seed)
+	return seed
+}
+
+// testLength returns the usual length, or the one of a soak run.
+func testLength(t *testing.T, usual time.Duration) time.Duration {
+	t.Helper()
+	if text := os.Getenv("BRIARFERRY_TEST_FOR"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	return usual
+}
--- /dev/null
+++ b/internal/systemtest/harness_test.go
@@ -0,0 +1,404 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/state/bfconfig"
+	"briarferry/internal/transport/bfstandin"
+)
+
+const (
+	vmCount      = 7
+	controlCount = 3
+	readyWithin  = 20 * time.Second
+)
+
+var (
+	buildOnce sync.Once
+	binary    string
+	buildErr  error
+)
+
+type (
+	// process is one running program that the test started.
+	process struct {
+		t    *testing.T
+		args []string
+		log  *os.File
+		cmd  *exec.Cmd
+	}
+
+	// vm is one entry VM.
+	vm struct {
+		*process
+		name   string
+		http   netip.AddrPort
+		folder string
+	}
+
+	// cluster is a whole system with its stand-in backend servers.
+	cluster struct {
+		t       *testing.T
+		vms     []*vm
+		standin *process
+		admin   netip.AddrPort
+		client  *http.Client
+	}
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binary != "" {
+		_ = os.RemoveAll(filepath.Dir(binary))
+	}
+	os.Exit(code)
+}
+
+func program(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		var dir string
+		if dir, buildErr = os.MkdirTemp("", "briarferry"); buildErr != nil {
+			return
+		}
+		binary = filepath.Join(dir, "briarferry")
+		out, err := exec.Command("go", "build", "-o", binary, "briarferry/cmd/briarferry").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return binary
+}
+
+// freeAddresses returns loopback addresses whose TCP and UDP ports were free.
+func freeAddresses(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var out []netip.AddrPort
+	for len(out) < n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		pc, err := net.ListenPacket("udp", ln.Addr().String())
+		if err != nil {
+			continue
+		}
+		defer pc.Close()
+		out = append(out, netip.MustParseAddrPort(ln.Addr().String()))
+	}
+	return out
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(program(p.t), p.args...)
+	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+// stop asks the process to end and returns whether it ended by itself.
+func (p *process) stop(within time.Duration) bool {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	timer := time.AfterFunc(within, func() { _ = p.cmd.Process.Kill() })
+	defer timer.Stop()
+	return p.cmd.Wait() == nil
+}
+
+func (p *process) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *process) resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+func newProcess(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, args: args, log: log}
+	t.Cleanup(func() {
+		if p.cmd != nil && p.cmd.ProcessState == nil {
+			p.resume()
+			p.kill()
+		}
+		if t.Failed() {
+			tail(t, name, log.Name())
+		}
+		log.Close()
+	})
+	return p
+}
+
+func tail(t *testing.T, name, path string) {
+	data, _ := os.ReadFile(path)
+	const most = 1500
+	if len(data) > most {
+		data = data[len(data)-most:]
+	}
+	t.Logf("%s: %s", name, data)
+}
+
+// startCluster starts seven VMs, three with data folders in three regions, and the
+// stand-in, and puts the example configuration in force.
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	dir := t.TempDir()
+	cfg := exampleConfig(t)
+	addrs := freeAddresses(t, vmCount*3+1)
+	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}}
+	var control, peers []string
+	for i := range vmCount {
+		if i < controlCount {
+			control = append(control, fmt.Sprintf("vm%d=%s", i+1, addrs[i*3+1]))
+		}
+		peers = append(peers, addrs[i*3+2].String())
+	}
+	for i := range vmCount {
+		c.vms = append(c.vms, newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers))
+	}
+	for _, v := range c.vms {
+		v.start()
+	}
+	for _, v := range c.vms {
+		c.waitConfig(v)
+	}
+	c.apply(cfg)
+	c.startStandin(dir, cfg)
+	for _, v := range c.vms {
+		c.waitReady(v)
+	}
+	return c
+}
+
+func exampleConfig(t *testing.T) *briarferry.Config {
+	t.Helper()
+	data, err := os.ReadFile("../../examples/mantas.answers.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &bfconfig.Answers{}
+	if err := json.Unmarshal(data, a); err != nil {
+		t.Fatal(err)
+	}
+	cfg, _, err := bfconfig.Generate(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func newVM(t *testing.T, dir string, i int, cfg *briarferry.Config, addrs []netip.AddrPort, control, peers []string) *vm {
+	t.Helper()
+	region := cfg.Regions[i%len(cfg.Regions)]
+	v := &vm{name: fmt.Sprintf("vm%d", i+1), http: addrs[0]}
+	args := []string{
+		"serve", "--name", v.name, "--region", region.Name,
+		"--failure-domain", region.FailureDomains[i/len(cfg.Regions)%len(region.FailureDomains)],
+		"--http", addrs[0].String(), "--rpc", addrs[1].String(), "--gossip", addrs[2].String(),
+		"--control", strings.Join(control, ","), "--peers", strings.Join(peers, ","), "--drain-for", "5s",
+	}
+	if i < controlCount {
+		v.folder = filepath.Join(dir, v.name+"-data")
+		args = append(args, "--data", v.folder)
+	}
+	v.process = newProcess(t, dir, v.name, args...)
+	return v
+}
+
+func (c *cluster) startStandin(dir string, cfg *briarferry.Config) {
+	path := filepath.Join(dir, "config.json")
+	data, _ := json.Marshal(cfg)
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	entries := make([]string, len(c.vms))
+	for i, v := range c.vms {
+		entries[i] = v.http.String()
+	}
+	base := netip.AddrPortFrom(c.admin.Addr(), c.admin.Port())
+	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
+		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
+	c.standin.start()
+}
+
+// standinBase finds a run of free ports for the emulated servers.
+func standinBase(t *testing.T, near netip.AddrPort, n int) netip.AddrPort {
+	t.Helper()
+	for port := 21000 + os.Getpid()%200*50; port < 32000; port += n {
+		if isFreeRun(near.Addr(), port, n) {
+			return netip.AddrPortFrom(near.Addr(), uint16(port))
+		}
+	}
+	t.Fatal("no run of free ports")
+	return netip.AddrPort{}
+}
+
+func isFreeRun(addr netip.Addr, port, n int) bool {
+	for i := range n {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, uint16(port+i)).String())
+		if err != nil {
+			return false
+		}
+		ln.Close()
+	}
+	return true
+}
+
+// get reads a JSON document; it returns the status, or 0 where there was no answer.
+func (c *cluster) get(address netip.AddrPort, path string, out any) int {
+	resp, err := c.client.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if out != nil {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			return 0
+		}
+	}
+	return resp.StatusCode
+}
+
+func (c *cluster) await(what string, within time.Duration, ok func() bool) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > within {
+			c.t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (c *cluster) waitConfig(v *vm) {
+	c.t.Helper()
+	c.await(v.name+" reads the configuration", readyWithin, func() bool {
+		return c.get(v.http, bfapi.PathConfig, nil) == http.StatusOK
+	})
+}
+
+func (c *cluster) waitReady(v *vm) time.Duration {
+	c.t.Helper()
+	return c.await(v.name+" is ready", readyWithin, func() bool {
+		return c.get(v.http, bfapi.PathReady, nil) == http.StatusOK
+	})
+}
+
+// config returns the configuration and its entity tag as one VM tells it.
+func (c *cluster) config(v *vm) (*briarferry.Config, string, error) {
+	resp, err := c.client.Get("http://" + v.http.String() + bfapi.PathConfig)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	cfg := &briarferry.Config{}
+	if resp.StatusCode != http.StatusOK {
+		return nil, "", fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return cfg, resp.Header.Get(bfapi.HeaderETag), json.NewDecoder(resp.Body).Decode(cfg)
+}
+
+// put sends a change of the configuration and returns the status, or 0.
+func (c *cluster) put(ctx context.Context, v *vm, cfg *briarferry.Config, etag, key string) int {
+	data, _ := json.Marshal(cfg)
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+v.http.String()+bfapi.PathConfig, bytes.NewReader(data))
+	req.Header.Set(bfapi.HeaderIfMatch, etag)
+	req.Header.Set(bfapi.HeaderIdempotencyKey, key)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// apply puts a configuration in force.
+func (c *cluster) apply(cfg *briarferry.Config) {
+	c.t.Helper()
+	c.await("the configuration is accepted", readyWithin, func() bool {
+		_, etag, err := c.config(c.vms[0])
+		return err == nil && c.put(c.t.Context(), c.vms[0], cfg, etag, bfapi.NewRequestID()) == http.StatusOK
+	})
+}
+
+// behave changes the behaviour of the stand-in's servers.
+func (c *cluster) behave(change bfstandin.Change) {
+	c.t.Helper()
+	data, _ := json.Marshal(change)
+	resp, err := c.client.Post("http://"+c.admin.String()+"/behaviour", bfapi.TypeJSON, bytes.NewReader(data))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		c.t.Fatalf("behaviour not changed: %v", err)
+	}
+	resp.Body.Close()
+}
+
+func (c *cluster) executions() bfstandin.Executions {
+	c.t.Helper()
+	var e bfstandin.Executions
+	if c.get(c.admin, "/executions", &e) != http.StatusOK {
+		c.t.Fatal("no executions from the stand-in")
+	}
+	return e
+}
+
+func (c *cluster) servers() []bfstandin.ServerStatus {
+	c.t.Helper()
+	var list []bfstandin.ServerStatus
+	if c.get(c.admin, "/servers", &list) != http.StatusOK {
+		c.t.Fatal("no servers from the stand-in")
+	}
+	return list
+}
+
+// call sends one request and returns the status, the outcome and the body; the
+// status is 0 where the connection ended without an answer.
+func (c *cluster) call(ctx context.Context, v *vm, method, path, key, body string, timeout time.Duration) (int, briarferry.Outcome, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+v.http.String()+path, strings.NewReader(body))
+	req.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(timeout))
+	if key != "" {
+		req.Header.Set(bfapi.HeaderIdempotencyKey, key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, briarferry.OutcomeUnknown, nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, briarferry.OutcomeUnknown, nil
+	}
+	var p bfapi.Problem
+	_ = json.Unmarshal(data, &p)
+	return resp.StatusCode, p.Outcome, data
+}
