--- a/internal/coordination/bfraft/election.go
+++ b/internal/coordination/bfraft/election.go
@@ -42,7 +42,7 @@
 	}
 	free := r.vote == m.From || r.vote == "" && r.leader == "" || m.Type == MsgPreVote && m.Term > r.term
 	leased := r.inLease() && !m.Transfer
-	if free && !leased && r.log.last() > 0 && r.log.upToDate(m.Index, m.LogTerm) {
+	if free && !leased && !r.competes(m) && r.log.last() > 0 && r.log.upToDate(m.Index, m.LogTerm) {
 		reply.Reject = false
 		// A pre-vote is for the term that the candidate would start.
 		reply.Term = m.Term
@@ -54,6 +54,16 @@
 	r.send(reply)
 }
 
+// competes tells whether this replica's own campaign goes before the sender's. Of two
+// replicas with equal logs that campaign at the same time the first by id wins;
+// otherwise both would vote for themselves and wait for another timeout.
+func (r *Raft) competes(m Message) bool {
+	if m.Type != MsgPreVote || r.role != PreCandidate || r.cfg.ID > m.From {
+		return false
+	}
+	return m.Term == r.term+1 && m.Index == r.log.last() && m.LogTerm == r.log.lastTerm()
+}
+
 func (r *Raft) handleVoteReply(m Message) {
 	pre := m.Type == MsgPreVoteReply
 	if pre && (r.role != PreCandidate || !m.Reject && m.Term != r.term+1) || !pre && r.role != Candidate {
@@ -96,6 +106,10 @@
 	r.round, r.quorumRound, r.reads = 0, 0, nil
 	r.progress = map[string]*progress{}
 	r.syncProgress()
+	// Most peers hold the same log, so their first appends don't wait for a probe.
+	for _, p := range r.progress {
+		p.state = streaming
+	}
 	_ = r.appendOwn(Entry{Kind: EntryBarrier}) // fails only for a membership entry
 	r.needRound = true
 }
--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -231,7 +231,7 @@
 // votes have to fit.
 func (r *Raft) retryTimer() {
 	r.elapsed = 0
-	r.timeout = r.cfg.ElectionTicks/3 + 1 + r.cfg.Rand.IntN(r.cfg.ElectionTicks/2+1)
+	r.timeout = r.cfg.ElectionTicks/4 + 1 + r.cfg.Rand.IntN(r.cfg.ElectionTicks/4+1)
 }
 
 // Propose appends commands and returns the index of the first one.
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -20,9 +20,9 @@
 const (
 	defaultTick            = 50 * time.Millisecond
 	defaultElectionTimeout = time.Second
-	// With a spread of 700 ms and 55 ms between regions, the shortest of two
-	// timeouts and two rounds of votes stay under 2 s.
-	defaultElectionSpread  = 700 * time.Millisecond
+	// With a spread of 500 ms and 55 ms between regions, the longest timeout, two
+	// rounds of votes and a commit stay under 2 s.
+	defaultElectionSpread  = 500 * time.Millisecond
 	defaultHeartbeat       = 100 * time.Millisecond
 	defaultSnapshotEntries = 20_000
 	defaultSnapshotBytes   = 32 << 20
--- a/internal/state/bfstorage/memory.go
+++ b/internal/state/bfstorage/memory.go
@@ -20,10 +20,9 @@
 	Memory struct {
 		// Rand decides what survives a crash.
 		Rand *rand.Rand
-		// CrashAt is the number of the operation that crashes; zero means none.
-		CrashAt int
 
 		mu      sync.Mutex
+		crashAt int
 		ops     int
 		crashed bool
 		current map[string]*memoryNode
@@ -53,6 +52,13 @@
 	return m.ops
 }
 
+// CrashAfter makes the file system crash at the given operation from now on.
+func (m *Memory) CrashAfter(ops int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crashAt = m.ops + ops
+}
+
 // Crashed tells whether the crash point was reached.
 func (m *Memory) Crashed() bool {
 	m.mu.Lock()
@@ -121,7 +127,7 @@
 		return false, ErrCrashed
 	}
 	m.ops++
-	if m.CrashAt == 0 || m.ops < m.CrashAt {
+	if m.crashAt == 0 || m.ops < m.crashAt {
 		return true, nil
 	}
 	m.crashed = true
--- a/internal/state/bfstorage/storage_test.go
+++ b/internal/state/bfstorage/storage_test.go
@@ -128,7 +128,7 @@
 func crashAndRecover(t *testing.T, seed uint64, at int) {
 	t.Helper()
 	fs := NewMemory(seeded(seed*1000 + uint64(at)))
-	fs.CrashAt = at
+	fs.CrashAfter(at)
 	var m model
 	pending, err := m.run(fs, seeded(seed), 40)
 	if !fs.Crashed() || err == nil {
@@ -136,7 +136,7 @@
 	}
 	disk := fs.AfterCrash()
 	// A second crash during recovery must not lose anything either.
-	disk.CrashAt = 1 + at%7
+	disk.CrashAfter(1 + at%7)
 	if s, _, err := Open(disk, "data", 600); err == nil {
 		_ = s.Close()
 	} else if !errors.Is(err, ErrCrashed) {
