--- a/internal/protocol/bfwire/quarantine.go
+++ b/internal/protocol/bfwire/quarantine.go
@@ -15,10 +15,4 @@
 
 	// QuarantineUpdate carries crashes and clearances between entries.
 	QuarantineUpdate = bfquarantine.Update
-
-	// QuarantineQuery asks for the crashes that an entry knows.
-	QuarantineQuery struct{}
-
-	// QuarantineDone acknowledges a message that has no answer.
-	QuarantineDone struct{}
 )
--- a/internal/transport/bfentry/pipeline.go
+++ b/internal/transport/bfentry/pipeline.go
@@ -195,6 +195,23 @@
 	return append([]briarferry.BackendID(nil), t.avoid...)
 }
 
+// TryTimeout returns how long a try of the named service usually may take, or 0
+// where the service is not known.
+func (p *Pipeline) TryTimeout(service string) time.Duration {
+	if p.Config == nil {
+		return 0
+	}
+	cfg, _, ok := p.Config.Current()
+	if !ok {
+		return 0
+	}
+	s, ok := cfg.Service(service)
+	if !ok {
+		return 0
+	}
+	return p.policy().TryTimeout(time.Now(), s)
+}
+
 func (p *Pipeline) policy() *bfretry.Policy {
 	p.retryOnce.Do(func() {
 		if p.Retry == nil {
--- a/internal/transport/bfrpc/quarantine.go
+++ b/internal/transport/bfrpc/quarantine.go
@@ -1,4 +1,3 @@
-// Package bfrpc carries calls between the system's processes.
 package bfrpc
 
 import (
@@ -13,24 +12,21 @@
 )
 
 const (
-	pathQuarantine       = "/briarferry.Quarantine/"
-	pathQuarantineLock   = pathQuarantine + "Lock"
-	pathQuarantineUnlock = pathQuarantine + "Unlock"
-	pathQuarantineShare  = pathQuarantine + "Share"
-	pathQuarantineFetch  = pathQuarantine + "Fetch"
+	quarantineLock   = "/briarferry.Quarantine/Lock"
+	quarantineUnlock = "/briarferry.Quarantine/Unlock"
+	quarantineShare  = "/briarferry.Quarantine/Share"
+	quarantineFetch  = "/briarferry.Quarantine/Fetch"
 )
 
-// QuarantinePeers implements bfquarantine.Peers over connect. Its fields are set
+// QuarantinePeers implements bfquarantine.Peers over connect. Its field is set
 // before use.
 type QuarantinePeers struct {
 	HTTP connect.HTTPClient
-	// Options choose the codec, among others.
-	Options []connect.ClientOption
 }
 
 // Lock asks the VM for the only run of a fingerprint.
 func (p QuarantinePeers) Lock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) (bool, error) {
-	reply, err := callQuarantine[bfwire.QuarantineLock, bfwire.QuarantineLockReply](ctx, p, vm, pathQuarantineLock, &r)
+	reply, err := NewCall[bfwire.QuarantineLock, bfwire.QuarantineLockReply](p.HTTP, rpcBase(vm), quarantineLock)(ctx, &r)
 	if err != nil {
 		return false, err
 	}
@@ -39,55 +35,42 @@
 
 // Unlock ends the run.
 func (p QuarantinePeers) Unlock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) error {
-	_, err := callQuarantine[bfwire.QuarantineLock, bfwire.QuarantineDone](ctx, p, vm, pathQuarantineUnlock, &r)
+	_, err := NewCall[bfwire.QuarantineLock, Empty](p.HTTP, rpcBase(vm), quarantineUnlock)(ctx, &r)
 	return err
 }
 
 // Share tells the VM about crashes and clearances.
 func (p QuarantinePeers) Share(ctx context.Context, vm briarferry.VM, u bfquarantine.Update) error {
-	_, err := callQuarantine[bfwire.QuarantineUpdate, bfwire.QuarantineDone](ctx, p, vm, pathQuarantineShare, &u)
+	_, err := NewCall[bfwire.QuarantineUpdate, Empty](p.HTTP, rpcBase(vm), quarantineShare)(ctx, &u)
 	return err
 }
 
 // Fetch returns what the VM knows.
 func (p QuarantinePeers) Fetch(ctx context.Context, vm briarferry.VM) (bfquarantine.Update, error) {
-	u, err := callQuarantine[bfwire.QuarantineQuery, bfwire.QuarantineUpdate](ctx, p, vm, pathQuarantineFetch, &bfwire.QuarantineQuery{})
+	u, err := NewCall[Empty, bfwire.QuarantineUpdate](p.HTTP, rpcBase(vm), quarantineFetch)(ctx, &Empty{})
 	if err != nil {
 		return bfquarantine.Update{}, err
 	}
 	return *u, nil
 }
 
-func callQuarantine[Q, A any](ctx context.Context, p QuarantinePeers, vm briarferry.VM, path string, q *Q) (*A, error) {
-	client := connect.NewClient[Q, A](p.HTTP, "http://"+vm.RPC.String()+path, p.Options...)
-	reply, err := client.CallUnary(ctx, connect.NewRequest(q))
-	if err != nil {
-		return nil, err
-	}
-	return reply.Msg, nil
-}
+func rpcBase(vm briarferry.VM) string { return "http://" + vm.RPC.String() }
 
 // HandleQuarantine serves the calls of other entries' QuarantinePeers.
-func HandleQuarantine(mux *http.ServeMux, q *bfquarantine.Quarantine, options ...connect.HandlerOption) {
-	handleQuarantine(mux, pathQuarantineLock, options, func(r *bfwire.QuarantineLock) *bfwire.QuarantineLockReply {
-		return &bfwire.QuarantineLockReply{Granted: q.Acquire(*r)}
+func HandleQuarantine(mux *http.ServeMux, q *bfquarantine.Quarantine) {
+	Handle(mux, quarantineLock, func(_ context.Context, r *bfwire.QuarantineLock) (*bfwire.QuarantineLockReply, error) {
+		return &bfwire.QuarantineLockReply{Granted: q.Acquire(*r)}, nil
 	})
-	handleQuarantine(mux, pathQuarantineUnlock, options, func(r *bfwire.QuarantineLock) *bfwire.QuarantineDone {
+	Handle(mux, quarantineUnlock, func(_ context.Context, r *bfwire.QuarantineLock) (*Empty, error) {
 		q.Release(*r)
-		return &bfwire.QuarantineDone{}
+		return &Empty{}, nil
 	})
-	handleQuarantine(mux, pathQuarantineShare, options, func(u *bfwire.QuarantineUpdate) *bfwire.QuarantineDone {
+	Handle(mux, quarantineShare, func(_ context.Context, u *bfwire.QuarantineUpdate) (*Empty, error) {
 		q.Receive(*u)
-		return &bfwire.QuarantineDone{}
+		return &Empty{}, nil
 	})
-	handleQuarantine(mux, pathQuarantineFetch, options, func(*bfwire.QuarantineQuery) *bfwire.QuarantineUpdate {
+	Handle(mux, quarantineFetch, func(context.Context, *Empty) (*bfwire.QuarantineUpdate, error) {
 		u := q.Known()
-		return &u
+		return &u, nil
 	})
 }
-
-func handleQuarantine[Q, A any](mux *http.ServeMux, path string, options []connect.HandlerOption, serve func(*Q) *A) {
-	mux.Handle(path, connect.NewUnaryHandler(path, func(_ context.Context, r *connect.Request[Q]) (*connect.Response[A], error) {
-		return connect.NewResponse(serve(r.Msg)), nil
-	}, options...))
-}
--- a/internal/transport/bfupstream/client_test.go
+++ b/internal/transport/bfupstream/client_test.go
@@ -261,6 +261,37 @@
 	})
 }
 
+// TestCrashOverTCP guards against taking a crashed server for one that only closed
+// a connection, with the errors that the operating system gives.
+func TestCrashOverTCP(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil && gone {
+					_ = ln.Close()
+				}
+				_ = c.Close()
+			}
+		}()
+		b := testBackend
+		b.Address = netip.MustParseAddrPort(ln.Addr().String())
+		_, err = New().Do(t.Context(), b, &briarferry.Request{ID: "a", Method: "GET", Target: "/", Deadline: time.Now().Add(time.Minute)})
+		var tryErr *briarferry.TryError
+		if !errors.As(err, &tryErr) || !tryErr.Dispatched || !tryErr.ConnectionDied || tryErr.ServerGone != gone {
+			t.Errorf("server gone %v: %+v", gone, tryErr)
+		}
+	}
+}
+
 // TestCancellation guards against servers that go on with a request that was given
 // up, and against a cancellation that counts as a silent connection.
 func TestCancellation(t *testing.T) {
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -25,6 +25,7 @@
 		raw  net.Conn
 		// sequence orders the connections of a pool by when they were opened.
 		sequence uint64
+		writer   *bufio.Writer
 		written  atomic.Int64
 
 		mu      sync.Mutex
@@ -68,10 +69,9 @@
 	}
 	c.pending = e
 	c.mu.Unlock()
-	w := bufio.NewWriter(c)
-	err := r.Write(w)
+	err := r.Write(c.writer)
 	if err == nil {
-		err = w.Flush()
+		err = c.writer.Flush()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("bfupstream: send: %w", err)
--- a/internal/transport/bfupstream/pool.go
+++ b/internal/transport/bfupstream/pool.go
@@ -1,6 +1,7 @@
 package bfupstream
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/netip"
@@ -62,6 +63,7 @@
 		return nil, fmt.Errorf("bfupstream: connect: %w", err)
 	}
 	c := &conn{pool: p, raw: raw, sequence: sequence}
+	c.writer = bufio.NewWriter(c)
 	p.conns = append(p.conns, c)
 	p.client.pool(p.address)
 	go c.read()
