--- a/internal/transport/bfrpc/quarantine.go
+++ b/internal/transport/bfrpc/quarantine.go
@@ -18,7 +18,7 @@
 	quarantineFetch  = "/briarferry.Quarantine/Fetch"
 )
 
-// QuarantinePeers implements bfquarantine.Peers over connect. Its field is set
+// QuarantinePeers implements bfquarantine.Peers over connect. Its fields are set
 // before use.
 type QuarantinePeers struct {
 	HTTP connect.HTTPClient
@@ -26,7 +26,7 @@
 
 // Lock asks the VM for the only run of a fingerprint.
 func (p QuarantinePeers) Lock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) (bool, error) {
-	reply, err := NewCall[bfwire.QuarantineLock, bfwire.QuarantineLockReply](p.HTTP, rpcBase(vm), quarantineLock)(ctx, &r)
+	reply, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineLockReply](ctx, p.HTTP, vm, quarantineLock, &r)
 	if err != nil {
 		return false, err
 	}
@@ -35,41 +35,43 @@
 
 // Unlock ends the run.
 func (p QuarantinePeers) Unlock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) error {
-	_, err := NewCall[bfwire.QuarantineLock, Empty](p.HTTP, rpcBase(vm), quarantineUnlock)(ctx, &r)
+	_, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineUnlock, &r)
 	return err
 }
 
 // Share tells the VM about crashes and clearances.
 func (p QuarantinePeers) Share(ctx context.Context, vm briarferry.VM, u bfquarantine.Update) error {
-	_, err := NewCall[bfwire.QuarantineUpdate, Empty](p.HTTP, rpcBase(vm), quarantineShare)(ctx, &u)
+	_, err := callVM[bfwire.QuarantineUpdate, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineShare, &u)
 	return err
 }
 
 // Fetch returns what the VM knows.
 func (p QuarantinePeers) Fetch(ctx context.Context, vm briarferry.VM) (bfquarantine.Update, error) {
-	u, err := NewCall[Empty, bfwire.QuarantineUpdate](p.HTTP, rpcBase(vm), quarantineFetch)(ctx, &Empty{})
+	u, err := callVM[bfwire.QuarantineQuery, bfwire.QuarantineUpdate](ctx, p.HTTP, vm, quarantineFetch, &bfwire.QuarantineQuery{})
 	if err != nil {
 		return bfquarantine.Update{}, err
 	}
 	return *u, nil
 }
 
-func rpcBase(vm briarferry.VM) string { return "http://" + vm.RPC.String() }
+func callVM[Req, Res any](ctx context.Context, client connect.HTTPClient, vm briarferry.VM, procedure string, req *Req) (*Res, error) {
+	return NewCall[Req, Res](client, "http://"+vm.RPC.String(), procedure)(ctx, req)
+}
 
 // HandleQuarantine serves the calls of other entries' QuarantinePeers.
 func HandleQuarantine(mux *http.ServeMux, q *bfquarantine.Quarantine) {
 	Handle(mux, quarantineLock, func(_ context.Context, r *bfwire.QuarantineLock) (*bfwire.QuarantineLockReply, error) {
 		return &bfwire.QuarantineLockReply{Granted: q.Acquire(*r)}, nil
 	})
-	Handle(mux, quarantineUnlock, func(_ context.Context, r *bfwire.QuarantineLock) (*Empty, error) {
+	Handle(mux, quarantineUnlock, func(_ context.Context, r *bfwire.QuarantineLock) (*bfwire.QuarantineDone, error) {
 		q.Release(*r)
-		return &Empty{}, nil
+		return &bfwire.QuarantineDone{}, nil
 	})
-	Handle(mux, quarantineShare, func(_ context.Context, u *bfwire.QuarantineUpdate) (*Empty, error) {
+	Handle(mux, quarantineShare, func(_ context.Context, u *bfwire.QuarantineUpdate) (*bfwire.QuarantineDone, error) {
 		q.Receive(*u)
-		return &Empty{}, nil
+		return &bfwire.QuarantineDone{}, nil
 	})
-	Handle(mux, quarantineFetch, func(context.Context, *Empty) (*bfwire.QuarantineUpdate, error) {
+	Handle(mux, quarantineFetch, func(context.Context, *bfwire.QuarantineQuery) (*bfwire.QuarantineUpdate, error) {
 		u := q.Known()
 		return &u, nil
 	})
