Don't refuse by estimate before the held slots have settled

Cause: after a pause an entry holds few slots or none, and the estimated wait refused the first requests although slots were a round trip away. Change: the estimate refuses only once demand has lasted 300 ms or the entry holds all slots of the service; it stays in force for 2 s.

--- a/internal/coordination/bfadmission/admitter.go
+++ b/internal/coordination/bfadmission/admitter.go
@@ -116,7 +116,7 @@
 	if late {
 		return nil, nil, s.refuse(now, t, ReasonDeadline, needed-left)
 	}
-	if wait := s.queue.wait(now, t); wait+needed > left {
+	if wait := s.queue.wait(now, t); wait+needed > left && s.queue.settled(now) {
 		return nil, nil, s.refuse(now, t, ReasonDeadline, wait)
 	}
 	if len(s.queue.class(t.Class).waiting) >= s.maxWaiting() {
@@ -245,7 +245,14 @@
 
 // report tells the pool what waits, where that has changed. The lock is held.
 func (s *service) report(now time.Time) {
-	if d := s.queue.demand(now); !maps.Equal(d, s.demand) {
+	d := s.queue.demand(now)
+	switch {
+	case len(d) == 0:
+		s.queue.busySince = time.Time{}
+	case s.queue.busySince.IsZero():
+		s.queue.busySince = now
+	}
+	if !maps.Equal(d, s.demand) {
 		s.demand = d
 		s.admit.Pool.SetDemand(s.name, maps.Clone(d))
 	}
--- a/internal/coordination/bfadmission/admitter_test.go
+++ b/internal/coordination/bfadmission/admitter_test.go
@@ -20,6 +20,8 @@
 		busy   int
 		demand map[int]int
 		freed  chan struct{}
+		// grants lets the pool get that many slots 100 ms after the first demand.
+		grants int
 	}
 
 	fakeSlot struct{ pool *fakePool }
@@ -50,12 +52,30 @@
 	return fakeSlot{p}, true
 }
 
-func (p *fakePool) Capacity(string) int { return p.slots }
+func (p *fakePool) Capacity(string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots
+}
+
 func (p *fakePool) SetDemand(_ string, d map[int]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demand = d
+	if len(d) > 0 && p.grants > 0 {
+		grants := p.grants
+		p.grants = 0
+		time.AfterFunc(100*time.Millisecond, func() { p.grow(grants) })
+	}
+}
+
+func (p *fakePool) grow(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slots += n
+	p.freed <- struct{}{}
 }
+
 func (p *fakePool) Freed(string) <-chan struct{} { return p.freed }
 
 func (s fakeSlot) Backend() briarferry.Backend { return briarferry.Backend{} }
@@ -209,7 +229,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				pool := newFakePool(1)
-				a := &Admitter{Pool: pool, MaxWaiting: 4}
+				a := &Admitter{Pool: pool, MaxWaiting: 4, Slots: func(string) int { return 1 }}
 				ctx, cancel := context.WithTimeout(context.Background(), tc.cancel)
 				defer cancel()
 				ticket := briarferry.Ticket{
@@ -244,6 +264,29 @@
 	}
 }
 
+// TestGrowingPool guards against refusing the first requests after a pause, when
+// the entry holds few slots and more are on their way.
+func TestGrowingPool(t *testing.T) {
+	for _, held := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := newFakePool(held)
+			pool.grants = 20
+			a := &Admitter{Pool: pool, Slots: func(string) int { return 100 }}
+			var wg sync.WaitGroup
+			for range 100 {
+				wg.Go(func() {
+					if ok, err := request(a, flood{testClasses[0], 0, 250 * time.Millisecond}, testHold); !ok {
+						t.Errorf("%d slots held at first: %v", held, err)
+					}
+				})
+			}
+			wg.Wait()
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+		})
+	}
+}
+
 // TestTimeoutsElsewhere guards against refusing requests that have enough time
 // since tries at a frozen server take long.
 func TestTimeoutsElsewhere(t *testing.T) {
--- a/internal/coordination/bfadmission/queue.go
+++ b/internal/coordination/bfadmission/queue.go
@@ -12,6 +12,13 @@
 	// creditWindow bounds the credit that a class saves while it is idle, so that
 	// its return does not lock out the more urgent classes for longer.
 	creditWindow = 500 * time.Millisecond
+	// settleTime is how long demand must last until the held slots show what the
+	// service can give: slots are granted after a round trip between the most
+	// distant regions, and lie with other entries until their leases end.
+	settleTime = 300 * time.Millisecond
+	// settledFor is how long held slots count as settled after such a time, so that
+	// a queue that runs empty now and then doesn't start anew each time.
+	settledFor = 2 * time.Second
 	// unknownWait is the estimate of a class that gets nothing at present.
 	unknownWait = time.Hour
 )
@@ -47,6 +54,9 @@
 		slots    int
 		accrued  time.Time
 		sequence uint64
+		// busySince is when the demand began; it is zero without demand.
+		busySince    time.Time
+		settledUntil time.Time
 	}
 )
 
@@ -194,6 +204,18 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// settled tells whether the held slots are all that the entry gets for its demand.
+// Before that an estimate from them would refuse the first requests after a pause.
+func (q *queue) settled(now time.Time) bool {
+	if q.slots > 0 && q.capacity >= q.slots {
+		return true
+	}
+	if !q.busySince.IsZero() && now.Sub(q.busySince) >= settleTime {
+		q.settledUntil = now.Add(settledFor)
+	}
+	return now.Before(q.settledUntil)
+}
+
 // waiters returns the number of waiting requests.
 func (q *queue) waiters() int {
 	n := 0
