Share the connection limit among entries and suspect connections by try timeout

Cause: the assembled upstream used a server's whole connection limit, and connections of requests that can't be retried were never suspected. Change: bfnode sets Entries and SuspectAfter.

--- a/internal/transport/bfnode/pipeline.go
+++ b/internal/transport/bfnode/pipeline.go
@@ -34,7 +34,8 @@
 	bfrpc.HandleQuarantine(mux, quarantine)
 	group.Go(func() error { return quarantine.Run(ctx) })
 	upstream := bfupstream.New()
-	return &bfentry.Pipeline{
+	upstream.Entries = func() int { return len(f.members.Live()) }
+	pipeline := &bfentry.Pipeline{
 		Claims:     c.claims,
 		Admitter:   &bfadmission.Admitter{Pool: f.pool, Slots: f.serviceSlots},
 		Upstream:   upstream,
@@ -42,4 +43,6 @@
 		Quarantine: quarantine,
 		Config:     c.config,
 	}
+	upstream.SuspectAfter = pipeline.TryTimeout
+	return pipeline
 }
