Measure heartbeats, sync messages and changes with their real types

The membership, lease and state machine packages have landed, so the capacity program no longer needs stand-ins for them. bfdrain uses briarferry.Drain.

--- a/internal/coordination/bfdrain/set.go
+++ b/internal/coordination/bfdrain/set.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"briarferry"
 )
 
 type (
@@ -17,7 +19,7 @@
 
 	// tracked is a drain with what it has begun.
 	tracked struct {
-		Drain
+		briarferry.Drain
 		begun       map[targetKey]start
 		breaksLimit bool
 	}
@@ -29,14 +31,14 @@
 	}
 
 	targetKey struct {
-		kind    Kind
+		kind    briarferry.DrainKind
 		service string
 		name    string
 	}
 
 	// pool is the targets that can take each other's work.
 	pool struct {
-		kind    Kind
+		kind    briarferry.DrainKind
 		service string
 	}
 )
@@ -49,10 +51,13 @@
 func (t Target) key() targetKey { return targetKey{t.Kind, t.Service, t.Name} }
 
 // Announce adds a drain. The same drain may be announced again.
-func (s *Set) Announce(d Drain) error {
+func (s *Set) Announce(d briarferry.Drain) error {
 	if err := d.Validate().Err(); err != nil {
 		return fmt.Errorf("bfdrain: %w", err)
 	}
+	if d.ID == "" {
+		return fmt.Errorf("bfdrain: a drain has no id")
+	}
 	for _, known := range s.drains {
 		if known.ID == d.ID {
 			if known.Drain != d {
@@ -95,7 +100,7 @@
 // forget drops silent targets that no drain covers.
 func (s *Set) forget() {
 	for k, t := range s.targets {
-		covered := slices.ContainsFunc(s.drains, func(d *tracked) bool { return d.Covers(t) })
+		covered := slices.ContainsFunc(s.drains, func(d *tracked) bool { return Covers(d.Drain, t) })
 		if t.Age >= s.limits.Silence && !covered {
 			delete(s.targets, k)
 		}
@@ -116,13 +121,13 @@
 func (s *Set) begin(now time.Time, d *tracked, ordered []Target) {
 	d.breaksLimit = false
 	for _, t := range ordered {
-		if !d.Covers(t) {
+		if !Covers(d.Drain, t) {
 			continue
 		}
 		_, begun := d.begun[t.key()]
 		if !s.fits(t, ordered) {
 			d.breaksLimit = true
-			if d.paced() {
+			if paced(d.Kind) {
 				continue
 			}
 		}
@@ -164,12 +169,12 @@
 // failure domain or region takes none until a step has counted it.
 func (s *Set) MayTakeWork(t Target) bool {
 	for _, d := range s.drains {
-		if !d.Covers(t) {
+		if !Covers(d.Drain, t) {
 			continue
 		}
 		_, begun := d.begun[t.key()]
 		_, known := s.targets[t.key()]
-		if begun || !known || !d.paced() {
+		if begun || !known || !paced(d.Kind) {
 			return false
 		}
 	}
@@ -190,7 +195,7 @@
 	p := Progress{Drain: d.Drain, State: StateWaiting, BreaksLimit: d.breaksLimit, Known: true}
 	newest := time.Time{}
 	for _, t := range ordered {
-		if !d.Covers(t) {
+		if !Covers(d.Drain, t) {
 			continue
 		}
 		p.Targets++
@@ -229,7 +234,7 @@
 		return
 	}
 	elapsed, least := now.Sub(began.at), StopWithin
-	if t.Kind == KindVM {
+	if t.Kind == briarferry.DrainVM {
 		least += s.limits.LookupTTL
 	}
 	remaining := max(0, least-elapsed)
--- a/internal/coordination/bfplacement/entry.go
+++ b/internal/coordination/bfplacement/entry.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -18,6 +17,10 @@
 	mainWeight  = 1000
 	otherWeight = 1
 
+	// The constants of the 64-bit FNV-1a hash.
+	fnvOffset uint64 = 14695981039346656037
+	fnvPrime  uint64 = 1099511628211
+
 	// maxEntries bounds a look-up's answer.
 	maxEntries = 5
 )
@@ -98,10 +101,13 @@
 		if len(out) == 0 {
 			weight = mainWeight
 		}
-		for _, vm := range rank(vms, client) {
+		if len(out) == maxEntries {
+			break
+		}
+		for _, at := range rank(live, vms, client) {
 			// The last place is kept for another site than the first.
 			if len(out) < maxEntries-1 || (weight == otherWeight && len(out) < maxEntries) {
-				out = append(out, briarferry.PlacedEntry{VM: vm, Weight: weight})
+				out = append(out, briarferry.PlacedEntry{VM: live[at], Weight: weight})
 			}
 		}
 	}
@@ -125,9 +131,9 @@
 	return out
 }
 
-// bySite returns the VMs of each site of a list.
-func (e *Entry) bySite(live []briarferry.VM, names []string, list []uint16) [listLength][]briarferry.VM {
-	var out [listLength][]briarferry.VM
+// bySite returns the indexes of the live VMs of each site of a list.
+func (e *Entry) bySite(live []briarferry.VM, names []string, list []uint16) [listLength][]int {
+	var out [listLength][]int
 	for i := range live {
 		site := live[i].Name
 		if e.SiteOf != nil {
@@ -135,7 +141,7 @@
 		}
 		for j, s := range list {
 			if site == names[s] {
-				out[j] = append(out[j], live[i])
+				out[j] = append(out[j], i)
 			}
 		}
 	}
@@ -146,17 +152,21 @@
 // client's address orders the VMs, so that clients spread evenly over them.
 func (e *Entry) fallBack(live []briarferry.VM, client netip.Addr) []briarferry.PlacedEntry {
 	own := e.Members.Self().Region
-	ranked := rank(live, client)
-	slices.SortStableFunc(ranked, func(a, b briarferry.VM) int {
-		return cmp.Compare(boolInt(a.Region != own), boolInt(b.Region != own))
+	all := make([]int, len(live))
+	for i := range all {
+		all[i] = i
+	}
+	ranked := rank(live, all, client)
+	slices.SortStableFunc(ranked, func(a, b int) int {
+		return cmp.Compare(boolInt(live[a].Region != own), boolInt(live[b].Region != own))
 	})
 	var out []briarferry.PlacedEntry
-	for _, vm := range spread(ranked) {
+	for _, at := range spread(live, ranked) {
 		weight := otherWeight
-		if vm.Region == own || ranked[0].Region != own {
+		if live[at].Region == own || live[ranked[0]].Region != own {
 			weight = mainWeight
 		}
-		out = append(out, briarferry.PlacedEntry{VM: vm, Weight: weight})
+		out = append(out, briarferry.PlacedEntry{VM: live[at], Weight: weight})
 	}
 	// Entries of the own region stay first where spreading put another before them.
 	slices.SortStableFunc(out, func(a, b briarferry.PlacedEntry) int { return cmp.Compare(b.Weight, a.Weight) })
@@ -171,54 +181,50 @@
 }
 
 // spread picks the first VM of each failure domain, then the others.
-func spread(ranked []briarferry.VM) []briarferry.VM {
+func spread(vms []briarferry.VM, ranked []int) []int {
 	type domain struct{ region, name string }
 	seen := map[domain]bool{}
-	var out, rest []briarferry.VM
-	for _, vm := range ranked {
-		d := domain{vm.Region, vm.FailureDomain}
+	var out, rest []int
+	for _, at := range ranked {
+		d := domain{vms[at].Region, vms[at].FailureDomain}
 		if seen[d] {
-			rest = append(rest, vm)
+			rest = append(rest, at)
 			continue
 		}
 		seen[d] = true
-		out = append(out, vm)
+		out = append(out, at)
 	}
 	out = append(out, rest...)
 	return out[:min(len(out), maxEntries)]
 }
 
-// rank orders VMs by a hash of their name and the client's network, so that each
-// client keeps its order when another VM leaves.
-func rank(vms []briarferry.VM, client netip.Addr) []briarferry.VM {
+// rank orders some of the VMs by a hash of their name and the client's network, so
+// that each client keeps its order when another VM leaves.
+func rank(vms []briarferry.VM, some []int, client netip.Addr) []int {
 	bits := 56
 	if client = client.Unmap(); client.Is4() {
 		bits = 24
 	}
 	network, _ := client.Prefix(bits)
-	address, _ := network.Addr().MarshalBinary()
-	type scored struct {
-		vm    briarferry.VM
-		score uint64
-	}
-	all := make([]scored, len(vms))
-	for i, vm := range vms {
-		h := fnv.New64a()
-		_, _ = h.Write(address)
-		_, _ = h.Write([]byte(vm.Name))
-		all[i] = scored{vm, mix(h.Sum64())}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if c := cmp.Compare(b.score, a.score); c != 0 {
+	seed := fnvOffset
+	for _, c := range network.Addr().As16() {
+		seed = (seed ^ uint64(c)) * fnvPrime
+	}
+	score := make([]uint64, len(vms))
+	for _, at := range some {
+		h := seed
+		for _, c := range []byte(vms[at].Name) {
+			h = (h ^ uint64(c)) * fnvPrime
+		}
+		score[at] = mix(h)
+	}
+	slices.SortFunc(some, func(a, b int) int {
+		if c := cmp.Compare(score[b], score[a]); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.vm.Name, b.vm.Name)
+		return cmp.Compare(vms[a].Name, vms[b].Name)
 	})
-	out := make([]briarferry.VM, len(all))
-	for i, s := range all {
-		out[i] = s.vm
-	}
-	return out
+	return some
 }
 
 // mix spreads FNV's weak upper bits, which differ little between names that differ
--- a/internal/transport/bfcapacity/messages.go
+++ b/internal/transport/bfcapacity/messages.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"time"
 
 	"briarferry"
@@ -20,13 +21,15 @@
 )
 
 type (
-	// heartbeat has the fields that the design page gives to heartbeats: the ages of
-	// the last heartbeats are in milliseconds, in the order of the VMs' names.
-	heartbeat struct {
-		From        string   `cbor:"1,keyasint"`
-		Incarnation uint64   `cbor:"2,keyasint"`
-		Sequence    uint64   `cbor:"3,keyasint"`
-		Ages        []uint16 `cbor:"4,keyasint"`
+	// compact is a heartbeat that names VMs by their place in a list that all nodes of
+	// a site hold, and tells ages in steps of 10 ms.
+	compact struct {
+		_        struct{} `cbor:",toarray"`
+		List     uint32
+		From     uint16
+		Sequence uint64
+		Flags    uint8
+		Ages     []byte
 	}
 
 	// digest is what a relay tells about sites: live nodes, load and its age.
@@ -42,24 +45,18 @@
 		Load uint32
 		Age  uint16
 	}
-
-	// syncReply is the answer of a sync call without a change.
-	syncReply struct {
-		Version     uint64 `cbor:"1,keyasint"`
-		CommitIndex uint64 `cbor:"2,keyasint"`
-		LeaseMillis uint32 `cbor:"3,keyasint"`
-		Checksum    uint64 `cbor:"4,keyasint"`
-		Delta       []byte `cbor:"5,keyasint,omitempty"`
-	}
 )
 
 // messageFits holds the measured lines of all messages.
 type messageFits struct {
-	heartbeatBytes, heartbeatCPU       Fit
+	// small is measured at the sizes of a site, large at those of a full mesh.
+	small, large                       memberFits
+	compactBytes, compactCPU           Fit
 	digestBytes, digestCPU             Fit
 	configBytes, configCPU             Fit
 	announcementBytes, announcementCPU Fit
 	configHeap                         Fit
+	changeBytes, changeCPU             Fit
 	demandBytes                        Fit
 	datagramCPU                        Fit
 	syncBytes                          float64
@@ -67,17 +64,22 @@
 
 func measureMessages() (*messageFits, error) {
 	m := &messageFits{}
-	m.heartbeatBytes, m.heartbeatCPU = codecFits("heartbeat", "VM", fromStandIn, []int{7, 52, 130, 260, 520}, newHeartbeat)
+	var err error
+	if m.small, err = measureMembers("site", []int{4, 7, 10, 20}); err != nil {
+		return nil, err
+	}
+	if m.large, err = measureMembers("full mesh", []int{52, 130, 260, 520}); err != nil {
+		return nil, err
+	}
+	if err = m.measureLeases(); err != nil {
+		return nil, err
+	}
+	m.compactBytes, m.compactCPU = codecFits("compact heartbeat", "VM", fromStandIn, []int{5, 10, 20, 52}, newCompact)
 	m.digestBytes, m.digestCPU = codecFits("site digest", "site", fromStandIn, []int{6, 13, 26, 52}, newDigest)
 	m.configBytes, m.configCPU = codecFits("configuration document", "service", fromRoot, []int{10, 100, 300, 1000}, newConfig)
 	m.announcementBytes, m.announcementCPU = codecFits("announcements", "backend server", fromRoot, []int{10, 50, 100, 400}, newAnnouncements)
 	m.configHeap = configHeapFit()
 	m.demandBytes = demandFit()
-	reply, err := bfcodec.Marshal(syncReply{Version: 1 << 20, CommitIndex: 1 << 30, LeaseMillis: 3000, Checksum: 1 << 60})
-	if err != nil {
-		return nil, err
-	}
-	m.syncBytes = float64(len(reply))
 	m.datagramCPU, err = datagramFit()
 	return m, err
 }
@@ -120,17 +122,14 @@
 			}
 			return &c
 		})
+		runtime.KeepAlive(data)
 		x, y = append(x, float64(n)), append(y, used/1e6)
 	}
 	return NewFit("configuration document, memory", "MB", "service", fromRoot, x, y)
 }
 
-func newHeartbeat(n int) heartbeat {
-	h := heartbeat{From: "region-3-site-2-node-07", Incarnation: 1764832000000000, Sequence: 1 << 20}
-	for i := range n {
-		h.Ages = append(h.Ages, uint16(30+i*37%230))
-	}
-	return h
+func newCompact(n int) compact {
+	return compact{List: 1 << 28, From: 7, Sequence: 1 << 20, Flags: 4, Ages: make([]byte, n)}
 }
 
 func newDigest(n int) digest {
--- a/internal/transport/bfcapacity/placement.go
+++ b/internal/transport/bfcapacity/placement.go
@@ -117,6 +117,7 @@
 		}
 		return &e
 	})
+	runtime.KeepAlive(data)
 	c.add("index", index/1e6)
 	c.add("table", (index+table)/1e6)
 	i, n := 0, len(w.Blocks.Prefixes)
--- a/internal/transport/bfcapacity/project.go
+++ b/internal/transport/bfcapacity/project.go
@@ -93,9 +93,26 @@
 	return Load{2, size.Plus(Estimate{Value: headerBytes}).Times(2), codec.Plus(m.datagramCPU.At(size.Value))}
 }
 
-// mesh is heartbeats to and from a number of peers, with a number of ages each.
-func (m *Model) mesh(peers, ages float64) Load {
-	return m.datagrams(m.heartbeatBytes.At(ages), m.heartbeatCPU.At(ages)).times(beatsPerSecond * peers)
+// members returns the lines that were measured near a number of nodes.
+func (m *Model) members(nodes float64) memberFits {
+	if nodes <= m.small.bytes.X[len(m.small.bytes.X)-1] {
+		return m.small
+	}
+	return m.large
+}
+
+// mesh is heartbeats to and from the other nodes of a full mesh.
+func (m *Model) mesh(nodes float64) Load {
+	f := m.members(nodes)
+	l := m.datagrams(f.bytes.At(nodes), f.receive.At(nodes)).times(beatsPerSecond * (nodes - 1))
+	return l.plus(Load{CPU: f.send.At(nodes * nodes).Times(beatsPerSecond)})
+}
+
+// compactMesh is the same with compact heartbeats.
+func (m *Model) compactMesh(nodes float64) Load {
+	f := m.members(nodes)
+	l := m.datagrams(m.compactBytes.At(nodes), m.compactCPU.At(nodes)).times(beatsPerSecond * (nodes - 1))
+	return l.plus(Load{CPU: f.send.At(nodes * nodes).Times(beatsPerSecond)})
 }
 
 // digests is site digests one way, at a rate.
@@ -127,7 +144,8 @@
 // changes is the configuration changes of a day as deltas of one service.
 func (m *Model) changes(times float64) Load {
 	perSecond := targetChangesPerDay / secondsPerDay
-	return m.calls(m.configBytes.Slope+m.syncBytes, perSecond*times)
+	l := m.calls(m.changeBytes.At(typicalServices).Value/2, perSecond*times)
+	return l.plus(Load{CPU: m.changeCPU.At(typicalServices).Times(perSecond)})
 }
 
 func (m *Model) demandReports(sites float64) Load {
@@ -146,10 +164,10 @@
 // Roles returns the table of roles at the target size.
 func (m *Model) Roles() []Role {
 	table := m.tableMemory.At(targetBlocks).Plus(m.configMemory())
-	today := m.mesh(targetNodes-1, targetNodes).plus(m.calls(m.syncBytes, syncsPerSecond)).plus(m.applied())
+	today := m.mesh(targetNodes).plus(m.calls(m.syncBytes, syncsPerSecond)).plus(m.applied())
 	// Digests and changes pass from node to node along a chain in each site.
-	entry := m.mesh(nodesPerSite-1, nodesPerSite).plus(m.digests(targetSites, 2)).
-		plus(m.leases(syncsPerSecond)).plus(m.applied()).plus(m.changes(2))
+	besides := m.digests(targetSites, 2).plus(m.leases(syncsPerSecond)).plus(m.applied()).plus(m.changes(2))
+	heavy, entry := m.mesh(nodesPerSite).plus(besides), m.compactMesh(nodesPerSite).plus(besides)
 	relay := entry.plus(m.digests(1, 2*beatsPerSecond*(sitesPerRegion-1))).
 		plus(m.leases(syncsPerSecond * nodesPerSite)).plus(m.changes(1)).plus(m.demandReports(1))
 	regional := relay.plus(m.digests(sitesPerRegion, 2*(targetRegions-1))).
@@ -164,8 +182,9 @@
 	planner := Load{0, Estimate{}, m.idle.At(targetBlocks).Times(1000 * stepsPerSecond)}
 	document := m.configMemory()
 	return []Role{
-		{"entry", "today: full mesh, sync with the leader", "ages of 520 VMs from each, blocks, assignment", today, 1, table, false},
-		{"entry", "site mesh; digests, leases and deltas from the relay along a chain", "ages of 10 VMs, digest of 52 sites, blocks, assignment", entry, 2, table, false},
+		{"entry", "today: full mesh, sync with the leader", "ages of 520 VMs from each, blocks, assignment", today, 1, table.Plus(m.large.memory.At(targetNodes * targetNodes)), false},
+		{"entry", "site mesh with today's heartbeats; digests, leases and deltas along a chain", "ages of 10 VMs, digest of 52 sites, blocks, assignment", heavy, 2, table, false},
+		{"entry", "the same with compact heartbeats", "the same", entry, 2, table, false},
 		{"site relay", "entry + mesh with the region's relays, leases for 9 nodes", "as an entry", relay, 3, table, false},
 		{"region relay", "site relay + digests with 8 regions, leases for 5 relays", "as an entry", regional, 3, table, false},
 		{"control replica", "log", "configuration, drains, results of changes", replica, 0, document, true},
@@ -185,17 +204,21 @@
 		}
 		return 0
 	}
-	mesh := func(n float64) Load { return m.mesh(n-1, n).plus(m.calls(m.syncBytes, syncsPerSecond)) }
+	mesh := func(n float64) Load { return m.mesh(n).plus(m.calls(m.syncBytes, syncsPerSecond)) }
 	flat := func(n float64) Load { return m.calls(m.syncBytes, syncsPerSecond*n) }
 	cpu, bytes := "2.5% of a core", "16 KB/s"
 	return []Break{
-		{"heartbeats in a full mesh, at an entry", bytes, "mesh inside a site, digests through relays", first(2000, func(n float64) bool { return mesh(n).Bytes.Value > limitBytes }), "VMs"},
-		{"heartbeats in a full mesh, at an entry", cpu, "mesh inside a site, digests through relays", first(2000, func(n float64) bool { return mesh(n).CPU.Value/1e6 > limitCPU }), "VMs"},
+		{"today's heartbeats in a full mesh, at an entry", bytes, "compact heartbeats, mesh inside a site, digests through relays", first(2000, func(n float64) bool { return mesh(n).Bytes.Value > limitBytes }), "VMs"},
+		{"today's heartbeats in a full mesh, at an entry", cpu, "compact heartbeats, mesh inside a site, digests through relays", first(2000, func(n float64) bool { return mesh(n).CPU.Value/1e6 > limitCPU }), "VMs"},
+		{"compact heartbeats in a full mesh, at an entry", bytes, "mesh inside a site, digests through relays", first(2000, func(n float64) bool { return m.compactMesh(n).Bytes.Value > limitBytes }), "VMs"},
 		{"sync of every entry with the leader", bytes, "sync through region and site relays", first(2000, func(n float64) bool { return flat(n).Bytes.Value > limitBytes }), "VMs"},
 		{"sync of every entry with the leader", cpu, "sync through region and site relays", first(2000, func(n float64) bool { return flat(n).CPU.Value/1e6 > limitCPU }), "VMs"},
 		{"full document to every entry within 15 s, 300 services", bytes, "delta with the result's checksum", first(2000, func(n float64) bool {
 			return n*m.configBytes.At(typicalServices).Value/15 > limitBytes
 		}), "VMs"},
+		{"membership of a full mesh with the look-up tables", "32 MB", "mesh inside a site, digests through relays", first(2000, func(n float64) bool {
+			return m.tableMemory.At(targetBlocks).Value+m.large.memory.At(n*n).Value > limitMemory
+		}), "VMs"},
 		{"planner's memory", "32 MB", "the planner runs on the VMs reserved for control", 1000 * first(2000, func(n float64) bool {
 			return m.planMemory.At(1000*n).Value > limitMemory
 		}), "blocks"},
