--- a/drain.go
+++ b/drain.go
@@ -1,13 +1,17 @@
 package briarferry
 
-import "net/netip"
+import (
+	"net/netip"
+	"strings"
+)
 
 const (
 	// DrainBackend drains one backend server; the target is its address with port.
 	DrainBackend DrainKind = "backend_server"
 	// DrainVM drains one of the system's own VMs; the target is its name.
 	DrainVM DrainKind = "vm"
-	// DrainFailureDomain drains everything in a failure domain.
+	// DrainFailureDomain drains everything in a failure domain, named as domain or
+	// region/domain.
 	DrainFailureDomain DrainKind = "failure_domain"
 	// DrainRegion drains everything in a region.
 	DrainRegion DrainKind = "region"
@@ -37,7 +41,12 @@
 		if a, err := netip.ParseAddrPort(d.Target); err != nil || a.String() != d.Target {
 			f.Add("target", "must be an IP address with a port: %q", d.Target)
 		}
-	case DrainVM, DrainFailureDomain, DrainRegion:
+	case DrainFailureDomain:
+		region, domain, qualified := strings.Cut(d.Target, "/")
+		if !ValidName(region) || (qualified && !ValidName(domain)) {
+			f.Add("target", "must be a failure domain or region/failure domain: %q", d.Target)
+		}
+	case DrainVM, DrainRegion:
 		if !ValidName(d.Target) {
 			f.Add("target", "must be a name: %q", d.Target)
 		}
