--- a/internal/coordination/bfplacement/planner_test.go
+++ b/internal/coordination/bfplacement/planner_test.go
@@ -202,3 +202,58 @@
 		}
 	})
 }
+
+// TestTargetNetworkAgainstNaive guards against errors that need many regions and
+// sites: a failure domain drained while a site of another region fails and returns.
+func TestTargetNetworkAgainstNaive(t *testing.T) {
+	const regions, blocks = 9, 150
+	w := world{services: []Service{{Urgency: 2, BitsPerRequest: 900}, {Urgency: 0, BitsPerRequest: 700}, {Urgency: 1, BitsPerRequest: 800}}}
+	for r := range regions {
+		w.net.Regions = append(w.net.Regions, Region{})
+		for s := range 6 - r/8*2 {
+			w.net.Sites = append(w.net.Sites, Site{Region: r, FailureDomain: string(rune('0' + s/2)), Capacity: 300})
+		}
+		for o := range r {
+			w.net.Links = append(w.net.Links, Link{A: o, B: r, BitsPerSecond: 400})
+		}
+	}
+	for b := range blocks {
+		w.blocks.Prefixes = append(w.blocks.Prefixes, prefix(b))
+		w.blocks.Demand = append(w.blocks.Demand, Rate(40+b*7%30), Rate(5+b%5), Rate(10+b%9))
+		for r := range regions {
+			w.blocks.DelayMicros = append(w.blocks.DelayMicros, uint32(2000+(r+regions-b*regions/blocks)%regions*9000+b*31%700))
+		}
+	}
+	limits := DefaultLimits()
+	limits.ShiftCapShare = 0.2
+	p, err := New(limits, w.services, w.blocks, regions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, l := newNaive(p), ledger{p: p}
+	for i := range 12 {
+		now := start.Add(time.Duration(i) * 5 * time.Second)
+		w.net.Sites = append([]Site(nil), w.net.Sites...)
+		switch i {
+		case 2:
+			w.net.Sites = Drain(w.net.Sites, func(s Site) bool { return s.Region == 3 && s.FailureDomain == "1" })
+		case 4:
+			w.net.Sites[7].State = SiteDown
+		case 7:
+			w.net.Sites[7].State = SiteUp
+		}
+		plan, err := p.Step(now, w.net)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.step(now, w.net)
+		for b := range n.site {
+			if n.site[b] != int(p.site[b]) || n.level[b] != int(p.level[b]) {
+				t.Fatalf("step %d, block %d: site %d with %d classes, naive %d with %d", i, b, p.site[b], p.level[b], n.site[b], n.level[b])
+			}
+		}
+		s := newStep(now, w.net, p.k)
+		p.observe(s)
+		l.check(t, now, w.net, plan, s)
+	}
+}
--- a/internal/transport/bfcapacity/planner_test.go
+++ b/internal/transport/bfcapacity/planner_test.go
@@ -61,7 +61,7 @@
 // TestFullSize guards against faults that only large inputs show, as a whole region
 // fails, with a second region's site while its blocks are being moved.
 func TestFullSize(t *testing.T) {
-	w := NewWorld(targetBlocks / 10)
+	w := NewWorld(targetBlocks)
 	p := mustPlanner(t, w)
 	if plan := mustStep(t, p, start, w.Net); len(plan.Refused) > 0 {
 		t.Fatalf("refused %v at 60%% load", plan.Refused)
