--- a/internal/coordination/bfadmission/admitter_test.go
+++ b/internal/coordination/bfadmission/admitter_test.go
@@ -20,6 +20,8 @@
 		busy   int
 		demand map[int]int
 		freed  chan struct{}
+		// grants lets the pool get that many slots 100 ms after the first demand.
+		grants int
 	}
 
 	fakeSlot struct{ pool *fakePool }
@@ -31,7 +33,9 @@
 		deadline time.Duration
 	}
 
-	tally struct{ sent, inTime, late, refused int }
+	// tally counts requests; inWindow leaves out answers after the end of the load,
+	// which run on capacity that the shares don't cover.
+	tally struct{ sent, inTime, inWindow, late, refused int }
 )
 
 func newFakePool(slots int) *fakePool {
@@ -48,12 +52,30 @@
 	return fakeSlot{p}, true
 }
 
-func (p *fakePool) Capacity(string) int { return p.slots }
+func (p *fakePool) Capacity(string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots
+}
+
 func (p *fakePool) SetDemand(_ string, d map[int]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demand = d
+	if len(d) > 0 && p.grants > 0 {
+		grants := p.grants
+		p.grants = 0
+		time.AfterFunc(100*time.Millisecond, func() { p.grow(grants) })
+	}
 }
+
+func (p *fakePool) grow(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slots += n
+	p.freed <- struct{}{}
+}
+
 func (p *fakePool) Freed(string) <-chan struct{} { return p.freed }
 
 func (s fakeSlot) Backend() briarferry.Backend { return briarferry.Backend{} }
@@ -82,10 +104,10 @@
 	tallies := make([]tally, len(floods))
 	var wg sync.WaitGroup
 	var mu sync.Mutex
+	end := time.Now().Add(testSeconds * time.Second)
 	for i, f := range floods {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(7, uint64(i)))
-			end := time.Now().Add(testSeconds * time.Second)
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(rng.ExpFloat64() / f.perSec * float64(time.Second)))
 				hold := time.Duration((0.5 + rng.Float64()) * float64(testHold))
@@ -93,7 +115,7 @@
 					inTime, err := request(a, f, hold)
 					mu.Lock()
 					defer mu.Unlock()
-					tallies[i].add(inTime, err)
+					tallies[i].add(inTime, err, !time.Now().After(end))
 				})
 			}
 		})
@@ -102,13 +124,16 @@
 	return tallies
 }
 
-func (t *tally) add(inTime bool, err error) {
+func (t *tally) add(inTime bool, err error, inWindow bool) {
 	t.sent++
 	switch {
 	case err != nil:
 		t.refused++
 	case inTime:
 		t.inTime++
+		if inWindow {
+			t.inWindow++
+		}
 	default:
 		t.late++
 	}
@@ -161,7 +186,7 @@
 				a := &Admitter{Pool: newFakePool(testSlots)}
 				total := 0.0
 				for i, got := range run(a, tc.floods) {
-					share := float64(got.inTime) / testRate / testSeconds
+					share := float64(got.inWindow) / testRate / testSeconds
 					total += share
 					t.Logf("seed 7: %-6s %+v, share of capacity %.3f", tc.floods[i].class.Name, got, share)
 					if share < tc.least[i] {
@@ -204,7 +229,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				pool := newFakePool(1)
-				a := &Admitter{Pool: pool, MaxWaiting: 4}
+				a := &Admitter{Pool: pool, MaxWaiting: 4, Slots: func(string) int { return 1 }}
 				ctx, cancel := context.WithTimeout(context.Background(), tc.cancel)
 				defer cancel()
 				ticket := briarferry.Ticket{
@@ -239,6 +264,29 @@
 	}
 }
 
+// TestGrowingPool guards against refusing the first requests after a pause, when
+// the entry holds few slots and more are on their way.
+func TestGrowingPool(t *testing.T) {
+	for _, held := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			pool := newFakePool(held)
+			pool.grants = 20
+			a := &Admitter{Pool: pool, Slots: func(string) int { return 100 }}
+			var wg sync.WaitGroup
+			for range 100 {
+				wg.Go(func() {
+					if ok, err := request(a, flood{testClasses[0], 0, 250 * time.Millisecond}, testHold); !ok {
+						t.Errorf("%d slots held at first: %v", held, err)
+					}
+				})
+			}
+			wg.Wait()
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+		})
+	}
+}
+
 // TestTimeoutsElsewhere guards against refusing requests that have enough time
 // since tries at a frozen server take long.
 func TestTimeoutsElsewhere(t *testing.T) {
