Claim through the real group in the node's test, and cache what entries are sent

A sync reply computed the checksum and the delta anew for every entry; the leader now keeps both for the newest state.

--- a/internal/coordination/bflease/entry.go
+++ b/internal/coordination/bflease/entry.go
@@ -36,6 +36,8 @@
 
 	mu    sync.Mutex
 	state *bfmachine.ConfigState
+	// checksum is that of state.
+	checksum uint64
 	// highest is the largest revision seen; an older one is never taken.
 	highest   uint64
 	needFull  bool
@@ -123,7 +125,11 @@
 		return fmt.Errorf("bflease: reply has revision %d after %d", reply.Revision, h.highest)
 	}
 	state, err := h.nextState(reply)
-	if err == nil && state.Checksum() != reply.Checksum {
+	checksum := h.checksum
+	if err == nil && state != h.state {
+		checksum = state.Checksum()
+	}
+	if err == nil && (checksum != reply.Checksum || state.Revision != reply.Revision) {
 		err = fmt.Errorf("bflease: state with revision %d has another checksum than the leader's", reply.Revision)
 	}
 	if err != nil {
@@ -131,7 +137,7 @@
 		h.needFull = true
 		return err
 	}
-	h.state, h.highest, h.needFull = state, reply.Revision, false
+	h.state, h.checksum, h.highest, h.needFull = state, checksum, reply.Revision, false
 	h.commit = max(h.commit, reply.CommitIndex)
 	if end := sent.Add(min(reply.Lease, Duration)); end.After(h.expiresAt) {
 		h.expiresAt = end
--- a/internal/coordination/bflease/leader.go
+++ b/internal/coordination/bflease/leader.go
@@ -36,6 +36,15 @@
 		entries      map[entryKey]*holder
 		// acked is closed and replaced when an entry acknowledges a newer revision.
 		acked chan struct{}
+		// cache holds what all entries with the same state are sent, since a change
+		// goes to every entry at once.
+		cache attachment
+	}
+
+	attachment struct {
+		state    *bfmachine.ConfigState
+		checksum uint64
+		deltas   map[uint64]*bfmachine.Delta
 	}
 
 	entryKey struct {
@@ -208,18 +217,40 @@
 	return until
 }
 
+// attach adds what the entry needs to get from its revision to the state.
 func (l *Leader) attach(reply *SyncReply, state *bfmachine.ConfigState, r SyncRequest) {
-	reply.Checksum = state.Checksum()
-	if !r.Full && r.Revision == state.Revision {
-		return
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cache.state != state {
+		l.cache = attachment{state: state, checksum: state.Checksum(), deltas: map[uint64]*bfmachine.Delta{}}
 	}
-	if old, ok := l.Source.Since(r.Revision); ok && !r.Full {
-		if d, ok := bfmachine.Diff(old, state); ok {
-			reply.Delta = d
-			return
+	reply.Checksum = l.cache.checksum
+	switch {
+	case r.Full:
+		reply.Full = state
+	case r.Revision == state.Revision:
+	default:
+		if reply.Delta = l.delta(r.Revision); reply.Delta == nil {
+			reply.Full = state
 		}
 	}
-	reply.Full = state
+}
+
+// delta returns the delta to the cached state, or nil where there is none; mu is held.
+func (l *Leader) delta(revision uint64) *bfmachine.Delta {
+	if d, ok := l.cache.deltas[revision]; ok {
+		return d
+	}
+	old, ok := l.Source.Since(revision)
+	if !ok {
+		return nil
+	}
+	d, ok := bfmachine.Diff(old, l.cache.state)
+	if !ok {
+		d = nil
+	}
+	l.cache.deltas[revision] = d
+	return d
 }
 
 // WaitInForce returns when no entry can work under a revision older than the
--- a/internal/transport/bfnode/control_test.go
+++ b/internal/transport/bfnode/control_test.go
@@ -6,22 +6,28 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfrpc"
 )
 
 type (
 	// testSystem is a group of nodes in one process on loopback addresses.
 	testSystem struct {
-		t       *testing.T
+		t       testing.TB
 		dir     string
 		vms     []briarferry.VM
 		control map[string]netip.AddrPort
@@ -35,7 +41,7 @@
 	}
 )
 
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -45,7 +51,7 @@
 }
 
 // newTestSystem starts 3 control VMs and an entry without a data folder.
-func newTestSystem(t *testing.T) *testSystem {
+func newTestSystem(t testing.TB) *testSystem {
 	s := &testSystem{t: t, dir: t.TempDir(), control: map[string]netip.AddrPort{}, stops: map[string]func(){}}
 	for i := range 4 {
 		vm := briarferry.VM{
@@ -188,9 +194,46 @@
 	}
 }
 
+// contend lets several attempts claim each key, a few keys at a time. The returned
+// function waits for them and checks that one attempt of each was granted its key.
+func (s *testSystem) contend(keys, attempts int) (wait func()) {
+	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(s.control))}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	granted := map[string]int{}
+	for attempt := range attempts {
+		group.Go(func() {
+			for i := range keys {
+				key := fmt.Sprint("key", i)
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+				r, err := client.Claim(ctx, briarferry.Claim{Service: "orders", Key: key, Token: fmt.Sprint(attempt)})
+				cancel()
+				if err != nil {
+					s.t.Errorf("claim of %s: %v", key, err)
+				}
+				mu.Lock()
+				if r.Result == briarferry.ClaimGranted {
+					granted[key]++
+				}
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		group.Wait()
+		for i := range keys {
+			if n := granted[fmt.Sprint("key", i)]; n != 1 {
+				s.t.Errorf("key%d was granted to %d attempts", i, n)
+			}
+		}
+	}
+}
+
 // TestControlGroup guards against parts that work alone but not as a system: a
 // change through any VM is in force everywhere when it is answered, also after the
-// leader has stopped, and a restarted VM agrees with the others.
+// leader has stopped, claims are granted once while it stops, and a restarted VM
+// agrees with the others.
 func TestControlGroup(t *testing.T) {
 	s := newTestSystem(t)
 	s.leader()
@@ -207,6 +250,7 @@
 		t.Errorf("change on an old version: %d %s", a.status, a.body)
 	}
 	stopped := s.leader()
+	claimed := s.contend(200, 4)
 	s.stop(stopped)
 	start = time.Now()
 	if a := s.put(3, 2, "third"); a.status != http.StatusOK {
@@ -216,6 +260,7 @@
 	if a := s.put(3, 1, "second"); a.status != http.StatusOK || a.etag != `"2"` {
 		t.Errorf("resend of the second change: %d %s", a.status, a.body)
 	}
+	claimed()
 	s.expectVersion(3)
 	s.start(stopped)
 	s.expectVersion(3)
@@ -229,3 +274,44 @@
 		}
 	}
 }
+
+// BenchmarkControlGroup measures claims through the agreement log of 3 VMs on
+// loopback addresses, with synced files.
+func BenchmarkControlGroup(b *testing.B) {
+	s := newTestSystem(b)
+	s.leader()
+	for _, callers := range []int{1, 32, 512} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) { s.benchmarkClaims(b, callers) })
+	}
+}
+
+func (s *testSystem) benchmarkClaims(b *testing.B, callers int) {
+	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(s.control))}
+	hist, mu := hdrhistogram.New(1, 60_000_000, 3), sync.Mutex{}
+	claim := func(key string) {
+		start := time.Now()
+		r, err := client.Claim(b.Context(), briarferry.Claim{Service: "orders", Key: key, Token: "t"})
+		if err != nil || r.Result != briarferry.ClaimGranted {
+			b.Errorf("claim: %+v, %v", r, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		_ = hist.RecordValue(time.Since(start).Microseconds())
+	}
+	claim("first")
+	hist.Reset()
+	var next atomic.Int64
+	var group sync.WaitGroup
+	b.ResetTimer()
+	for range callers {
+		group.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				claim(fmt.Sprint(callers, "-", b.N, "-", i))
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-ms")
+}
