Merge membership: gossip, announcements and slot leases in the node

Cause: serve used plain membership and a fixed share of slots. Change: bfnode runs bfmember, bfgossip, bfbackend and bfslot; the sharing of an entry moved from bfentry to bfnode.

--- a/internal/transport/bfentry/plain.go
+++ b/internal/transport/bfentry/plain.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"briarferry"
-	"briarferry/internal/protocol/bfapi"
 )
 
 type (
@@ -35,26 +31,6 @@
 		done   bool
 		answer briarferry.Answer
 	}
-
-	// PlainPool hands out slots of announced servers at random while they have a
-	// free slot by this entry's own count.
-	PlainPool struct {
-		// Share divides the announced slots among the entries.
-		Share int
-
-		mu       sync.Mutex
-		backends map[briarferry.BackendID]*plainBackend
-	}
-
-	plainBackend struct {
-		backend  briarferry.Backend
-		inFlight int
-	}
-
-	plainSlot struct {
-		pool *PlainPool
-		b    *plainBackend
-	}
 )
 
 // Current returns the configuration with a lease that does not end.
@@ -119,71 +95,3 @@
 	}
 	return briarferry.ClaimReply{Result: briarferry.ClaimReleased}, nil
 }
-
-// Announce stores the announcement for one lease.
-func (p *PlainPool) Announce(a briarferry.Announcement) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.backends == nil {
-		p.backends = map[briarferry.BackendID]*plainBackend{}
-	}
-	b, ok := p.backends[a.ID()]
-	if !ok {
-		b = &plainBackend{}
-		p.backends[a.ID()] = b
-	}
-	now := time.Now()
-	b.backend = briarferry.Backend{Announcement: a, HeardAt: now, ExpiresAt: now.Add(bfapi.AnnouncementLease)}
-	return nil
-}
-
-// Synced is always true.
-func (p *PlainPool) Synced() bool { return true }
-
-// TryAcquire takes a free slot of a random server.
-func (p *PlainPool) TryAcquire(service string, avoid []briarferry.BackendID) (briarferry.Slot, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	ids := slices.Collect(maps.Keys(p.backends))
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids {
-		b := p.backends[id]
-		free := b.inFlight < max(1, b.backend.Slots/p.Share)
-		if id.Service == service && b.takesWork() && free && !slices.Contains(avoid, id) {
-			b.inFlight++
-			return &plainSlot{pool: p, b: b}, true
-		}
-	}
-	return nil, false
-}
-
-// Capacity returns the slots of the servers that take work.
-func (p *PlainPool) Capacity(service string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for id, b := range p.backends {
-		if id.Service == service && b.takesWork() {
-			n += max(1, b.backend.Slots/p.Share)
-		}
-	}
-	return n
-}
-
-// SetDemand does nothing, since no other entry could be asked for slots.
-func (p *PlainPool) SetDemand(string, map[int]int) {}
-
-// Freed returns no channel; the queue polls.
-func (p *PlainPool) Freed(string) <-chan struct{} { return nil }
-
-func (b *plainBackend) takesWork() bool {
-	return b.backend.State != briarferry.StateDraining && time.Now().Before(b.backend.ExpiresAt)
-}
-
-func (s *plainSlot) Backend() briarferry.Backend { return s.b.backend }
-
-func (s *plainSlot) Done(briarferry.TryReport) {
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	s.b.inFlight--
-}
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -54,28 +54,29 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := n.startFleet(parts, group, control)
-	if err != nil {
-		return err
-	}
+	sharing := n.newSharing(control)
 	entry := &bfentry.Entry{
 		Config:           control.config,
-		Members:          fleet.members,
-		Placement:        &bfplacement.Entry{Members: fleet.members},
-		Announcements:    fleet.announcements,
+		Members:          sharing.Members,
+		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: sharing.MayTakeWork},
+		Announcements:    sharing,
 		TrustedResolvers: n.Resolvers,
-		Pipeline:         n.newPipeline(parts, group, mux, control, fleet),
+		Pipeline:         n.newPipeline(parts, group, mux, control, sharing),
 		Operators:        control.operators,
 	}
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
 	}
+	group.Go(func() error { return sharing.Run(parts, entry.Ready) })
 	server := &bfentry.Server{
-		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin, OnDrain: fleet.leave,
+		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
 	}
 	group.Go(func() error {
 		defer stop()
-		defer func() { time.Sleep(lingerFor) }()
+		defer func() {
+			sharing.Members.Leave()
+			time.Sleep(lingerFor)
+		}()
 		// The server also stops where another part has failed.
 		both, cancel := context.WithCancel(ctx)
 		defer context.AfterFunc(parts, cancel)()
