--- a/internal/transport/bfentry/server.go
+++ b/internal/transport/bfentry/server.go
@@ -30,8 +30,6 @@
 	DrainFor time.Duration
 	// StopWithin bounds the wait for requests in flight.
 	StopWithin time.Duration
-	// OnDrain is called when the drain begins.
-	OnDrain func()
 }
 
 // Run serves until ctx ends, then drains.
@@ -66,9 +64,6 @@
 func (s *Server) drain(srv *http.Server, draining chan struct{}) {
 	s.Log.Info().Msg("entry drains")
 	s.Entry.leaving.Store(true)
-	if s.OnDrain != nil {
-		s.OnDrain()
-	}
 	time.Sleep(s.DrainFor)
 	close(draining)
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopWithin)
--- a/internal/transport/bfnode/pipeline.go
+++ b/internal/transport/bfnode/pipeline.go
@@ -20,9 +20,9 @@
 const callTimeout = 2 * time.Second
 
 // newPipeline assembles the decisions that a request passes.
-func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, f *fleet) *bfentry.Pipeline {
+func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, s *Sharing) *bfentry.Pipeline {
 	quarantine := &bfquarantine.Quarantine{
-		Members: f.members,
+		Members: s.Members,
 		Peers:   bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: callTimeout}},
 		Keep: func() time.Duration {
 			if cfg, _, ok := c.config.Current(); ok {
@@ -34,10 +34,10 @@
 	bfrpc.HandleQuarantine(mux, quarantine)
 	group.Go(func() error { return quarantine.Run(ctx) })
 	upstream := bfupstream.New()
-	upstream.Entries = func() int { return len(f.members.Live()) }
+	upstream.Entries = func() int { return len(s.Members.Live()) }
 	pipeline := &bfentry.Pipeline{
 		Claims:     c.claims,
-		Admitter:   &bfadmission.Admitter{Pool: f.pool, Slots: f.serviceSlots},
+		Admitter:   &bfadmission.Admitter{Pool: s.Slots, Slots: s.Slots.Slots},
 		Upstream:   upstream,
 		Retry:      &bfretry.Policy{Seed: n.VM.Incarnation},
 		Quarantine: quarantine,
