--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -117,8 +117,10 @@
 }
 
 func describeControl(s *bfapi.VMStatus, holder *bflease.Holder, replica briarferry.Replica) {
-	if replica != nil && replica.Status().IsLeader {
-		s.Role = bfapi.RoleLeader
+	if replica != nil {
+		if r := replica.Status(); r.IsLeader {
+			s.Role, s.Voters, s.Learners = bfapi.RoleLeader, r.Voters, r.Learners
+		}
 	}
 	state := holder.State()
 	s.ConfigVersion = state.Version()
