--- a/internal/transport/bfcommand/load.go
+++ b/internal/transport/bfcommand/load.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
+	"math"
 	"net/http"
 	"net/netip"
 	"os"
@@ -25,6 +27,7 @@
 		entries, flows, standin, out string
 		duration                     time.Duration
 		seed                         uint64
+		check                        bool
 	}
 
 	// loadSummary is the last line of output.
@@ -37,6 +40,8 @@
 		Duplicates int `json:"duplicates"`
 		// FalseNotRun counts keys that ran although their caller was told "not run".
 		FalseNotRun int `json:"false_not_run"`
+		// UrgentLate counts requests of the most urgent flows without an answer in time.
+		UrgentLate int `json:"urgent_late"`
 	}
 )
 
@@ -68,6 +73,7 @@
 			fs.StringVar(&f.flows, "flows", "", "file with the flows to send")
 			fs.StringVar(&f.standin, "standin", "", "admin address of the stand-in, to count executions")
 			fs.StringVar(&f.out, "out", "", "file for the full report as JSON")
+			fs.BoolVar(&f.check, "check", false, "fail where an answer was cut, a key ran twice or an urgent request was late")
 			fs.DurationVar(&f.duration, "for", 10*time.Second, "how long to send")
 			fs.Uint64Var(&f.seed, "seed", 1, "seed of the arrival times and keys")
 		},
@@ -119,7 +125,30 @@
 			return err
 		}
 	}
-	return json.NewEncoder(os.Stdout).Encode(sum)
+	sum.UrgentLate = urgentLate(report)
+	if err := json.NewEncoder(os.Stdout).Encode(sum); err != nil {
+		return fmt.Errorf("bfcommand: print summary: %w", err)
+	}
+	if f.check && sum.Cut+sum.Duplicates+sum.FalseNotRun+sum.UrgentLate > 0 {
+		return errors.New("bfcommand: the load did not pass its check")
+	}
+	return nil
+}
+
+// urgentLate counts what the flows with the lowest urgency number missed.
+func urgentLate(report *bfload.Report) int {
+	lowest, late := math.MaxInt, 0
+	for _, f := range report.Flows {
+		if f.Flow.Urgency >= 0 {
+			lowest = min(lowest, f.Flow.Urgency)
+		}
+	}
+	for _, f := range report.Flows {
+		if f.Flow.Urgency == lowest {
+			late += f.Counts.Requests - f.Counts.InTime
+		}
+	}
+	return late
 }
 
 func (s *loadSummary) countExecutions(ctx context.Context, report *bfload.Report, standin netip.AddrPort) error {
