Let tries that were given up count against a frozen server

Cause: where every slow try is hedged, a server that freezes showed in nothing: its tries were cancelled, and cancelled tries were not observed. Change: a cancelled try's latency is a lower bound for the balancer; five in a row without an answer eject the server.

--- a/internal/coordination/bfbalancer/server.go
+++ b/internal/coordination/bfbalancer/server.go
@@ -28,10 +28,14 @@
 	absence = 3 * time.Second
 
 	ejectAfterFailures = 3
-	ejectErrorRate     = 0.5
-	ejectMinTries      = 10
-	ejectBase          = 5 * time.Second
-	ejectLimit         = 5 * time.Minute
+	// ejectAfterOverdue is the number of tries in a row that were given up for an
+	// answer from elsewhere. Where every slow try is hedged, a frozen server shows in
+	// nothing else.
+	ejectAfterOverdue = 5
+	ejectErrorRate    = 0.5
+	ejectMinTries     = 10
+	ejectBase         = 5 * time.Second
+	ejectLimit        = 5 * time.Minute
 	// forgiveAfter is the time without an ejection that resets the ejection time.
 	forgiveAfter = 10 * time.Minute
 
@@ -48,6 +52,7 @@
 	triedAt   time.Time
 	tries     int
 	failures  int
+	overdue   int
 	sheds     int
 	shedUntil time.Time
 
@@ -81,8 +86,10 @@
 // observe adds the result of a try.
 func (s *server) observe(now time.Time, r briarferry.TryReport) {
 	if r.Cancelled {
+		s.observeCancelled(now, r.Latency.Seconds())
 		return
 	}
+	s.overdue = 0
 	s.evidence = s.recent(now) + 1
 	s.triedAt = now
 	if r.Shed {
@@ -103,6 +110,18 @@
 	s.errors -= weight * s.errors
 }
 
+// observeCancelled uses that an answer would have taken at least as long as the try
+// that was given up.
+func (s *server) observeCancelled(now time.Time, v float64) {
+	if v <= 0 || s.latencyAt.IsZero() || 2*v < s.latency {
+		return
+	}
+	s.overdue++
+	if v > s.latency {
+		s.observeLatency(now, v)
+	}
+}
+
 // observeLatency keeps a peak moving average: it rises at once and falls slowly,
 // so that a server that turns slow is avoided after one request.
 func (s *server) observeLatency(now time.Time, v float64) {
@@ -119,7 +138,7 @@
 
 // outlier tells whether the server's recent tries call for an ejection.
 func (s *server) outlier() bool {
-	return s.failures >= ejectAfterFailures || s.tries >= ejectMinTries && s.errors > ejectErrorRate
+	return s.failures >= ejectAfterFailures || s.overdue >= ejectAfterOverdue || s.tries >= ejectMinTries && s.errors > ejectErrorRate
 }
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
@@ -133,7 +152,7 @@
 	s.ejections++
 	s.ejectedUntil = now.Add(growing(ejectBase, s.ejections, ejectLimit))
 	s.rampStart = s.ejectedUntil
-	s.failures, s.errors, s.tries, s.latency, s.evidence = 0, 0, 0, 0, 0
+	s.failures, s.overdue, s.errors, s.tries, s.latency, s.evidence = 0, 0, 0, 0, 0, 0
 	s.latencyAt = time.Time{}
 }
 
--- a/internal/transport/bfentry/attempt.go
+++ b/internal/transport/bfentry/attempt.go
@@ -168,6 +168,9 @@
 	if err == nil || tryErr == nil || tryErr.Dispatched {
 		t.dispatched.Store(true)
 	}
+	if full {
+		took = 0
+	}
 	slot.Done(briarferry.TryReport{
 		Latency: took, Failed: !shed && (err != nil || a.Status >= http.StatusInternalServerError),
 		Shed: shed, Cancelled: cancelled || full,
--- a/internal/transport/bfentry/pipeline_test.go
+++ b/internal/transport/bfentry/pipeline_test.go
@@ -35,6 +35,15 @@
 	return float64(p.Counters.Value(testService, "urgent", countAnswered)) / float64(n)
 }
 
+// frozenLater answers for the first second of a test's clock.
+func frozenLater(ctx context.Context, r *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+	if time.Now().After(time.Date(2000, 1, 1, 0, 0, 1, 0, time.UTC)) {
+		return frozen(ctx, r)
+	}
+	a, _ := answerAfter(context.Background(), testHold)
+	return a, nil
+}
+
 // TestFaultyServer guards against a single faulty server of ten that spoils more
 // than a few requests.
 func TestFaultyServer(t *testing.T) {
@@ -54,6 +63,8 @@
 		{"healthy", idempotent, nil, 1, 1000},
 		{"frozen", idempotent, frozen, 0.995, 40},
 		{"frozen, with hedging", hedging, frozen, 0.995, 60},
+		{"frozen after a second", idempotent, frozenLater, 0.995, 90},
+		{"frozen after a second, with hedging", hedging, frozenLater, 0.995, 90},
 		{"silent in between, reporting no load", idempotent, slow, 0.995, 40},
 		{"shedding", idempotent, shedding, 0.995, 200},
 		{"crossed answers", idempotent, crossed, 0.995, 40},
