Tell crashes of several requests apart and avoid servers that refuse connections

Cause: two crashing requests within 2 s took each other's crashes for the loss of a failure domain, and a run on loopback lost three servers to the second one. A server that refused connections was tried until it had failed three times. Change: a crash that another request explains is no sign of a failed domain; TryReport tells of refused connections, and the balancer pauses such servers. Result: TestTwoCrashingRequests quarantines both at two servers each; a server that refuses connections gets at most 0.2% of the tries (TestShares).

--- a/interfaces.go
+++ b/interfaces.go
@@ -59,6 +59,8 @@
 		Failed bool
 		// Shed is true where the server refused the request for its own load.
 		Shed bool
+		// Refused is true where the server accepted no connection.
+		Refused bool
 		// Cancelled is true where the entry gave the try up. Its latency is a lower
 		// bound then, or 0 where nothing was sent.
 		Cancelled bool
--- a/internal/coordination/bfbalancer/balancer_test.go
+++ b/internal/coordination/bfbalancer/balancer_test.go
@@ -51,16 +51,18 @@
 		latency   time.Duration
 		failed    bool
 		shed      bool
+		refused   bool
 		low, high float64
 	}{
-		{"alike", nothing, fast, false, false, 0.05, 0.16},
-		{"slow", nothing, slow, false, false, 0, 0.02},
-		{"failing", nothing, fast, true, false, 0, 0.01},
-		{"shedding", nothing, fast, false, true, 0, 0.05},
-		{"draining", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.State = briarferry.StateDraining }, fast, false, false, 0, 0},
-		{"starting", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.State = briarferry.StateStarting }, fast, false, false, 0, 0.02},
-		{"idle report, slow in truth", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.Load = 0 }, slow, false, false, 0, 0.02},
-		{"full report, fast in truth", reportFull, fast, false, false, 0.05, 0.25},
+		{"alike", nothing, fast, false, false, false, 0.05, 0.16},
+		{"slow", nothing, slow, false, false, false, 0, 0.02},
+		{"failing", nothing, fast, true, false, false, 0, 0.01},
+		{"shedding", nothing, fast, false, true, false, 0, 0.05},
+		{"refusing connections", nothing, fast, true, false, true, 0, 0.002},
+		{"draining", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.State = briarferry.StateDraining }, fast, false, false, false, 0, 0},
+		{"starting", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.State = briarferry.StateStarting }, fast, false, false, false, 0, 0.02},
+		{"idle report, slow in truth", func(c *briarferry.Candidate, _ []briarferry.Candidate) { c.Backend.Load = 0 }, slow, false, false, false, 0, 0.02},
+		{"full report, fast in truth", reportFull, fast, false, false, false, 0.05, 0.25},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -76,7 +78,7 @@
 				r := briarferry.TryReport{Latency: fast}
 				if i == 0 {
 					picks++
-					r = briarferry.TryReport{Latency: tc.latency, Failed: tc.failed, Shed: tc.shed}
+					r = briarferry.TryReport{Latency: tc.latency, Failed: tc.failed, Shed: tc.shed, Refused: tc.refused}
 				}
 				b.Report(now, list[i].Backend.ID(), r)
 			}
--- a/internal/coordination/bfbalancer/server.go
+++ b/internal/coordination/bfbalancer/server.go
@@ -39,8 +39,12 @@
 	// forgiveAfter is the time without an ejection that resets the ejection time.
 	forgiveAfter = 10 * time.Minute
 
-	shedBase  = 50 * time.Millisecond
-	shedLimit = 2 * time.Second
+	// A server that sheds or refuses connections is left alone for a while that
+	// doubles each time. This is not an ejection: it is short, and the server says
+	// itself that it takes nothing.
+	shedBase   = 50 * time.Millisecond
+	refuseBase = 250 * time.Millisecond
+	shedLimit  = 2 * time.Second
 )
 
 // server is what one entry has observed of a backend server.
@@ -54,6 +58,7 @@
 	failures  int
 	overdue   int
 	sheds     int
+	refusals  int
 	shedUntil time.Time
 
 	seenAt    time.Time
@@ -92,12 +97,17 @@
 	s.overdue = 0
 	s.evidence = s.recent(now) + 1
 	s.triedAt = now
-	if r.Shed {
+	switch {
+	case r.Shed:
 		s.sheds++
 		s.shedUntil = now.Add(growing(shedBase, s.sheds, shedLimit))
 		return
+	case r.Refused:
+		s.refusals++
+		s.shedUntil = now.Add(growing(refuseBase, s.refusals, shedLimit))
+	default:
+		s.sheds, s.refusals = 0, 0
 	}
-	s.sheds = 0
 	s.observeLatency(now, r.Latency.Seconds())
 	s.tries++
 	weight := math.Max(errorWeight, 1/float64(s.tries))
--- a/internal/coordination/bfquarantine/quarantine_test.go
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -161,6 +161,21 @@
 	})
 }
 
+// TestTwoCrashingRequests guards against crashes of one request that hide those of
+// another in the same failure domains.
+func TestTwoCrashingRequests(t *testing.T) {
+	table, now := newTable(), time.Unix(1000, 0)
+	for f := range uint64(2) {
+		for _, n := range []int{int(f), 2 + int(f)} {
+			b := server(n)
+			table.add(now, Crash{Backend: b.ID(), FailureDomain: b.FailureDomain, Fingerprints: []uint64{f}})
+		}
+	}
+	if !table.quarantined(0) || !table.quarantined(1) {
+		t.Errorf("strikes %d and %d, want 2 each", table.strikes(0), table.strikes(1))
+	}
+}
+
 // TestOrder guards against entries that judge a fingerprint differently since
 // they heard of crashes in a different order.
 func TestOrder(t *testing.T) {
--- a/internal/coordination/bfquarantine/table.go
+++ b/internal/coordination/bfquarantine/table.go
@@ -157,17 +157,27 @@
 
 // mass tells whether the failure domain lost another server at the same time on
 // which the fingerprint was not in flight: the domain has failed then. Losses that
-// all had the fingerprint in flight are those of a request that is tried again.
+// all had the fingerprint in flight are those of a request that is tried again, and
+// a loss that another crashing request explains is no sign of a failed domain.
 func (t *table) mass(c *crash, f uint64) bool {
 	for _, other := range t.crashes {
 		if other.backend != c.backend && other.domain == c.domain &&
-			near(other.at, c.at) && !slices.Contains(other.prints, f) {
+			near(other.at, c.at) && !slices.Contains(other.prints, f) && !t.explained(other) {
 			return true
 		}
 	}
 	return false
 }
 
+// explained tells whether a request was in flight in the crash that was also in
+// flight in crashes of other failure domains. Innocent requests that are tried again
+// while one domain dies stay within it.
+func (t *table) explained(c *crash) bool {
+	return slices.ContainsFunc(c.prints, func(g uint64) bool {
+		return slices.ContainsFunc(t.byPrint[g], func(e *crash) bool { return e.domain != c.domain })
+	})
+}
+
 // suspect tells whether the fingerprint was in flight in a crash that counts.
 func (t *table) suspect(f uint64) bool {
 	return slices.ContainsFunc(t.byPrint[f], func(c *crash) bool { return t.counts(c, f) })
--- a/internal/transport/bfentry/attempt.go
+++ b/internal/transport/bfentry/attempt.go
@@ -173,7 +173,7 @@
 	}
 	slot.Done(briarferry.TryReport{
 		Latency: took, Failed: !shed && (err != nil || a.Status >= http.StatusInternalServerError),
-		Shed: shed, Cancelled: cancelled || full,
+		Shed: shed, Refused: tryErr != nil && tryErr.ServerGone, Cancelled: cancelled || full,
 	})
 	silent := tryErr != nil && tryErr.Silent
 	if err == nil || silent {
