--- a/internal/transport/bfentry/request_test.go
+++ b/internal/transport/bfentry/request_test.go
@@ -21,8 +21,7 @@
 		Limits:   briarferry.DefaultLimits(),
 	}
 	cfg.Limits.MaxBodyBytes = 8
-	pool := &PlainPool{Share: 1}
-	e := &Entry{Config: FixedConfig{Config: cfg}, Members: FixedMembers{}, Announcements: pool, Pipeline: &Pipeline{}}
+	e := &Entry{Config: FixedConfig{Config: cfg}, Members: FixedMembers{}, Announcements: syncedTable{}, Pipeline: &Pipeline{}}
 	tests := []struct {
 		name, path, body string
 		header           map[string]string
@@ -58,3 +57,9 @@
 		})
 	}
 }
+
+// syncedTable is a table of backend servers that takes and loses everything.
+type syncedTable struct{}
+
+func (syncedTable) Announce(briarferry.Announcement) error { return nil }
+func (syncedTable) Synced() bool                           { return true }
