Order assignments by leader term and keep improving where nothing is held back

A new leader that knew an old assignment only would have published versions that entries refuse as older. Versions now start at the leader's term. Demand refused in one region also stopped all moves for delay everywhere; now only demand that waits for a cap does, and regions whose callers are held back are left alone.

--- a/internal/coordination/bfplacement/assignment_test.go
+++ b/internal/coordination/bfplacement/assignment_test.go
@@ -172,3 +172,25 @@
 		t.Fatalf("version %d after an older assignment: %v", e.Version(), err)
 	}
 }
+
+// TestNewLeaderIsAccepted guards against entries that refuse a new leader whose
+// planner started again from an old assignment or from none.
+func TestNewLeaderIsAccepted(t *testing.T) {
+	versions := []uint64{}
+	for _, term := range []uint64{4, 5} {
+		p, err := New(DefaultLimits(), []Service{{Name: "s"}}, Blocks{Prefixes: []netip.Prefix{prefix(0)}, Demand: []Rate{1}, DelayMicros: []uint32{1}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Lead(term)
+		for range 7 - term {
+			if _, err := p.Step(start, Network{Regions: []Region{{}}, Sites: []Site{{Name: "a", Capacity: 1}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		versions = append(versions, p.version)
+	}
+	if versions[1] <= versions[0] {
+		t.Fatalf("versions of two terms: %d, %d", versions[0], versions[1])
+	}
+}
--- a/internal/coordination/bfplacement/improve.go
+++ b/internal/coordination/bfplacement/improve.go
@@ -35,7 +35,8 @@
 
 // improve moves blocks whose delay or whose site's load another site betters by
 // more than the hysteresis. It fills destinations only up to the hysteresis below
-// their limits, so that a block that was moved for room does not return at once.
+// their limits, so that a block that was moved for room does not return at once, and
+// leaves regions alone whose callers' demand is held back.
 func (p *Planner) improve(s *step) {
 	if s.unlimited {
 		return
@@ -63,6 +64,9 @@
 		if int(r) == region || float64(p.delay(q.b, int(r))) > now*(1-p.limits.Hysteresis) {
 			return unplaced
 		}
+		if s.contested(int(r)) {
+			continue
+		}
 		if to, why := p.findIn(s, q, int(r)); why == 0 {
 			return to
 		}
@@ -74,7 +78,7 @@
 	if p.served(q.b, q.level) == 0 {
 		return unplaced
 	}
-	if p.isBalanced(s, s.Sites[at].Region) {
+	if s.contested(s.Sites[at].Region) || p.isBalanced(s, s.Sites[at].Region) {
 		return unplaced
 	}
 	own := p.used(s, at)
--- a/internal/coordination/bfplacement/naive_test.go
+++ b/internal/coordination/bfplacement/naive_test.go
@@ -15,7 +15,9 @@
 	upSince     []time.Time
 	seen, above []Rate
 	fresh       bool
-	held        bool
+	// capHeld tells of demand that waits for a cap, held of the regions it waits for.
+	capHeld bool
+	held    map[int]bool
 }
 
 type naiveMove struct {
@@ -271,7 +273,7 @@
 }
 
 func (n *naive) step(now time.Time, net Network) {
-	n.now, n.net, n.held = now, net, false
+	n.now, n.net, n.capHeld, n.held = now, net, false, map[int]bool{}
 	if n.seen == nil {
 		n.seen, n.wasDown, n.upSince = make([]Rate, len(net.Sites)), make([]bool, len(net.Sites)), make([]time.Time, len(net.Sites))
 	}
@@ -311,32 +313,39 @@
 	}
 	for b, s := range n.site {
 		if s != unplaced && net.Sites[s].State == SiteDraining {
-			n.find(b, n.level[b], true)
+			if why, region := n.find(b, n.level[b], true); why != 0 {
+				n.hold(why, region)
+			}
 		}
 	}
-	for b := 0; b < n.n && !n.held && !n.fresh; b++ {
+	for b := 0; b < n.n && !n.capHeld && !n.fresh; b++ {
 		n.improve(b)
 	}
 	n.fresh = false
 }
 
-func (n *naive) find(b, level int, patient bool) Reason {
-	var first Reason
+func (n *naive) hold(why Reason, region int) {
+	n.held[region] = true
+	n.capHeld = n.capHeld || why == HeldByShiftCap || why == HeldByColdCap
+}
+
+// find moves the block, or returns why and for which region it waits.
+func (n *naive) find(b, level int, patient bool) (first Reason, region int) {
 	for i := range n.r {
-		to, why := n.findIn(b, level, int(n.order[b*n.r+i]), 1)
+		r := int(n.order[b*n.r+i])
+		to, why := n.findIn(b, level, r, 1)
 		if to != unplaced {
 			n.move(b, level, to)
-			return 0
-		}
-		if i == 0 {
-			first = why
+			return 0, 0
 		}
 		if patient && (why == HeldByShiftCap || why == HeldByColdCap) {
-			break
+			return why, r
+		}
+		if i == 0 {
+			first, region = why, r
 		}
 	}
-	n.held = true
-	return first
+	return first, region
 }
 
 func (n *naive) admit(b, c int) {
@@ -346,19 +355,22 @@
 			return
 		}
 	}
-	before := n.held
-	why := n.find(b, c+1, false)
+	why, region := n.find(b, c+1, false)
+	if why == 0 {
+		return
+	}
 	if (why != HeldBySite && why != HeldByRegion) || c+1 == n.k {
+		n.hold(why, region)
 		return
 	}
 	for _, r := range n.order[b*n.r : (b+1)*n.r] {
 		for at, s := range n.net.Sites {
 			if s.Region == int(r) && n.admitByEviction(b, c+1, at) {
-				n.held = before
 				return
 			}
 		}
 	}
+	n.hold(why, region)
 }
 
 func (n *naive) admitByEviction(b, level, at int) bool {
@@ -393,12 +405,18 @@
 		if int(r) == own || float64(n.delay(b, int(r))) > float64(n.delay(b, own))*(1-n.l.Hysteresis) {
 			break
 		}
+		if n.held[int(r)] {
+			continue
+		}
 		if to, _ := n.findIn(b, n.level[b], int(r), fill); to != unplaced {
 			n.move(b, n.level[b], to)
 			return
 		}
 	}
 	rate := n.served(b, n.level[b])
+	if n.held[own] {
+		return
+	}
 	if to, _ := n.findIn(b, n.level[b], own, fill); to != unplaced && rate > 0 && n.used(at) > n.l.Hysteresis {
 		limit, _ := n.limits(to)
 		if n.used(at)-(n.used(to)+float64(rate)/float64(max(1, limit))) > n.l.Hysteresis {
--- a/internal/coordination/bfplacement/planner.go
+++ b/internal/coordination/bfplacement/planner.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// unplaced marks a block without a site.
-const unplaced = -1
+const (
+	// unplaced marks a block without a site.
+	unplaced = -1
+	// termShift leaves room for 2^32 versions in a leader's term.
+	termShift = 32
+)
 
 // Planner assigns blocks to sites step by step.
 type Planner struct {
@@ -57,6 +61,10 @@
 	return nil
 }
 
+// Lead starts the versions of a leader's term above those of all earlier terms, so
+// that entries accept a new leader's assignment even where it knew an old one only.
+func (p *Planner) Lead(term uint64) { p.version = max(p.version, term<<termShift) }
+
 // SetDemand replaces the demand of every block.
 func (p *Planner) SetDemand(demand []Rate) error {
 	p.stale = true
@@ -89,7 +97,7 @@
 		p.admit(s, c)
 	}
 	p.drain(s)
-	if !s.waiting() {
+	if !s.waitsForCap() {
 		p.improve(s)
 	}
 	return p.finish(s), nil
--- a/internal/coordination/bfplacement/shift.go
+++ b/internal/coordination/bfplacement/shift.go
@@ -227,8 +227,20 @@
 	h.Rate += rate
 }
 
-func (s *step) waiting() bool {
+// waitsForCap tells whether demand waits for a shift cap. Moves for delay or balance
+// would use up what it waits for.
+func (s *step) waitsForCap() bool {
 	for _, h := range s.held {
+		if h.Blocks > 0 && (h.Reason == HeldByShiftCap || h.Reason == HeldByColdCap) {
+			return true
+		}
+	}
+	return false
+}
+
+// contested tells whether demand is held back that has the region as its nearest.
+func (s *step) contested(region int) bool {
+	for _, h := range s.held[region*reasons : (region+1)*reasons] {
 		if h.Blocks > 0 {
 			return true
 		}
