--- a/internal/coordination/bfplacement/assignment_test.go
+++ b/internal/coordination/bfplacement/assignment_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"reflect"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -194,3 +195,78 @@
 		t.Fatalf("versions of two terms: %d, %d", versions[0], versions[1])
 	}
 }
+
+// TestAdoptContinues guards against a leader change that shifts blocks which the
+// earlier leader would have left.
+func TestAdoptContinues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		old, err := New(DefaultLimits(), w.services, w.blocks, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = old.Step(start, w.net); err != nil {
+			t.Fatal(err)
+		}
+		a, err := NewPublisher(old).Assignment(w.net)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := New(DefaultLimits(), w.services, w.blocks, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err = p.Adopt(a, w.net.Sites); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			now := start.Add(10 * time.Second)
+			was, err := old.Step(now, w.net)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := p.Step(now, w.net)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, was) {
+				t.Fatalf("after adoption %+v, the earlier leader %+v", got, was)
+			}
+			w.disturb(t)
+		}
+	})
+}
+
+// TestDecodersRefuseNonsense guards against panics, endless reads and huge
+// allocations on messages with a valid checksum and damaged contents.
+func TestDecodersRefuseNonsense(t *testing.T) {
+	a := &Assignment{Version: 1, Sites: []string{"a", "b"}, Lists: []List{{Classes: 1, Sites: []uint16{0, 1}}}, List: make([]uint16, 9)}
+	b := &Assignment{Version: 2, Sites: a.Sites, Lists: append(a.Lists, List{Sites: []uint16{1}}), List: []uint16{0, 1, 1, 0, 0, 1, 0, 0, 0}}
+	delta, err := Delta(a, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	prefixes := EncodePrefixes([]netip.Prefix{prefix(0), prefix(9), netip.MustParsePrefix("2001:db8::/48")})
+	rapid.Check(t, func(t *rapid.T) {
+		for _, valid := range [][]byte{a.Encode(), delta, prefixes} {
+			body := append([]byte(nil), valid[:len(valid)-4]...)
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				body[rapid.IntRange(1, len(body)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+			data := seal(body[:rapid.IntRange(1, len(body)).Draw(t, "length")])
+			if got, err := Decode(data); err == nil && got.validate() != nil {
+				t.Fatalf("accepted %+v", got)
+			}
+			if got, err := a.Apply(data); err == nil && (got.validate() != nil || len(got.List) != 9) {
+				t.Fatalf("accepted %+v", got)
+			}
+			if got, err := DecodePrefixes(data); err == nil {
+				for _, p := range got {
+					if !p.IsValid() {
+						t.Fatalf("accepted %v", got)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/coordination/bfplacement/planner.go
+++ b/internal/coordination/bfplacement/planner.go
@@ -47,17 +47,27 @@
 	return p, nil
 }
 
-// Adopt continues from an earlier assignment, so that a new leader moves no block
-// without need. Sites holds one index a block, or -1.
-func (p *Planner) Adopt(version uint64, sites []int16, classes []int8) error {
-	if len(sites) != p.n || len(classes) != p.n {
-		return fmt.Errorf("bfplacement: adopt %d sites and %d levels for %d blocks", len(sites), len(classes), p.n)
+// Adopt continues from an assignment that a leader before published, so that a new
+// leader moves no block without need. Sites are matched by name.
+func (p *Planner) Adopt(a *Assignment, sites []Site) error {
+	if a.BlockSet != Checksum(p.blocks.Prefixes) || len(a.List) != p.n {
+		return fmt.Errorf("bfplacement: assignment %d is about another block set", a.Version)
 	}
-	copy(p.site, sites)
-	for b, c := range classes {
-		p.level[b] = min(max(c, 0), int8(p.k))
+	number := map[string]int16{}
+	for i, s := range sites {
+		number[s.Name] = int16(i)
 	}
-	p.version, p.fresh, p.stale = version, false, true
+	for b, id := range a.List {
+		l := a.Lists[id]
+		p.site[b], p.level[b] = unplaced, 0
+		if l.Classes == 0 || len(l.Sites) == 0 {
+			continue
+		}
+		if at, ok := number[a.Sites[l.Sites[0]]]; ok {
+			p.site[b], p.level[b] = at, int8(min(int(l.Classes), p.k))
+		}
+	}
+	p.version, p.fresh, p.stale = max(p.version, a.Version), false, true
 	return nil
 }
 
