--- a/internal/coordination/bfdrain/set.go
+++ b/internal/coordination/bfdrain/set.go
@@ -251,3 +251,19 @@
 	}
 	p.Remaining = max(p.Remaining, remaining)
 }
+
+// Reconcile announces the drains that are new in the replicated state's list and
+// ends those that are gone from it.
+func (s *Set) Reconcile(drains []briarferry.Drain) error {
+	listed := map[string]bool{}
+	for _, d := range drains {
+		listed[d.ID] = true
+	}
+	s.drains = slices.DeleteFunc(s.drains, func(d *tracked) bool { return !listed[d.ID] })
+	for _, d := range drains {
+		if err := s.Announce(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/coordination/bfdrain/set_test.go
+++ b/internal/coordination/bfdrain/set_test.go
@@ -134,3 +134,22 @@
 		t.Error("an id was used for two drains")
 	}
 }
+
+// TestTrackerFollowsList guards against drains that go on after their removal from
+// the replicated list, or are forgotten while they stand in it.
+func TestTrackerFollowsList(t *testing.T) {
+	vm := briarferry.VM{Name: "a", Region: "r"}
+	list := []briarferry.Drain{{ID: "1", Kind: briarferry.DrainVM, Target: "a"}, {ID: "2", Kind: briarferry.DrainVM, Target: "b"}}
+	tracker := NewTracker(DefaultLimits())
+	for i, c := range []struct {
+		list []briarferry.Drain
+		may  bool
+	}{{nil, true}, {list, false}, {list[:1], false}, {list[1:], true}} {
+		if err := tracker.Update(at, c.list, nil); err != nil {
+			t.Fatal(err)
+		}
+		if tracker.MayTakeVM(vm) != c.may || len(tracker.Progress(at)) != len(c.list) {
+			t.Errorf("update %d: may take work is %t", i, !c.may)
+		}
+	}
+}
--- a/internal/transport/bfcapacity/members.go
+++ b/internal/transport/bfcapacity/members.go
@@ -9,12 +9,14 @@
 	"briarferry"
 	"briarferry/internal/coordination/bflease"
 	"briarferry/internal/coordination/bfmember"
+	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/state/bfbackend"
 	"briarferry/internal/state/bfcodec"
 	"briarferry/internal/state/bfmachine"
 )
 
 const (
-	fromMember = "`bfmember`, `bfcodec`"
+	fromMember = "`bfmember`, `bfwire`"
 	fromLease  = "`bflease`, `bfmachine`, `bfcodec`"
 )
 
@@ -44,11 +46,11 @@
 }
 
 // memberFits holds the measured lines of the membership in a full mesh.
-type memberFits struct{ bytes, send, receive, memory Fit }
+type memberFits struct{ bytes, encode, tick, receive, memory Fit }
 
 // measureMembers measures the real membership machine in a full mesh.
 func measureMembers(where string, sizes []int) (memberFits, error) {
-	var x, pairs, bytes, send, receive, memory []float64
+	var x, pairs, bytes, encode, ticks, receive, memory []float64
 	for _, n := range sizes {
 		now := time.Unix(1_767_225_600, 0)
 		beats := beatsFrom(n)
@@ -60,39 +62,39 @@
 			return machine
 		})
 		machine := v.(*bfmember.Machine)
-		data, err := bfcodec.Marshal(beats[0])
+		beat := &bfwire.Beat{Heartbeat: beats[0], AckIncarnation: beats[0].VM.Incarnation, Ack: 1 << 20, Digest: bfbackend.Digest{Count: 1000, Sum: 1 << 60}}
+		data, err := bfwire.Encode(beat)
 		if err != nil {
 			return memberFits{}, err
 		}
+		encode = append(encode, 1e6*cost(codecTime, func() { _, err = bfwire.Encode(beat) }))
 		x, pairs = append(x, float64(n)), append(pairs, float64(n*n))
 		bytes, memory = append(bytes, float64(len(data))), append(memory, used/1e6)
 		receive = append(receive, 1e6*cost(codecTime, func() {
-			var h bfmember.Heartbeat
-			if err = bfcodec.Unmarshal(data, &h); err == nil {
+			var m any
+			if m, err = bfwire.Decode(data); err == nil {
 				beats[0].Sequence++
+				h := &m.(*bfwire.Beat).Heartbeat
 				h.Sequence = beats[0].Sequence
-				machine.Receive(now, &h)
+				machine.Receive(now, h)
 			}
 		}))
 		if err != nil {
 			return memberFits{}, err
 		}
-		tick, err := tickCost(machine, beats, now)
-		if err != nil {
-			return memberFits{}, err
-		}
-		send = append(send, 1e6*tick)
+		ticks = append(ticks, 1e6*tickCost(machine, beats, now))
 	}
 	return memberFits{
 		bytes:   NewFit("heartbeat, size, "+where, "B", "VM", fromMember, x, bytes),
 		receive: NewFit("heartbeat, decode and apply, "+where, "µs", "VM", fromMember, x, receive),
-		send:    NewFit("membership tick with a heartbeat for all peers, "+where, "µs", "pair of VMs", fromMember, pairs, send),
+		encode:  NewFit("heartbeat, encode for one peer, "+where, "µs", "VM", fromMember, x, encode),
+		tick:    NewFit("membership tick that sends, "+where, "µs", "pair of VMs", fromMember, pairs, ticks),
 		memory:  NewFit("membership, memory, "+where, "MB", "pair of VMs", fromMember, pairs, memory),
 	}, nil
 }
 
 // tickCost returns the median seconds of a tick that sends, while all peers are fresh.
-func tickCost(machine *bfmember.Machine, beats []bfmember.Heartbeat, now time.Time) (float64, error) {
+func tickCost(machine *bfmember.Machine, beats []bfmember.Heartbeat, now time.Time) float64 {
 	var all []float64
 	for range 25 {
 		now = now.Add(bfmember.Interval)
@@ -100,17 +102,13 @@
 			beats[i].Sequence++
 			machine.Receive(now, &beats[i])
 		}
-		var err error
 		all = append(all, wall(func() {
 			machine.Tick(now)
-			_, err = bfcodec.Marshal(machine.Heartbeat(now))
+			machine.Heartbeat(now)
 		}))
-		if err != nil {
-			return 0, err
-		}
 	}
 	slices.Sort(all)
-	return all[len(all)/2], nil
+	return all[len(all)/2]
 }
 
 // measureLeases measures the real sync messages and a change of one service.
@@ -165,3 +163,23 @@
 	}
 	return len(data), nil
 }
+
+// recordFit measures the backend servers that a heartbeat or page carries.
+func recordFit() (Fit, error) {
+	var x, y []float64
+	for _, n := range []int{2, 4, 8, 12} {
+		p := &bfwire.Page{From: newVM(7).Name, After: 1 << 20, Next: 1<<20 + uint64(n), More: true}
+		for _, a := range newAnnouncements(n) {
+			p.Records = append(p.Records, bfbackend.Record{
+				Service: a.Service, Address: a.Address, Region: a.Region, FailureDomain: a.FailureDomain, Slots: a.Slots,
+				Connections: a.ConnectionLimit, State: a.State, LoadMilli: 610, Sequence: a.Sequence, AgeMillis: 120, Origin: newVM(7).Name,
+			})
+		}
+		data, err := bfwire.Encode(p)
+		if err != nil {
+			return Fit{}, err
+		}
+		x, y = append(x, float64(n)), append(y, float64(len(data)))
+	}
+	return NewFit("page of backend servers, size", "B", "backend server", "`bfbackend`, `bfwire`", x, y), nil
+}
--- a/internal/transport/bfcapacity/messages.go
+++ b/internal/transport/bfcapacity/messages.go
@@ -57,7 +57,7 @@
 	announcementBytes, announcementCPU Fit
 	configHeap                         Fit
 	changeBytes, changeCPU             Fit
-	demandBytes                        Fit
+	demandBytes, recordBytes           Fit
 	datagramCPU                        Fit
 	syncBytes                          float64
 }
@@ -78,6 +78,9 @@
 	m.digestBytes, m.digestCPU = codecFits("site digest", "site", fromStandIn, []int{6, 13, 26, 52}, newDigest)
 	m.configBytes, m.configCPU = codecFits("configuration document", "service", fromRoot, []int{10, 100, 300, 1000}, newConfig)
 	m.announcementBytes, m.announcementCPU = codecFits("announcements", "backend server", fromRoot, []int{10, 50, 100, 400}, newAnnouncements)
+	if m.recordBytes, err = recordFit(); err != nil {
+		return nil, err
+	}
 	m.configHeap = configHeapFit()
 	m.demandBytes = demandFit()
 	m.datagramCPU, err = datagramFit()
--- a/internal/transport/bfcapacity/page.go
+++ b/internal/transport/bfcapacity/page.go
@@ -151,9 +151,9 @@
 	p.printf("\n## Measured slopes\n\nEach line is a least-squares fit. The error of a slope is its standard error; the residual is the root mean square distance of the points from the line.\n\n")
 	p.head("quantity", "unit", "sizes", "measured", "slope per unit of size", "intercept", "residual", "code")
 	for _, f := range []Fit{
-		m.small.bytes, m.small.receive, m.small.send, m.small.memory, m.large.bytes, m.large.receive, m.large.send, m.large.memory,
+		m.small.bytes, m.small.encode, m.small.receive, m.small.tick, m.small.memory, m.large.bytes, m.large.encode, m.large.receive, m.large.tick, m.large.memory,
 		m.compactBytes, m.compactCPU, m.digestBytes, m.digestCPU, m.configBytes, m.configCPU, m.configHeap, m.changeBytes, m.changeCPU,
-		m.announcementBytes, m.announcementCPU, m.demandBytes, m.datagramCPU, m.callBytes, m.callCPU,
+		m.announcementBytes, m.announcementCPU, m.recordBytes, m.demandBytes, m.datagramCPU, m.callBytes, m.callCPU,
 		m.plan, m.planMemory, m.idle, m.lost, m.prefixBytes, m.fullBytes, m.fullCPU, m.deltaBytes, m.deltaCPU,
 		m.indexMemory, m.tableMemory, m.blockCost, m.entriesCPU, m.lookupCPU,
 	} {
--- a/internal/transport/bfcapacity/project.go
+++ b/internal/transport/bfcapacity/project.go
@@ -105,14 +105,14 @@
 func (m *Model) mesh(nodes float64) Load {
 	f := m.members(nodes)
 	l := m.datagrams(f.bytes.At(nodes), f.receive.At(nodes)).times(beatsPerSecond * (nodes - 1))
-	return l.plus(Load{CPU: f.send.At(nodes * nodes).Times(beatsPerSecond)})
+	return l.plus(Load{CPU: f.tick.At(nodes * nodes).Times(beatsPerSecond)})
 }
 
 // compactMesh is the same with compact heartbeats.
 func (m *Model) compactMesh(nodes float64) Load {
 	f := m.members(nodes)
 	l := m.datagrams(m.compactBytes.At(nodes), m.compactCPU.At(nodes)).times(beatsPerSecond * (nodes - 1))
-	return l.plus(Load{CPU: f.send.At(nodes * nodes).Times(beatsPerSecond)})
+	return l.plus(Load{CPU: f.tick.At(nodes * nodes).Times(beatsPerSecond)})
 }
 
 // digests is site digests one way, at a rate.
