--- a/internal/coordination/bfplacement/planner.go
+++ b/internal/coordination/bfplacement/planner.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// unplaced marks a block without a site.
-const unplaced = -1
+const (
+	// unplaced marks a block without a site.
+	unplaced = -1
+	// termShift leaves room for 2^32 versions in a leader's term.
+	termShift = 32
+)
 
 // Planner assigns blocks to sites step by step.
 type Planner struct {
@@ -43,20 +47,34 @@
 	return p, nil
 }
 
-// Adopt continues from an earlier assignment, so that a new leader moves no block
-// without need. Sites holds one index a block, or -1.
-func (p *Planner) Adopt(version uint64, sites []int16, classes []int8) error {
-	if len(sites) != p.n || len(classes) != p.n {
-		return fmt.Errorf("bfplacement: adopt %d sites and %d levels for %d blocks", len(sites), len(classes), p.n)
+// Adopt continues from an assignment that a leader before published, so that a new
+// leader moves no block without need. Sites are matched by name.
+func (p *Planner) Adopt(a *Assignment, sites []Site) error {
+	if a.BlockSet != p.blockSet || len(a.List) != p.n {
+		return fmt.Errorf("bfplacement: assignment %d is about another block set", a.Version)
+	}
+	number := map[string]int16{}
+	for i, s := range sites {
+		number[s.Name] = int16(i)
 	}
-	copy(p.site, sites)
-	for b, c := range classes {
-		p.level[b] = min(max(c, 0), int8(p.k))
+	for b, id := range a.List {
+		l := a.Lists[id]
+		p.site[b], p.level[b] = unplaced, 0
+		if l.Classes == 0 || len(l.Sites) == 0 {
+			continue
+		}
+		if at, ok := number[a.Sites[l.Sites[0]]]; ok {
+			p.site[b], p.level[b] = at, int8(min(int(l.Classes), p.k))
+		}
 	}
-	p.version, p.fresh, p.stale = version, false, true
+	p.version, p.fresh, p.stale = max(p.version, a.Version), false, true
 	return nil
 }
 
+// Lead starts the versions of a leader's term above those of all earlier terms, so
+// that entries accept a new leader's assignment even where it knew an old one only.
+func (p *Planner) Lead(term uint64) { p.version = max(p.version, term<<termShift) }
+
 // SetDemand replaces the demand of every block.
 func (p *Planner) SetDemand(demand []Rate) error {
 	p.stale = true
@@ -89,7 +107,7 @@
 		p.admit(s, c)
 	}
 	p.drain(s)
-	if !s.waiting() {
+	if !s.waitsForCap() {
 		p.improve(s)
 	}
 	return p.finish(s), nil
