--- /dev/null
+++ b/internal/coordination/bfreplica/bench_test.go
@@ -0,0 +1,86 @@
+package bfreplica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"briarferry/internal/state/bfstorage"
+)
+
+// BenchmarkCommit measures commits of 200 bytes on the real file system, with the
+// delay put in at the transport.
+func BenchmarkCommit(b *testing.B) {
+	for _, delay := range []time.Duration{time.Millisecond, farDelay} {
+		for _, clients := range []int{1, 64, 1024} {
+			b.Run(fmt.Sprintf("delay=%v/clients=%d", delay, clients), func(b *testing.B) { benchCommit(b, delay, clients) })
+		}
+	}
+}
+
+func benchCommit(b *testing.B, delay time.Duration, clients int) {
+	root := b.TempDir()
+	onDisk := func(string) bfstorage.FS { return bfstorage.OS{} }
+	c := newCluster(b, 1, delay, onDisk, func(n *Node) { n.Dir = filepath.Join(root, n.VM) })
+	defer c.close()
+	c.propose("first")
+	leader := c.leader().node
+	cmd := make([]byte, 200)
+	var next atomic.Int64
+	var mu sync.Mutex
+	var all []time.Duration
+	var group sync.WaitGroup
+	syncs := leader.syncs.Load()
+	b.ResetTimer()
+	started := time.Now()
+	for range clients {
+		group.Go(func() {
+			var own []time.Duration
+			for next.Add(1) <= int64(b.N) {
+				at := time.Now()
+				if _, err := leader.Propose(context.Background(), cmd); err != nil {
+					b.Error(err)
+					return
+				}
+				own = append(own, time.Since(at))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, own...)
+		})
+	}
+	group.Wait()
+	spent := time.Since(started)
+	b.StopTimer()
+	slices.Sort(all)
+	b.ReportMetric(float64(b.N)/spent.Seconds(), "commits/s")
+	b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(b.N)/float64(max(1, leader.syncs.Load()-syncs)), "commits/sync")
+}
+
+// BenchmarkLeaderLoss measures the real time from the loss of the leader to the next
+// commit, with 55 ms one way and the real file system.
+func BenchmarkLeaderLoss(b *testing.B) {
+	var gaps []time.Duration
+	for i := range b.N {
+		root := b.TempDir()
+		onDisk := func(string) bfstorage.FS { return bfstorage.OS{} }
+		c := newCluster(b, uint64(i), farDelay, onDisk, func(n *Node) { n.Dir = filepath.Join(root, n.VM) })
+		c.propose("first")
+		old := c.leader()
+		c.isolate(old.vm, true)
+		lost := time.Now()
+		c.proposeElsewhere(old.vm, "second")
+		gaps = append(gaps, time.Since(lost))
+		c.close()
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(gaps[len(gaps)/2].Seconds(), "p50-s")
+	b.ReportMetric(gaps[len(gaps)-1].Seconds(), "worst-s")
+}
