--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./...
 
-.PHONY: build test lint demo bench capacity guarantees soak
+.PHONY: build test lint demo bench bench-policies capacity guarantees soak
 
 build:
 	$(GO) build -o bin/briarferry ./cmd/briarferry
@@ -16,3 +16,21 @@
 
 demo: build
 	@scripts/demo.sh
+
+# Measures costs at several sizes; OUT=docs/CAPACITY.md replaces the page.
+OUT ?=
+capacity:
+	$(GO) run ./internal/transport/bfcapacity/run -out "$(OUT)" -revision "$$(git describe --always --dirty)"
+
+bench: bench-placement
+
+# Planner time and memory, look-ups, and the planner against the nearest site.
+.PHONY: bench-placement
+bench-placement:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/transport/bfcapacity
+	$(GO) run ./internal/transport/bfcapacity/run -policies
+
+bench: bench-policies
+
+bench-policies:
+	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
--- /dev/null
+++ b/internal/coordination/bfplacement/entry.go
@@ -0,0 +1,237 @@
+package bfplacement
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"briarferry"
+)
+
+const (
+	// mainWeight is the weight of the entries that the plan counts on, and
+	// otherWeight that of the ones to use when those fail. Callers that choose at
+	// random by weight stay within 0.3% of the plan.
+	mainWeight  = 1000
+	otherWeight = 1
+
+	// The constants of the 64-bit FNV-1a hash.
+	fnvOffset uint64 = 14695981039346656037
+	fnvPrime  uint64 = 1099511628211
+
+	// maxEntries bounds a look-up's answer.
+	maxEntries = 5
+)
+
+type (
+	// Entry answers look-ups from the last known assignment, or from the live VMs
+	// where there is none. Its exported fields are set before use.
+	Entry struct {
+		Members briarferry.Members
+		// SiteOf names the site of a VM; by default each VM is a site of its name.
+		SiteOf func(briarferry.VM) string
+		// MayTakeWork tells whether a VM takes new work; by default all live ones do.
+		MayTakeWork func(briarferry.VM) bool
+
+		current atomic.Pointer[view]
+	}
+
+	// view is an assignment with the index of its blocks.
+	view struct {
+		assignment *Assignment
+		index      *Index
+	}
+)
+
+// Set replaces the assignment in use. It refuses one of an older version, unless
+// the leader that made it recomputed everything for another block set.
+func (e *Entry) Set(a *Assignment, x *Index) error {
+	if x.blocks != len(a.List) || x.sum != a.BlockSet {
+		return fmt.Errorf("bfplacement: assignment %d is about another block set", a.Version)
+	}
+	next := &view{assignment: a, index: x}
+	for {
+		old := e.current.Load()
+		if old != nil && old.assignment.BlockSet == a.BlockSet && old.assignment.Version > a.Version {
+			return fmt.Errorf("bfplacement: assignment %d is older than %d", a.Version, old.assignment.Version)
+		}
+		if e.current.CompareAndSwap(old, next) {
+			return nil
+		}
+	}
+}
+
+// Version returns the version of the assignment in use, or 0.
+func (e *Entry) Version() uint64 {
+	if v := e.current.Load(); v != nil {
+		return v.assignment.Version
+	}
+	return 0
+}
+
+// List returns the ranked list of a client's block, or false where none is known.
+func (e *Entry) List(client netip.Addr) (List, bool) {
+	return e.current.Load().list(client)
+}
+
+func (v *view) list(client netip.Addr) (List, bool) {
+	if v == nil {
+		return List{}, false
+	}
+	b, ok := v.index.Block(client)
+	if !ok {
+		return List{}, false
+	}
+	return v.assignment.Lists[v.assignment.List[b]], true
+}
+
+// Entries returns the entries for a client address, best first.
+func (e *Entry) Entries(_ string, client netip.Addr) []briarferry.PlacedEntry {
+	live := e.usable()
+	v := e.current.Load()
+	l, ok := v.list(client)
+	if !ok {
+		return e.fallBack(live, client)
+	}
+	var out []briarferry.PlacedEntry
+	for _, vms := range e.bySite(live, v.assignment.Sites, l.Sites) {
+		weight := otherWeight
+		if len(out) == 0 {
+			weight = mainWeight
+		}
+		if len(out) == maxEntries {
+			break
+		}
+		for _, at := range rank(live, vms, client) {
+			// The last place is kept for another site than the first.
+			if len(out) < maxEntries-1 || (weight == otherWeight && len(out) < maxEntries) {
+				out = append(out, briarferry.PlacedEntry{VM: live[at], Weight: weight})
+			}
+		}
+	}
+	if len(out) == 0 {
+		return e.fallBack(live, client)
+	}
+	return out
+}
+
+func (e *Entry) usable() []briarferry.VM {
+	live := e.Members.Live()
+	if e.MayTakeWork == nil {
+		return live
+	}
+	out := make([]briarferry.VM, 0, len(live))
+	for i := range live {
+		if e.MayTakeWork(live[i]) {
+			out = append(out, live[i])
+		}
+	}
+	return out
+}
+
+// bySite returns the indexes of the live VMs of each site of a list.
+func (e *Entry) bySite(live []briarferry.VM, names []string, list []uint16) [listLength][]int {
+	var out [listLength][]int
+	for i := range live {
+		site := live[i].Name
+		if e.SiteOf != nil {
+			site = e.SiteOf(live[i])
+		}
+		for j, s := range list {
+			if site == names[s] {
+				out[j] = append(out[j], i)
+			}
+		}
+	}
+	return out
+}
+
+// fallBack names this entry's own region first, spread over failure domains. The
+// client's address orders the VMs, so that clients spread evenly over them.
+func (e *Entry) fallBack(live []briarferry.VM, client netip.Addr) []briarferry.PlacedEntry {
+	own := e.Members.Self().Region
+	all := make([]int, len(live))
+	for i := range all {
+		all[i] = i
+	}
+	ranked := rank(live, all, client)
+	slices.SortStableFunc(ranked, func(a, b int) int {
+		return cmp.Compare(boolInt(live[a].Region != own), boolInt(live[b].Region != own))
+	})
+	var out []briarferry.PlacedEntry
+	for _, at := range spread(live, ranked) {
+		weight := otherWeight
+		if live[at].Region == own || live[ranked[0]].Region != own {
+			weight = mainWeight
+		}
+		out = append(out, briarferry.PlacedEntry{VM: live[at], Weight: weight})
+	}
+	// Entries of the own region stay first where spreading put another before them.
+	slices.SortStableFunc(out, func(a, b briarferry.PlacedEntry) int { return cmp.Compare(b.Weight, a.Weight) })
+	return out
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// spread picks the first VM of each failure domain, then the others.
+func spread(vms []briarferry.VM, ranked []int) []int {
+	type domain struct{ region, name string }
+	seen := map[domain]bool{}
+	var out, rest []int
+	for _, at := range ranked {
+		d := domain{vms[at].Region, vms[at].FailureDomain}
+		if seen[d] {
+			rest = append(rest, at)
+			continue
+		}
+		seen[d] = true
+		out = append(out, at)
+	}
+	out = append(out, rest...)
+	return out[:min(len(out), maxEntries)]
+}
+
+// rank orders some of the VMs by a hash of their name and the client's network, so
+// that each client keeps its order when another VM leaves.
+func rank(vms []briarferry.VM, some []int, client netip.Addr) []int {
+	bits := 56
+	if client = client.Unmap(); client.Is4() {
+		bits = 24
+	}
+	network, _ := client.Prefix(bits)
+	seed := fnvOffset
+	for _, c := range network.Addr().As16() {
+		seed = (seed ^ uint64(c)) * fnvPrime
+	}
+	score := make([]uint64, len(vms))
+	for _, at := range some {
+		h := seed
+		for _, c := range []byte(vms[at].Name) {
+			h = (h ^ uint64(c)) * fnvPrime
+		}
+		score[at] = mix(h)
+	}
+	slices.SortFunc(some, func(a, b int) int {
+		if c := cmp.Compare(score[b], score[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(vms[a].Name, vms[b].Name)
+	})
+	return some
+}
+
+// mix spreads FNV's weak upper bits, which differ little between names that differ
+// in their last letter only.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- /dev/null
+++ b/internal/transport/bfentry/plain.go
@@ -0,0 +1,97 @@
+package bfentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"briarferry"
+)
+
+type (
+	// FixedConfig is a configuration that never changes.
+	FixedConfig struct {
+		Config *briarferry.Config
+	}
+
+	// FixedMembers is a membership that never changes.
+	FixedMembers struct {
+		Own briarferry.VM
+		All []briarferry.VM
+	}
+
+	// MemoryClaims keeps claims in the memory of one process.
+	MemoryClaims struct {
+		mu    sync.Mutex
+		table map[string]*memoryClaim
+	}
+
+	memoryClaim struct {
+		claim  briarferry.Claim
+		done   bool
+		answer briarferry.Answer
+	}
+)
+
+// Current returns the configuration with a lease that does not end.
+func (f FixedConfig) Current() (*briarferry.Config, briarferry.Lease, bool) {
+	return f.Config, briarferry.Lease{Version: f.Config.Version, ExpiresAt: time.Now().Add(time.Hour)}, true
+}
+
+// Self returns the own VM.
+func (f FixedMembers) Self() briarferry.VM { return f.Own }
+
+// Live returns all VMs.
+func (f FixedMembers) Live() []briarferry.VM { return f.All }
+
+// Connected is always true.
+func (f FixedMembers) Connected() bool { return true }
+
+// Claim grants a key to its first attempt.
+func (m *MemoryClaims) Claim(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table == nil {
+		m.table = map[string]*memoryClaim{}
+	}
+	held, ok := m.table[c.Service+"/"+c.Key]
+	switch {
+	case !ok:
+		m.table[c.Service+"/"+c.Key] = &memoryClaim{claim: c}
+		return briarferry.ClaimReply{Result: briarferry.ClaimGranted}, nil
+	case held.claim.Digest != c.Digest:
+		return briarferry.ClaimReply{Result: briarferry.ClaimMismatch}, nil
+	case held.done:
+		return briarferry.ClaimReply{Result: briarferry.ClaimCompleted, Answer: &held.answer}, nil
+	default:
+		return briarferry.ClaimReply{Result: briarferry.ClaimHeld}, nil
+	}
+}
+
+// Complete records the answer.
+func (m *MemoryClaims) Complete(_ context.Context, c briarferry.Claim, a briarferry.Answer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if held, ok := m.table[c.Service+"/"+c.Key]; ok && held.claim.Token == c.Token {
+		held.done, held.answer = true, a
+	}
+	return nil
+}
+
+// Release forgets a claim that was not dispatched.
+func (m *MemoryClaims) Release(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.table, c.Service+"/"+c.Key)
+	return briarferry.ClaimReply{Result: briarferry.ClaimReleased}, nil
+}
+
+// Refuse reports a key as released where no attempt holds it.
+func (m *MemoryClaims) Refuse(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.table[c.Service+"/"+c.Key]; ok {
+		return briarferry.ClaimReply{Result: briarferry.ClaimHeld}, nil
+	}
+	return briarferry.ClaimReply{Result: briarferry.ClaimReleased}, nil
+}
--- /dev/null
+++ b/internal/transport/bfentry/request.go
@@ -0,0 +1,73 @@
+package bfentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if reason := e.unready(); reason != "" {
+		refuseEarly(w, r, refuseUnready(reason))
+		return
+	}
+	cfg, lease, ok := e.Config.Current()
+	if !ok {
+		refuseEarly(w, r, refuseNoLease())
+		return
+	}
+	name := bfapi.RequestService(r)
+	s, ok := cfg.Service(name)
+	if !ok {
+		refuseEarly(w, r, refuseUnknownService(name))
+		return
+	}
+	req, err := bfapi.ReadRequest(w, r, cfg, s)
+	if err != nil {
+		refuseEarly(w, r, err)
+		return
+	}
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := tracer.Start(ctx, "request")
+	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	a, err := e.Pipeline.Run(ctx, s, req, lease)
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	if err != nil {
+		bfapi.WriteError(w, req.ID, err)
+		return
+	}
+	writeAnswer(w, req, a)
+}
+
+// refuseEarly ends a request before its key was looked at. A request with a key may
+// have run through an earlier attempt, so none is told that it did not run.
+func refuseEarly(w http.ResponseWriter, r *http.Request, err error) {
+	p, retryAfter := bfapi.ProblemOf(err)
+	p.RequestID = r.Header.Get(bfapi.HeaderRequestID)
+	if r.Header.Get(bfapi.HeaderIdempotencyKey) != "" {
+		p.Outcome = briarferry.OutcomeUnknown
+	}
+	bfapi.WriteProblem(w, p, retryAfter)
+}
+
+func writeAnswer(w http.ResponseWriter, req *briarferry.Request, a *briarferry.Answer) {
+	for name, values := range a.Header {
+		w.Header()[http.CanonicalHeaderKey(name)] = values
+	}
+	w.Header().Set(bfapi.HeaderRequestID, req.ID)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/internal/transport/bfrpc/quarantine.go
@@ -0,0 +1,78 @@
+package bfrpc
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"briarferry"
+	"briarferry/internal/coordination/bfquarantine"
+	"briarferry/internal/protocol/bfwire"
+)
+
+const (
+	quarantineLock   = "/briarferry.Quarantine/Lock"
+	quarantineUnlock = "/briarferry.Quarantine/Unlock"
+	quarantineShare  = "/briarferry.Quarantine/Share"
+	quarantineFetch  = "/briarferry.Quarantine/Fetch"
+)
+
+// QuarantinePeers implements bfquarantine.Peers over connect. Its fields are set
+// before use.
+type QuarantinePeers struct {
+	HTTP connect.HTTPClient
+}
+
+// Lock asks the VM for the only run of a fingerprint.
+func (p QuarantinePeers) Lock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) (bool, error) {
+	reply, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineLockReply](ctx, p.HTTP, vm, quarantineLock, &r)
+	if err != nil {
+		return false, err
+	}
+	return reply.Granted, nil
+}
+
+// Unlock ends the run.
+func (p QuarantinePeers) Unlock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) error {
+	_, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineUnlock, &r)
+	return err
+}
+
+// Share tells the VM about crashes and clearances.
+func (p QuarantinePeers) Share(ctx context.Context, vm briarferry.VM, u bfquarantine.Update) error {
+	_, err := callVM[bfwire.QuarantineUpdate, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineShare, &u)
+	return err
+}
+
+// Fetch returns what the VM knows.
+func (p QuarantinePeers) Fetch(ctx context.Context, vm briarferry.VM) (bfquarantine.Update, error) {
+	u, err := callVM[bfwire.QuarantineQuery, bfwire.QuarantineUpdate](ctx, p.HTTP, vm, quarantineFetch, &bfwire.QuarantineQuery{})
+	if err != nil {
+		return bfquarantine.Update{}, err
+	}
+	return *u, nil
+}
+
+func callVM[Req, Res any](ctx context.Context, client connect.HTTPClient, vm briarferry.VM, procedure string, req *Req) (*Res, error) {
+	return NewCall[Req, Res](client, "http://"+vm.RPC.String(), procedure)(ctx, req)
+}
+
+// HandleQuarantine serves the calls of other entries' QuarantinePeers.
+func HandleQuarantine(mux *http.ServeMux, q *bfquarantine.Quarantine) {
+	Handle(mux, quarantineLock, func(_ context.Context, r *bfwire.QuarantineLock) (*bfwire.QuarantineLockReply, error) {
+		return &bfwire.QuarantineLockReply{Granted: q.Acquire(*r)}, nil
+	})
+	Handle(mux, quarantineUnlock, func(_ context.Context, r *bfwire.QuarantineLock) (*bfwire.QuarantineDone, error) {
+		q.Release(*r)
+		return &bfwire.QuarantineDone{}, nil
+	})
+	Handle(mux, quarantineShare, func(_ context.Context, u *bfwire.QuarantineUpdate) (*bfwire.QuarantineDone, error) {
+		q.Receive(*u)
+		return &bfwire.QuarantineDone{}, nil
+	})
+	Handle(mux, quarantineFetch, func(context.Context, *bfwire.QuarantineQuery) (*bfwire.QuarantineUpdate, error) {
+		u := q.Known()
+		return &u, nil
+	})
+}
