Lock the data folder and test formation and repeated losses

A follower can get two ticks at once after a pause, so the lease is now two ticks shorter than the election timeout instead of one. Formation asks all control VMs at once. Tests cover a missing control VM at formation, two lost disks, and a second lost VM right after a repair.

--- /dev/null
+++ b/internal/coordination/bfreplica/formation_test.go
@@ -0,0 +1,115 @@
+package bfreplica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarferry/internal/state/bfstorage"
+)
+
+func (c *cluster) stopAll(vms ...string) {
+	for _, vm := range vms {
+		m := c.member(vm)
+		m.stop()
+		<-m.ended
+	}
+}
+
+// wipe restarts the replica on a VM with an empty data folder.
+func (c *cluster) wipe(vm string) {
+	c.stopAll(vm)
+	c.start(vm, bfstorage.NewMemory(rand.New(rand.NewPCG(uint64(vm[0]), uint64(time.Now().UnixNano())))))
+}
+
+func (c *cluster) waitFor(what string, ok func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(60 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not reached in time: %s", what)
+		}
+	}
+}
+
+// TestFormationNeedsAll guards against a new group that a part of the control VMs
+// forms beside another group.
+func TestFormationNeedsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, farDelay, memoryFS(1), nil)
+		defer c.close()
+		c.isolate("b", true)
+		time.Sleep(20 * time.Second)
+		for _, vm := range []string{"a", "b", "c"} {
+			if last := c.member(vm).node.Info().LastIndex; last != 0 {
+				t.Errorf("%s has %d entries although b is cut off", vm, last)
+			}
+		}
+		c.isolate("b", false)
+		c.propose("first")
+		if got := c.converge(); len(got) != 1 {
+			t.Errorf("commands %v", got)
+		}
+	})
+}
+
+// TestMajorityOfDisksLost guards against wiped replicas that start a new group and
+// forget what was acknowledged.
+func TestMajorityOfDisksLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, farDelay, memoryFS(2), nil)
+		defer c.close()
+		c.propose("first")
+		c.converge()
+		c.stopAll("a", "b")
+		c.wipe("a")
+		c.wipe("b")
+		time.Sleep(30 * time.Second)
+		if l := c.leader(); l != nil {
+			t.Errorf("%s leads after two of three disks were lost at once", l.vm)
+		}
+		for _, vm := range []string{"a", "b"} {
+			if last := c.member(vm).node.Info().LastIndex; last != 0 {
+				t.Errorf("%s has %d entries", vm, last)
+			}
+		}
+	})
+}
+
+// TestSecondLossAfterRepair guards against a group that stops, or forgets, when a
+// second VM is lost right after a wiped one was repaired.
+func TestSecondLossAfterRepair(t *testing.T) {
+	for seed, order := range [][2]string{{"a", "b"}, {"b", "c"}, {"c", "a"}, {"a", "c"}} {
+		synctest.Test(t, func(t *testing.T) { secondLoss(t, uint64(seed), order) })
+	}
+}
+
+func secondLoss(t *testing.T, seed uint64, order [2]string) {
+	c := newCluster(t, seed, farDelay, memoryFS(seed), func(n *Node) { n.SnapshotEntries = 20 })
+	defer c.close()
+	for i := range 50 {
+		c.propose(fmt.Sprint("before ", i))
+	}
+	old := c.member(order[0]).node.Info().ID
+	c.wipe(order[0])
+	c.waitFor("replaced id", func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		s := l.node.Status()
+		return len(s.Voters) == 3 && !slices.Contains(s.Voters, old) && s.Commit == s.Applied
+	})
+	c.isolate(order[1], true)
+	c.stopAll(order[1])
+	for i := range 20 {
+		c.proposeElsewhere(order[1], fmt.Sprint("after ", i))
+	}
+	c.isolate(order[1], false)
+	c.start(order[1], c.member(order[1]).fs)
+	if got := c.converge(); len(got) != 70 || got[0] != "before 0" || got[69] != "after 19" {
+		t.Errorf("seed %d, wiped %s, lost %s: %d commands", seed, order[0], order[1], len(got))
+	}
+}
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,16 +38,8 @@
 func (n *Node) tryForm(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, formTimeout)
 	defer cancel()
-	own := n.Info()
-	ids := []string{own.ID}
-	for _, vm := range n.Control {
-		if vm == n.VM {
-			continue
-		}
-		info, err := n.Discovery.Info(ctx, vm)
-		if err != nil {
-			continue
-		}
+	ids := []string{n.Info().ID}
+	for vm, info := range n.askAll(ctx) {
 		if info.LastIndex > 0 {
 			n.enter(ctx, vm, info)
 			return
@@ -62,6 +55,30 @@
 	}
 }
 
+// askAll returns what the replicas on the other control VMs answer. It asks all at
+// once, so that a VM that is cut off delays no answer of another.
+func (n *Node) askAll(ctx context.Context) map[string]Info {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	answers := map[string]Info{}
+	for _, vm := range n.Control {
+		if vm == n.VM {
+			continue
+		}
+		group.Go(func() {
+			info, err := n.Discovery.Info(ctx, vm)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[vm] = info
+		})
+	}
+	group.Wait()
+	return answers
+}
+
 // enter joins the group of a replica that is not empty.
 func (n *Node) enter(ctx context.Context, vm string, info Info) {
 	if slices.Contains(info.FirstVoters, n.Info().ID) {
@@ -74,7 +91,10 @@
 	}
 	for _, target := range targets {
 		if target != n.VM && n.Discovery.Join(ctx, target, n.Info().ID) == nil {
-			n.Log.Info().Str("vm", target).Msg("replica asked to join")
+			if !n.joining {
+				n.Log.Info().Str("vm", target).Msg("replica joins")
+			}
+			n.joining = true
 			return
 		}
 	}
@@ -145,7 +165,7 @@
 // replaced tells whether a silent replica has a successor that answers on the same
 // VM. A voter is removed only for a voter, so that the group never gets smaller.
 func (n *Node) replaced(m bfraft.Membership, id string) bool {
-	limit := int(n.ElectionTimeout / n.Tick)
+	limit := n.ticks(n.ElectionTimeout)
 	if id == n.core.ID() || n.core.Silent(id) < limit {
 		return false
 	}
--- a/internal/coordination/bfreplica/lease.go
+++ b/internal/coordination/bfreplica/lease.go
@@ -11,8 +11,9 @@
 
 // lease tracks the leader's quorum lease. A follower that answers a heartbeat refuses
 // votes for the election timeout, counted from when it got the heartbeat. The leader
-// counts from before it sent the heartbeat, for one tick less (a follower's first tick
-// may come at once) and less the margin, so its lease always ends first.
+// counts from before it sent the heartbeat, for two ticks less (after a pause a follower
+// may get a late tick and the next one at once) and less the margin, so its lease
+// always ends first.
 type lease struct {
 	term   uint64
 	rounds []roundStart
@@ -51,7 +52,7 @@
 		l.until = time.Time{}
 		return
 	}
-	length := time.Duration(float64(n.ElectionTimeout-n.Tick) * (1 - leaseMargin))
+	length := time.Duration(float64(n.ticks(n.ElectionTimeout)-2) * float64(n.Tick) * (1 - leaseMargin))
 	acked := n.core.QuorumRound()
 	for len(l.rounds) > 0 && l.rounds[0].round <= acked {
 		l.until = l.rounds[0].at.Add(length)
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -119,6 +119,8 @@
 		leaderTerm  uint64
 		leaderSince time.Time
 		housekeep   int
+		// joining belongs to the goroutine that forms or joins a group.
+		joining bool
 
 		waits waitTable
 
@@ -187,6 +189,8 @@
 	return n.loop(ctx, work)
 }
 
+func (n *Node) ticks(d time.Duration) int { return max(1, int(d/n.Tick)) }
+
 // open reads the data folder and prepares the state machine.
 func (n *Node) open() error {
 	storage, rec, err := bfstorage.Open(n.FS, n.Dir, 0)
@@ -203,10 +207,9 @@
 			return err
 		}
 	}
-	ticks := func(d time.Duration) int { return max(1, int(d/n.Tick)) }
 	n.core, err = bfraft.New(bfraft.Config{
-		ID: n.VM + "/" + rec.DiskID, ElectionTicks: ticks(n.ElectionTimeout), SpreadTicks: ticks(n.ElectionSpread),
-		HeartbeatTicks: ticks(n.Heartbeat), MaxMessageBytes: maxMessageBytes, MaxInflight: maxInflight,
+		ID: n.VM + "/" + rec.DiskID, ElectionTicks: n.ticks(n.ElectionTimeout), SpreadTicks: n.ticks(n.ElectionSpread),
+		HeartbeatTicks: n.ticks(n.Heartbeat), MaxMessageBytes: maxMessageBytes, MaxInflight: maxInflight,
 		KeepEntries: n.SnapshotEntries / 4, Rand: n.Rand,
 	}, recovered)
 	if err != nil {
--- a/internal/coordination/bfreplica/node_test.go
+++ b/internal/coordination/bfreplica/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -16,12 +17,17 @@
 
 const farDelay = 55 * time.Millisecond
 
+var (
+	firstSeed = flag.Uint64("replica.seed", 0, "first seed of the crash test")
+	seeds     = flag.Uint64("replica.seeds", 8, "number of seeds of the crash test")
+)
+
 // TestLeaderLoss guards against an election that leaves changes and claims waiting
 // for 2 s or more with 55 ms between regions.
 func TestLeaderLoss(t *testing.T) {
 	var worst, sum time.Duration
-	const seeds = 40
-	for seed := range uint64(seeds) {
+	const runs = 40
+	for seed := range uint64(runs) {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster(t, seed, farDelay, memoryFS(seed), nil)
 			defer c.close()
@@ -36,7 +42,7 @@
 			worst, sum = max(worst, gap), sum+gap
 		})
 	}
-	t.Logf("leader loss to next commit: mean %v, worst %v of seeds 0 to %d", sum/seeds, worst, seeds-1)
+	t.Logf("leader loss to next commit: mean %v, worst %v of seeds 0 to %d", sum/runs, worst, runs-1)
 	if worst >= 2*time.Second {
 		t.Errorf("worst gap is %v", worst)
 	}
@@ -168,7 +174,7 @@
 // ErrNotLeader was returned, and two leases at once, while replicas crash in the
 // middle of disk writes, lose messages and are cut off.
 func TestCrashes(t *testing.T) {
-	for seed := range uint64(8) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		synctest.Test(t, func(t *testing.T) { crashes(t, seed) })
 	}
 }
--- a/internal/coordination/bfreplica/propose.go
+++ b/internal/coordination/bfreplica/propose.go
@@ -34,7 +34,7 @@
 )
 
 // Propose appends a command where this replica leads and returns its result once
-// it is applied here.
+// it is applied here. The command must not be changed afterwards.
 func (n *Node) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
 	n.setup()
 	if len(cmd) > maxCommandBytes {
--- a/internal/state/bfstorage/fs.go
+++ b/internal/state/bfstorage/fs.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"slices"
+	"syscall"
 )
 
 type (
@@ -33,10 +34,28 @@
 		Close() error
 	}
 
+	// Locker is a file system that can keep a second process out of a folder.
+	Locker interface {
+		Lock(name string) (io.Closer, error)
+	}
+
 	// OS is the real file system.
 	OS struct{}
 )
 
+// Lock takes the lock of a file until the result is closed, or fails where another
+// process holds it.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
 // MkdirAll makes a folder and its parents.
 func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o755) }
 
--- a/internal/state/bfstorage/storage.go
+++ b/internal/state/bfstorage/storage.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"io/fs"
 	"path/filepath"
 	"slices"
@@ -17,6 +18,7 @@
 
 const (
 	diskFile            = "disk"
+	lockFile            = "lock"
 	defaultSegmentBytes = 16 << 20
 )
 
@@ -27,6 +29,8 @@
 		fs  FS
 		dir string
 		wal *wal
+		// lock keeps other processes out; it is nil where the file system has no locks.
+		lock io.Closer
 		// failed is the first write error. A file's content is unknown after a
 		// failed sync, so nothing is written after it.
 		failed error
@@ -57,30 +61,53 @@
 	if err := fsys.SyncDir(filepath.Dir(dir)); err != nil {
 		return nil, nil, eris.Wrap(err, "bfstorage: sync parent folder")
 	}
-	names, err := cleanFolder(fsys, dir)
+	s := &Storage{fs: fsys, dir: dir}
+	if l, ok := fsys.(Locker); ok {
+		lock, err := l.Lock(filepath.Join(dir, lockFile))
+		if err != nil {
+			return nil, nil, eris.Wrapf(err, "bfstorage: data folder %s is in use", dir)
+		}
+		s.lock = lock
+	}
+	rec, err := s.recover(segmentBytes)
 	if err != nil {
+		s.unlock()
 		return nil, nil, err
 	}
+	return s, rec, nil
+}
+
+func (s *Storage) recover(segmentBytes int) (*Recovered, error) {
+	names, err := cleanFolder(s.fs, s.dir)
+	if err != nil {
+		return nil, err
+	}
 	rec := &Recovered{}
-	if rec.DiskID, err = diskID(fsys, dir, names); err != nil {
-		return nil, nil, err
+	if rec.DiskID, err = diskID(s.fs, s.dir, names); err != nil {
+		return nil, err
 	}
-	if rec.Snapshot, err = readSnapshot(fsys, dir, names); err != nil {
-		return nil, nil, err
+	if rec.Snapshot, err = readSnapshot(s.fs, s.dir, names); err != nil {
+		return nil, err
 	}
-	w, p, err := openWAL(fsys, dir, segmentBytes, names)
+	w, p, err := openWAL(s.fs, s.dir, segmentBytes, names)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
+	s.wal = w
 	rec.HardState = p.hard
 	if rec.Entries, err = p.after(rec.Snapshot); err != nil {
-		return nil, nil, err
+		return nil, errors.Join(err, w.file.Close())
 	}
-	s := &Storage{fs: fsys, dir: dir, wal: w}
 	if rec.Snapshot != nil {
 		s.snapshot = rec.Snapshot.Index
 	}
-	return s, rec, nil
+	return rec, nil
+}
+
+func (s *Storage) unlock() {
+	if s.lock != nil {
+		_ = s.lock.Close()
+	}
 }
 
 // cleanFolder removes temporary files and returns the other names.
@@ -208,8 +235,11 @@
 	})
 }
 
-// Close closes the current segment.
-func (s *Storage) Close() error { return s.wal.file.Close() }
+// Close closes the current segment and gives the folder's lock back.
+func (s *Storage) Close() error {
+	defer s.unlock()
+	return s.wal.file.Close()
+}
 
 func (s *Storage) guard(fn func() error) error {
 	if s.failed == nil {
--- a/internal/state/bfstorage/storage_test.go
+++ b/internal/state/bfstorage/storage_test.go
@@ -207,6 +207,9 @@
 	if err := s.SaveSnapshot(Snapshot{Index: 1, Term: 1, Data: []byte("state")}); err != nil {
 		t.Fatal(err)
 	}
+	if _, _, err := Open(OS{}, dir, 0); err == nil {
+		t.Error("a second process opened the folder")
+	}
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
