Explain crashes by requests with strikes of their own

Cause: of two crashing requests, one within a single failure domain still hid the other's crashes; runs on loopback lost a third server to it. Change: a crash that a request with two strikes explains is no sign of a failed domain either.

--- a/internal/coordination/bfquarantine/quarantine_test.go
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -164,15 +164,26 @@
 // TestTwoCrashingRequests guards against crashes of one request that hide those of
 // another in the same failure domains.
 func TestTwoCrashingRequests(t *testing.T) {
-	table, now := newTable(), time.Unix(1000, 0)
-	for f := range uint64(2) {
-		for _, n := range []int{int(f), 2 + int(f)} {
-			b := server(n)
-			table.add(now, Crash{Backend: b.ID(), FailureDomain: b.FailureDomain, Fingerprints: []uint64{f}})
-		}
+	cases := []struct {
+		name    string
+		servers [2][2]int
+		domains [2][2]string
+	}{
+		{"across domains", [2][2]int{{0, 2}, {1, 3}}, [2][2]string{{"a", "b"}, {"a", "b"}}},
+		{"one within a domain", [2][2]int{{0, 2}, {1, 3}}, [2][2]string{{"a", "a"}, {"a", "b"}}},
 	}
-	if !table.quarantined(0) || !table.quarantined(1) {
-		t.Errorf("strikes %d and %d, want 2 each", table.strikes(0), table.strikes(1))
+	for _, tc := range cases {
+		table, now := newTable(), time.Unix(1000, 0)
+		for f := range uint64(2) {
+			for i, n := range tc.servers[f] {
+				table.add(now, Crash{Backend: server(n).ID(), FailureDomain: tc.domains[f][i], Fingerprints: []uint64{f}})
+			}
+		}
+		for f := range uint64(2) {
+			if !table.quarantined(f) {
+				t.Errorf("%s: fingerprint %d is not quarantined", tc.name, f)
+			}
+		}
 	}
 }
 
@@ -195,8 +206,8 @@
 			other.add(now, c)
 		}
 		for f := range uint64(6) {
-			if one.strikes(f) != other.strikes(f) || one.suspect(f) != other.suspect(f) {
-				rt.Fatalf("fingerprint %d: %d and %d strikes", f, one.strikes(f), other.strikes(f))
+			if one.strikes(f, one.explained) != other.strikes(f, other.explained) || one.suspect(f) != other.suspect(f) {
+				rt.Fatalf("fingerprint %d: %d and %d strikes", f, one.strikes(f, one.explained), other.strikes(f, other.explained))
 			}
 		}
 	})
--- a/internal/coordination/bfquarantine/table.go
+++ b/internal/coordination/bfquarantine/table.go
@@ -41,6 +41,9 @@
 		prints  []uint64
 	}
 
+	// explainer tells whether a crash has a known cause.
+	explainer func(c *crash) bool
+
 	// table holds crashes and decides from all of them whether a fingerprint is a
 	// suspect or quarantined, whatever order they arrived in. It has no clock and
 	// no lock.
@@ -145,50 +148,44 @@
 	return !t.suspect(f)
 }
 
-// counts tells whether the crash may speak against the fingerprint at all.
-func (t *table) counts(c *crash, f uint64) bool {
-	// A request that crashes its servers does so each time; a clean run clears it
-	// of crashes that others may have caused.
-	if len(c.prints) > 1 && !c.at.After(t.cleared[f]) {
-		return false
-	}
-	return !t.mass(c, f)
+// suspect tells whether the fingerprint was in flight in a crash that counts.
+func (t *table) suspect(f uint64) bool {
+	return slices.ContainsFunc(t.byPrint[f], func(c *crash) bool { return t.counts(c, f, t.explained) })
 }
 
-// mass tells whether the failure domain lost another server at the same time on
-// which the fingerprint was not in flight: the domain has failed then. Losses that
-// all had the fingerprint in flight are those of a request that is tried again, and
-// a loss that another crashing request explains is no sign of a failed domain.
-func (t *table) mass(c *crash, f uint64) bool {
-	for _, other := range t.crashes {
-		if other.backend != c.backend && other.domain == c.domain &&
-			near(other.at, c.at) && !slices.Contains(other.prints, f) && !t.explained(other) {
-			return true
+func (t *table) quarantined(f uint64) bool {
+	return len(t.byPrint[f]) >= strikeLimit && t.strikes(f, t.explained) >= strikeLimit
+}
+
+// strikes returns the number of servers whose crash is put down to the fingerprint.
+// Where several were in flight, a single crash is nobody's strike; it becomes one
+// only for a fingerprint that alone among them was in flight in a second crash.
+// Without this rule a crashing request would never be found on busy servers.
+func (t *table) strikes(f uint64, explained explainer) int {
+	var servers []briarferry.BackendID
+	for _, c := range t.byPrint[f] {
+		if !t.counts(c, f, explained) || slices.Contains(servers, c.backend) {
+			continue
+		}
+		if len(c.prints) == 1 || t.onlyRecurring(c, f, explained) {
+			servers = append(servers, c.backend)
 		}
 	}
-	return false
+	return len(servers)
 }
 
-// explained tells whether a request was in flight in the crash that was also in
-// flight in crashes of other failure domains. Innocent requests that are tried again
-// while one domain dies stay within it.
-func (t *table) explained(c *crash) bool {
-	return slices.ContainsFunc(c.prints, func(g uint64) bool {
-		return slices.ContainsFunc(t.byPrint[g], func(e *crash) bool { return e.domain != c.domain })
+func (t *table) onlyRecurring(c *crash, f uint64, explained explainer) bool {
+	return t.recurring(f, explained) && !slices.ContainsFunc(c.prints, func(g uint64) bool {
+		return g != f && t.recurring(g, explained)
 	})
 }
 
-// suspect tells whether the fingerprint was in flight in a crash that counts.
-func (t *table) suspect(f uint64) bool {
-	return slices.ContainsFunc(t.byPrint[f], func(c *crash) bool { return t.counts(c, f) })
-}
-
 // recurring tells whether the fingerprint was in flight in crashes of two servers.
-func (t *table) recurring(f uint64) bool {
+func (t *table) recurring(f uint64, explained explainer) bool {
 	var first *crash
 	for _, c := range t.byPrint[f] {
 		switch {
-		case !t.counts(c, f):
+		case !t.counts(c, f, explained):
 		case first == nil:
 			first = c
 		case c.backend != first.backend:
@@ -198,29 +195,44 @@
 	return false
 }
 
-// strikes returns the number of servers whose crash is put down to the fingerprint.
-// Where several were in flight, a single crash is nobody's strike; it becomes one
-// only for a fingerprint that alone among them was in flight in a second crash.
-// Without this rule a crashing request would never be found on busy servers.
-func (t *table) strikes(f uint64) int {
-	var servers []briarferry.BackendID
-	for _, c := range t.byPrint[f] {
-		if !t.counts(c, f) || slices.Contains(servers, c.backend) {
-			continue
-		}
-		if len(c.prints) == 1 || t.onlyRecurring(c, f) {
-			servers = append(servers, c.backend)
+// counts tells whether the crash may speak against the fingerprint at all.
+func (t *table) counts(c *crash, f uint64, explained explainer) bool {
+	// A request that crashes its servers does so each time; a clean run clears it
+	// of crashes that others may have caused.
+	if len(c.prints) > 1 && !c.at.After(t.cleared[f]) {
+		return false
+	}
+	return !t.mass(c, f, explained)
+}
+
+// mass tells whether the failure domain lost another server at the same time on
+// which the fingerprint was not in flight: the domain has failed then. Losses that
+// all had the fingerprint in flight are those of a request that is tried again, and
+// a loss that another crashing request explains is no sign of a failed domain.
+func (t *table) mass(c *crash, f uint64, explained explainer) bool {
+	for _, other := range t.crashes {
+		if other.backend != c.backend && other.domain == c.domain &&
+			near(other.at, c.at) && !slices.Contains(other.prints, f) && !explained(other) {
+			return true
 		}
 	}
-	return len(servers)
+	return false
 }
 
-func (t *table) onlyRecurring(c *crash, f uint64) bool {
-	return t.recurring(f) && !slices.ContainsFunc(c.prints, func(g uint64) bool {
-		return g != f && t.recurring(g)
+// explained tells whether another crashing request is known to have caused the
+// crash: one that was in flight in crashes of several domains, or one with enough
+// strikes of its own.
+func (t *table) explained(c *crash) bool {
+	return t.acrossDomains(c) || slices.ContainsFunc(c.prints, func(g uint64) bool {
+		return t.strikes(g, t.acrossDomains) >= strikeLimit
 	})
 }
 
-func (t *table) quarantined(f uint64) bool {
-	return len(t.byPrint[f]) >= strikeLimit && t.strikes(f) >= strikeLimit
+// acrossDomains tells whether a request was in flight that was also in flight in
+// crashes of other failure domains. Innocent requests that are tried again while
+// one domain dies stay within it.
+func (t *table) acrossDomains(c *crash) bool {
+	return slices.ContainsFunc(c.prints, func(g uint64) bool {
+		return slices.ContainsFunc(t.byPrint[g], func(e *crash) bool { return e.domain != c.domain })
+	})
 }
