Report blocks that no shift cap lets through

A block whose own demand is above a destination's cap waited for ever under the reason of the shift cap, and a drain of its site never said that it can't end. It now has a reason of its own and counts as a drain that would break a limit.

--- a/internal/coordination/bfplacement/network.go
+++ b/internal/coordination/bfplacement/network.go
@@ -33,7 +33,9 @@
 		cold        []bool
 		// extra is what a site, region or link carries beyond its assigned blocks:
 		// cached look-ups of departed blocks and measured load above the plan.
-		extra    loads
+		extra loads
+		// capFull is the whole cap of each region and capLeft what is left of it.
+		capFull  []Rate
 		capLeft  []Rate
 		coldLeft []Rate
 		// cursor is the next block to look at when a class of a site is evicted.
@@ -117,11 +119,12 @@
 
 // setCaps derives what each destination may still receive in this interval.
 func (s *step) setCaps(l Limits, arrivals []arrival) {
+	s.capFull = make([]Rate, len(s.Regions))
 	s.capLeft = make([]Rate, len(s.Regions))
 	s.coldLeft = make([]Rate, len(s.Regions))
 	for i, limit := range s.regionLimit {
 		share := Rate(float64(limit) * l.ShiftCapShare)
-		s.capLeft[i] = share
+		s.capFull[i], s.capLeft[i] = share, share
 		s.coldLeft[i] = Rate(float64(share) * l.ColdShare)
 	}
 	for _, a := range arrivals {
--- a/internal/coordination/bfplacement/shift.go
+++ b/internal/coordination/bfplacement/shift.go
@@ -91,7 +91,10 @@
 // fitsRegion checks the cap, the region's limit and the link; at is the site where
 // the block stays, if it does.
 func (p *Planner) fitsRegion(s *step, q search, region, at int) Reason {
-	if p.shiftRate(q, at) > max(0, s.capLeft[region]) && !s.unlimited {
+	if rate := p.shiftRate(q, at); rate > max(0, s.capLeft[region]) && !s.unlimited {
+		if rate > s.capFull[region] && s.regionLimit[region] > 0 {
+			return HeldByBlockSize
+		}
 		return HeldByShiftCap
 	}
 	if p.regionNeed(s, q, region) > 0 {
--- a/internal/coordination/bfplacement/types.go
+++ b/internal/coordination/bfplacement/types.go
@@ -44,8 +44,11 @@
 	HeldBySilence
 	// HeldByOutage is demand whose region has no site that is up.
 	HeldByOutage
+	// HeldByBlockSize is a block whose demand alone is above the destination's cap.
+	// It stays where it is until the block is split or the limits change.
+	HeldByBlockSize
 
-	reasons = int(HeldByOutage) + 1
+	reasons = int(HeldByBlockSize) + 1
 )
 
 type (
@@ -198,7 +201,7 @@
 
 // String names the limit as status pages show it.
 func (r Reason) String() string {
-	names := [...]string{"none", "shift cap", "cold-site cap", "site limit", "region limit", "link limit", "silent measurements", "no site up"}
+	names := [...]string{"none", "shift cap", "cold-site cap", "site limit", "region limit", "link limit", "silent measurements", "no site up", "block above the cap"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/transport/bfcapacity/days.go
+++ b/internal/transport/bfcapacity/days.go
@@ -168,7 +168,7 @@
 func most(held map[bfplacement.Reason]bfplacement.Rate) string {
 	best := bfplacement.Reason(0)
 	for _, r := range []bfplacement.Reason{bfplacement.HeldByShiftCap, bfplacement.HeldByColdCap, bfplacement.HeldBySite,
-		bfplacement.HeldByRegion, bfplacement.HeldByLink, bfplacement.HeldBySilence, bfplacement.HeldByOutage} {
+		bfplacement.HeldByRegion, bfplacement.HeldByLink, bfplacement.HeldBySilence, bfplacement.HeldByOutage, bfplacement.HeldByBlockSize} {
 		if held[r] > held[best] {
 			best = r
 		}
--- a/internal/transport/bfcapacity/planner_test.go
+++ b/internal/transport/bfcapacity/planner_test.go
@@ -203,6 +203,24 @@
 	}
 }
 
+// TestBlockAboveCap guards against a drain that waits for ever for a block which no
+// cap lets through, without saying so.
+func TestBlockAboveCap(t *testing.T) {
+	w := NewWorld(90)
+	p := mustPlanner(t, w)
+	mustStep(t, p, start, w.Net)
+	w.Net.Sites = bfplacement.Drain(w.Net.Sites, func(s bfplacement.Site) bool { return s.Region == 2 })
+	var plan bfplacement.Plan
+	for i := range 20 {
+		plan = mustStep(t, p, start.Add(time.Duration(i+1)*15*time.Second), w.Net)
+	}
+	reported := slices.ContainsFunc(plan.Held, func(h bfplacement.Held) bool { return h.Reason == bfplacement.HeldByBlockSize })
+	breaks := slices.ContainsFunc(plan.Drains, func(d bfplacement.DrainProgress) bool { return d.WouldBreakLimit })
+	if !reported || !breaks {
+		t.Fatalf("held %+v, drains %+v", plan.Held, plan.Drains)
+	}
+}
+
 // TestSilenceFreezes guards against reading silent measurements as an idle region.
 func TestSilenceFreezes(t *testing.T) {
 	w := NewWorld(9000)
