--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -38,8 +38,10 @@
 	// Alone is the configuration of a process that runs without a control group.
 	Alone     *briarferry.Config
 	Resolvers []netip.Prefix
-	DrainFor  time.Duration
-	Log       zerolog.Logger
+	// Token must come with operators' changes; empty asks for none.
+	Token    string
+	DrainFor time.Duration
+	Log      zerolog.Logger
 }
 
 // Run serves until ctx ends, then drains and stops.
@@ -63,6 +65,7 @@
 		TrustedResolvers: n.Resolvers,
 		Pipeline:         n.newPipeline(parts, group, mux, control, sharing),
 		Operators:        control.operators,
+		Local:            control.describe,
 	}
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
@@ -74,6 +77,7 @@
 	group.Go(func() error {
 		defer stop()
 		defer func() {
+			control.handOver()
 			sharing.Members.Leave()
 			time.Sleep(lingerFor)
 		}()
