--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -216,6 +216,8 @@
 	r.role, r.leader = Follower, leader
 	r.progress, r.transferee, r.needRound = nil, "", false
 	r.transfer = false
+	// Chunks of another leader's snapshot may be encoded differently.
+	r.incoming = nil
 	r.resetTimer()
 }
 
@@ -229,7 +231,7 @@
 // votes have to fit.
 func (r *Raft) retryTimer() {
 	r.elapsed = 0
-	r.timeout = r.cfg.ElectionTicks/3 + 1 + r.cfg.Rand.IntN(r.cfg.ElectionTicks/2+1)
+	r.timeout = r.cfg.ElectionTicks/4 + 1 + r.cfg.Rand.IntN(r.cfg.ElectionTicks/4+1)
 }
 
 // Propose appends commands and returns the index of the first one.
--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"net/netip"
 	"time"
@@ -10,16 +9,10 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
-	"briarferry/internal/coordination/bfadmission"
-	"briarferry/internal/coordination/bfbalancer"
-	"briarferry/internal/coordination/bfplacement"
-	"briarferry/internal/transport/bfentry"
+	"briarferry/internal/transport/bfnode"
 	"briarferry/internal/transport/bftrace"
-	"briarferry/internal/transport/bfupstream"
 )
 
-const stopWithin = 60 * time.Second
-
 type (
 	// serveFlags are the settings of a serve process as text.
 	serveFlags struct {
@@ -27,6 +20,7 @@
 		http, rpc, gossip           string
 		peers, control, data        string
 		config, resolvers, logLevel string
+		token                       string
 		traceEndpoint               string
 		traceShare                  float64
 		drainFor                    time.Duration
@@ -36,9 +30,10 @@
 	serveSettings struct {
 		vm        briarferry.VM
 		peers     []netip.AddrPort
-		control   []netip.AddrPort
+		control   map[string]netip.AddrPort
 		data      string
 		config    *briarferry.Config
+		token     string
 		resolvers []netip.Prefix
 		log       zerolog.Logger
 		trace     bftrace.Exporter
@@ -70,9 +65,10 @@
 	fs.StringVar(&f.rpc, "rpc", "127.0.0.1:7100", "address for calls between the system's processes")
 	fs.StringVar(&f.gossip, "gossip", "127.0.0.1:7200", "address for heartbeats")
 	fs.StringVar(&f.peers, "peers", "", "gossip addresses of the other VMs, comma separated")
-	fs.StringVar(&f.control, "control", "", "RPC addresses of the control VMs, comma separated")
+	fs.StringVar(&f.control, "control", "", "control VMs as NAME=RPC-ADDRESS, comma separated")
 	fs.StringVar(&f.data, "data", "", "data folder; makes this VM a control replica")
 	fs.StringVar(&f.config, "config", "", "configuration file for a process that runs alone")
+	fs.StringVar(&f.token, "token", "", "token that operators' changes must carry; empty for none")
 	fs.StringVar(&f.resolvers, "trusted-resolvers", "", "prefixes of resolvers that may name the client of a look-up")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
@@ -90,8 +86,9 @@
 			Incarnation: uint64(time.Now().UnixMicro()), Control: f.data != "",
 		},
 		peers:     v.addresses("peers", f.peers),
-		control:   v.addresses("control", f.control),
+		control:   v.namedAddresses("control", f.control),
 		data:      f.data,
+		token:     f.token,
 		resolvers: v.prefixes("trusted-resolvers", f.resolvers),
 		log:       v.logger(f.logLevel).With().Str("vm", f.name).Logger(),
 		trace:     bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + f.name},
@@ -110,39 +107,9 @@
 		return err
 	}
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
-	config := bfentry.FixedConfig{Config: s.config}
-	sharing := &bfentry.Sharing{
-		VM: s.vm, Seeds: s.peers, Balancer: &bfbalancer.Balancer{Seed: s.vm.Incarnation}, Config: config, Log: s.log,
-	}
-	sharing.Open()
-	entry := &bfentry.Entry{
-		Config:           config,
-		Members:          sharing.Members,
-		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: sharing.MayTakeWork},
-		Announcements:    sharing,
-		TrustedResolvers: s.resolvers,
-		Pipeline: &bfentry.Pipeline{
-			Claims:   &bfentry.MemoryClaims{},
-			Admitter: &bfadmission.Admitter{Pool: sharing.Slots, Slots: sharing.Slots.Slots},
-			Upstream: bfupstream.New(),
-		},
+	node := &bfnode.Node{
+		VM: s.vm, Peers: s.peers, Control: s.control, Data: s.data, Alone: s.config,
+		Token: s.token, Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
 	}
-	server := &bfentry.Server{Listen: s.vm.HTTP, Entry: entry, Log: s.log, DrainFor: s.drainFor, StopWithin: stopWithin}
-	return runBoth(ctx, server, sharing)
-}
-
-// runBoth keeps sharing alive until the server has drained, since requests in
-// flight still occupy slots.
-func runBoth(ctx context.Context, server *bfentry.Server, sharing *bfentry.Sharing) error {
-	serveCtx, stopServing := context.WithCancel(ctx)
-	defer stopServing()
-	shareCtx, stopSharing := context.WithCancel(context.WithoutCancel(ctx))
-	failed := make(chan error, 1)
-	go func() {
-		failed <- sharing.Run(shareCtx, server.Entry.Ready)
-		stopServing()
-	}()
-	err := server.Run(serveCtx)
-	stopSharing()
-	return errors.Join(err, <-failed)
+	return node.Run(ctx)
 }
--- a/internal/transport/bfentry/sharing.go
+++ b/internal/transport/bfnode/sharing.go
@@ -1,8 +1,9 @@
-package bfentry
+package bfnode
 
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfbalancer"
 	"briarferry/internal/coordination/bfmember"
 	"briarferry/internal/coordination/bfslot"
 	"briarferry/internal/state/bfbackend"
@@ -18,8 +20,13 @@
 
 const readyInterval = 50 * time.Millisecond
 
+var errTableFull = &briarferry.Refusal{
+	Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun,
+	Reason: "the table of backend servers is full", RetryAfter: time.Second,
+}
+
 // Sharing is what an entry shares with the other VMs: membership, announced
-// backend servers and their slots. Its exported fields are set before Start.
+// backend servers and their slots. Its exported fields are set before Open.
 type Sharing struct {
 	VM       briarferry.VM
 	Seeds    []netip.AddrPort
@@ -37,6 +44,15 @@
 	net  *bfgossip.Gnet
 }
 
+// newSharing creates what this VM shares with the others.
+func (n *Node) newSharing(c *control) *Sharing {
+	s := &Sharing{
+		VM: n.VM, Seeds: n.Peers, Balancer: &bfbalancer.Balancer{Seed: n.VM.Incarnation}, Config: c.config, Log: n.Log,
+	}
+	s.Open()
+	return s
+}
+
 // Open creates the parts, so that others can refer to them before Run.
 func (s *Sharing) Open() {
 	s.Members = bfmember.NewMembers(s.VM, s.Seeds)
@@ -83,7 +99,7 @@
 	case errors.Is(err, bfbackend.ErrStale):
 		return nil // the server announced something newer meanwhile
 	case errors.Is(err, bfbackend.ErrFull):
-		return refuseNotRun("the table of backend servers is full")
+		return errTableFull
 	}
 	return err
 }
