Apply drains in force to backend servers, look-ups and status

Cause: a drain that an operator announced was stored and shown, but had no effect on the choice of backend servers or entries.

--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -93,6 +93,20 @@
 	return n
 }
 
+// InFlight returns the requests that this entry has in flight at each server.
+func (p *Pool) InFlight() map[briarferry.BackendID]int {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[briarferry.BackendID]int)
+	for key, l := range p.leases {
+		if r := p.routes[key]; r != nil && l.inFlight > 0 {
+			out[r.id] = l.inFlight
+		}
+	}
+	return out
+}
+
 // SetDemand tells how many requests of each urgency wait for a service. More
 // demand than before is sent at once.
 func (p *Pool) SetDemand(service string, waiting map[int]int) {
--- a/internal/protocol/bfapi/status.go
+++ b/internal/protocol/bfapi/status.go
@@ -64,5 +64,9 @@
 		Target   string `json:"target"`
 		State    string `json:"state"`
 		InFlight int    `json:"in_flight"`
+		Targets  int    `json:"targets"`
+		Empty    int    `json:"empty"`
+		// BreaksLimit tells that the remaining capacity is too small for the load.
+		BreaksLimit bool `json:"breaks_limit"`
 	}
 )
--- a/internal/state/bfbackend/table.go
+++ b/internal/state/bfbackend/table.go
@@ -37,6 +37,9 @@
 		Origin string
 		// Capacity bounds the number of servers; 0 stands for DefaultCapacity.
 		Capacity int
+		// IsDrained tells whether an operator drains a server, which then counts as
+		// draining whatever it announces; nil stands for none. It is set before use.
+		IsDrained func(b briarferry.Backend) bool
 
 		shards  [shardCount]shard
 		version atomic.Uint64
@@ -149,7 +152,16 @@
 	if e == nil || e.lapsed(now) {
 		return briarferry.Backend{}, false
 	}
-	return e.backend(), true
+	return t.view(e), true
+}
+
+// view returns what users of the table see of an entry.
+func (t *Table) view(e *entry) briarferry.Backend {
+	b := e.backend()
+	if t.IsDrained != nil && t.IsDrained(b) {
+		b.State = briarferry.StateDraining
+	}
+	return b
 }
 
 // All calls f for each server with a valid lease; startedAt is when the server
@@ -160,7 +172,7 @@
 		s.mu.RLock()
 		for key, e := range s.entries {
 			if !e.lapsed(now) {
-				f(key, e.backend(), e.startedAt)
+				f(key, t.view(e), e.startedAt)
 			}
 		}
 		s.mu.RUnlock()
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -193,10 +193,31 @@
 	c.startStandin(dir, cfg)
 	for _, v := range c.vms {
 		c.waitReady(v)
+		c.waitServers(v, cfg)
 	}
+	// Homes of new servers wait out the leases that an earlier home may have granted.
+	time.Sleep(1500 * time.Millisecond)
 	return c
 }
 
+// waitServers waits until a VM knows every backend server.
+func (c *cluster) waitServers(v *vm, cfg *briarferry.Config) {
+	c.t.Helper()
+	want := 0
+	for _, s := range cfg.Services {
+		want += s.Workers
+	}
+	c.await(v.name+" knows all backend servers", readyWithin, func() bool {
+		var s bfapi.VMStatus
+		c.get(v.http, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal, &s)
+		n := 0
+		for _, service := range s.Services {
+			n += service.Servers
+		}
+		return n == want
+	})
+}
+
 func exampleConfig(t *testing.T) *briarferry.Config {
 	t.Helper()
 	data, err := os.ReadFile("../../examples/mantas.answers.json")
@@ -246,6 +267,7 @@
 	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
 		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
 	c.standin.start()
+	c.await("the stand-in answers", readyWithin, func() bool { return c.get(c.admin, "/servers", nil) == http.StatusOK })
 }
 
 // standinBase finds a run of free ports for the emulated servers.
--- a/internal/transport/bfentry/counters.go
+++ b/internal/transport/bfentry/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strings"
 	"sync"
 
 	"briarferry"
@@ -54,6 +55,18 @@
 	return c.counter(counterKey{service, class, decision}).Value()
 }
 
+// Refusals returns this process's refusals of a service by class.
+func Refusals(service string) map[string]int64 {
+	out := map[string]int64{}
+	published.values.Range(func(k, v any) bool {
+		if key := k.(counterKey); key.service == service && strings.HasPrefix(key.decision, countRefused) {
+			out[key.class] += v.(*expvar.Int).Value()
+		}
+		return true
+	})
+	return out
+}
+
 func (c *Counters) add(r *briarferry.Request, decision string) {
 	c.counter(counterKey{r.Service, r.Class.Name, decision}).Add(1)
 }
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -41,6 +41,10 @@
 		// Draining is closed when the VM takes no new work because it stops.
 		Draining <-chan struct{}
 
+		// Drained tells whether an operator drains this VM; nil stands for never.
+		Drained func() bool
+
+		serving atomic.Int64
 		// leaving is true from the start of a drain: answers then close their
 		// connections, so that none is reused when the VM stops.
 		leaving atomic.Bool
@@ -76,7 +80,13 @@
 }
 
 // Ready tells whether look-ups may name this VM: it takes new work and doesn't drain.
-func (e *Entry) Ready() bool { return !e.leaving.Load() && e.unfit() == "" }
+func (e *Entry) Ready() bool { return !e.isLeaving() && e.unfit() == "" }
+
+// Serving counts the requests in flight.
+func (e *Entry) Serving() *atomic.Int64 { return &e.serving }
+
+// isLeaving tells whether callers should go to other VMs.
+func (e *Entry) isLeaving() bool { return e.leaving.Load() || e.Drained != nil && e.Drained() }
 
 // unready returns why the entry takes no new work, or "".
 func (e *Entry) unready() string {
--- a/internal/transport/bfentry/request.go
+++ b/internal/transport/bfentry/request.go
@@ -13,7 +13,9 @@
 )
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if e.leaving.Load() {
+	e.serving.Add(1)
+	defer e.serving.Add(-1)
+	if e.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if reason := e.unready(); reason != "" {
--- a/internal/transport/bfentry/status.go
+++ b/internal/transport/bfentry/status.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfdrain"
 	"briarferry/internal/protocol/bfapi"
 )
 
@@ -139,6 +140,8 @@
 	}
 }
 
+// joinDrains takes the VM that sees the most in flight: a drain is empty only where
+// every VM says so.
 func joinDrains(all map[string]*bfapi.DrainStatus, part []bfapi.DrainStatus) {
 	for _, d := range part {
 		have, ok := all[d.ID]
@@ -146,6 +149,16 @@
 			all[d.ID] = &d
 			continue
 		}
-		have.InFlight += d.InFlight
+		have.InFlight = max(have.InFlight, d.InFlight)
+		have.Empty = min(have.Empty, d.Empty)
+		have.BreaksLimit = have.BreaksLimit || d.BreaksLimit
+		if drainStage(d.State) < drainStage(have.State) {
+			have.State = d.State
+		}
 	}
 }
+
+func drainStage(state string) int {
+	stages := []bfdrain.State{bfdrain.StateWaiting, bfdrain.StateStopping, bfdrain.StateEmptying, bfdrain.StateEmpty}
+	return slices.Index(stages, bfdrain.State(state))
+}
--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -125,7 +125,4 @@
 	state := holder.State()
 	s.ConfigVersion = state.Version()
 	s.ConfigChecksum = fmt.Sprintf("%016x", state.Checksum())
-	for _, d := range state.Drains {
-		s.Drains = append(s.Drains, bfapi.DrainStatus{ID: d.ID, Kind: string(d.Kind), Target: d.Target})
-	}
 }
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfadmission"
 	"briarferry/internal/coordination/bfplacement"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfentry"
 	"briarferry/internal/transport/bfrpc"
 )
@@ -57,16 +59,26 @@
 		return err
 	}
 	sharing := n.newSharing(control)
+	queue := &bfadmission.Admitter{Pool: sharing.Slots, Slots: sharing.Slots.Slots}
 	entry := &bfentry.Entry{
 		Config:           control.config,
 		Members:          sharing.Members,
-		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: sharing.MayTakeWork},
 		Announcements:    sharing,
 		TrustedResolvers: n.Resolvers,
-		Pipeline:         n.newPipeline(parts, group, mux, control, sharing),
+		Pipeline:         n.newPipeline(parts, group, mux, control, sharing, queue),
 		Operators:        control.operators,
-		Local:            control.describe,
 	}
+	drains := n.newDrains(control, sharing, entry.Serving())
+	entry.Placement = &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeWork}
+	entry.Drained = func() bool { return !drains.tracker.MayTakeVM(n.VM) }
+	entry.Local = func(s *bfapi.VMStatus) {
+		control.describe(s)
+		drains.describe(s)
+		if cfg, _, ok := control.config.Current(); ok {
+			describeServices(s, sharing, queue, cfg)
+		}
+	}
+	group.Go(func() error { return drains.Run(parts) })
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
 	}
--- a/internal/transport/bfnode/pipeline.go
+++ b/internal/transport/bfnode/pipeline.go
@@ -20,7 +20,7 @@
 const callTimeout = 2 * time.Second
 
 // newPipeline assembles the decisions that a request passes.
-func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, s *Sharing) *bfentry.Pipeline {
+func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, s *Sharing, queue *bfadmission.Admitter) *bfentry.Pipeline {
 	quarantine := &bfquarantine.Quarantine{
 		Members: s.Members,
 		Peers:   bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: callTimeout}},
@@ -37,7 +37,7 @@
 	upstream.Entries = func() int { return len(s.Members.Live()) }
 	pipeline := &bfentry.Pipeline{
 		Claims:     c.claims,
-		Admitter:   &bfadmission.Admitter{Pool: s.Slots, Slots: s.Slots.Slots},
+		Admitter:   queue,
 		Upstream:   upstream,
 		Retry:      &bfretry.Policy{Seed: n.VM.Incarnation},
 		Quarantine: quarantine,
