--- a/internal/transport/bfentry/fakes_test.go
+++ b/internal/transport/bfentry/fakes_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	"briarferry"
@@ -33,9 +34,11 @@
 		runs     int
 		gone     bool
 		// answer plays a run; nil answers after 20 ms.
-		answer func(ctx context.Context, r *briarferry.Request) (*briarferry.Answer, *briarferry.TryError)
+		answer testAnswer
 	}
 
+	testAnswer func(ctx context.Context, r *briarferry.Request) (*briarferry.Answer, *briarferry.TryError)
+
 	testSlot struct {
 		pool    *testServers
 		s       *testServer
@@ -116,34 +119,32 @@
 	s.runs++
 	t.runs++
 	t.mu.Unlock()
-	if s.answer != nil {
-		a, err := s.answer(ctx, r)
-		if err != nil {
-			err.Backend = b.ID()
-			return nil, err
-		}
-		return a, nil
+	answer := s.answer
+	if answer == nil {
+		answer = after(testHold)
 	}
-	return answerAfter(ctx, testHold)
-}
-
-// answerAfter answers after a while, or ends with the try.
-func answerAfter(ctx context.Context, d time.Duration) (*briarferry.Answer, error) {
-	select {
-	case <-time.After(d):
-		return &briarferry.Answer{Status: 200}, nil
-	case <-ctx.Done():
-		silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
-		return nil, &briarferry.TryError{Dispatched: true, Silent: silent, Err: ctx.Err()}
+	a, err := answer(ctx, r)
+	if err != nil {
+		err.Backend = b.ID()
+		return nil, err
 	}
+	return a, nil
 }
 
-func frozen(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
-	<-ctx.Done()
-	return nil, &briarferry.TryError{Dispatched: true, Silent: errors.Is(ctx.Err(), context.DeadlineExceeded), Err: ctx.Err()}
+// after answers after a while, or ends with the try.
+func after(d time.Duration) testAnswer {
+	return func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+		select {
+		case <-time.After(d):
+			return &briarferry.Answer{Status: 200}, nil
+		case <-ctx.Done():
+			silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
+			return nil, &briarferry.TryError{Dispatched: true, Silent: silent, Err: ctx.Err()}
+		}
+	}
 }
 
-func failing(e briarferry.TryError) func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+func failing(e briarferry.TryError) testAnswer {
 	return func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
 		copied := e
 		return nil, &copied
@@ -151,6 +152,7 @@
 }
 
 var (
+	frozen    = after(time.Hour)
 	shedding  = failing(briarferry.TryError{Err: bfupstream.ErrShed})
 	crossed   = failing(briarferry.TryError{Dispatched: true, Err: bfupstream.ErrCrossed})
 	truncated = failing(briarferry.TryError{Dispatched: true, ConnectionDied: true, Err: bfupstream.ErrTruncated})
@@ -168,3 +170,12 @@
 		Class: briarferry.PriorityClass{Name: "urgent"}, Deadline: time.Now().Add(timeout),
 	}
 }
+
+// checkOutcome checks that a request ended with a refusal of the given outcome.
+func checkOutcome(t *testing.T, err error, want briarferry.Outcome) {
+	t.Helper()
+	var refusal *briarferry.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != want {
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
--- a/internal/transport/bfentry/pipeline_test.go
+++ b/internal/transport/bfentry/pipeline_test.go
@@ -40,23 +40,16 @@
 	if time.Now().After(time.Date(2000, 1, 1, 0, 0, 1, 0, time.UTC)) {
 		return frozen(ctx, r)
 	}
-	a, _ := answerAfter(context.Background(), testHold)
-	return a, nil
+	return after(testHold)(context.Background(), r)
 }
 
 // TestFaultyServer guards against a single faulty server of ten that spoils more
 // than a few requests.
 func TestFaultyServer(t *testing.T) {
-	slow := func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
-		a, err := answerAfter(ctx, 500*time.Millisecond)
-		var tryErr *briarferry.TryError
-		errors.As(err, &tryErr)
-		return a, tryErr
-	}
 	cases := []struct {
 		name    string
 		service briarferry.Service
-		answer  func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError)
+		answer  testAnswer
 		least   float64
 		most    int
 	}{
@@ -65,7 +58,7 @@
 		{"frozen, with hedging", hedging, frozen, 0.995, 60},
 		{"frozen after a second", idempotent, frozenLater, 0.995, 90},
 		{"frozen after a second, with hedging", hedging, frozenLater, 0.995, 90},
-		{"silent in between, reporting no load", idempotent, slow, 0.995, 40},
+		{"silent in between, reporting no load", idempotent, after(500 * time.Millisecond), 0.995, 40},
 		{"shedding", idempotent, shedding, 0.995, 200},
 		{"crossed answers", idempotent, crossed, 0.995, 40},
 		{"truncated answers", idempotent, truncated, 0.995, 40},
@@ -98,7 +91,7 @@
 			var mu sync.Mutex
 			runs := 0
 			for _, server := range servers.servers {
-				server.answer = func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+				server.answer = func(ctx context.Context, r *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
 					mu.Lock()
 					runs++
 					hold := testHold
@@ -106,10 +99,7 @@
 						hold = 90 * time.Millisecond
 					}
 					mu.Unlock()
-					a, err := answerAfter(ctx, hold)
-					var tryErr *briarferry.TryError
-					errors.As(err, &tryErr)
-					return a, tryErr
+					return after(hold)(ctx, r)
 				}
 			}
 			p := newTestPipeline(servers)
@@ -149,7 +139,7 @@
 		name    string
 		service briarferry.Service
 		key     string
-		answer  func(context.Context, *briarferry.Request) (*briarferry.Answer, *briarferry.TryError)
+		answer  testAnswer
 		want    briarferry.Outcome
 		most    int
 	}{
@@ -172,10 +162,7 @@
 				r := newTestRequest("a", time.Second)
 				r.Key = tc.key
 				_, err := runOne(p, tc.service, r)
-				var refusal *briarferry.Refusal
-				if !errors.As(err, &refusal) || refusal.Outcome != tc.want {
-					t.Errorf("got %v, want %s", err, tc.want)
-				}
+				checkOutcome(t, err, tc.want)
 				if servers.runs > tc.most {
 					t.Errorf("%d tries, want at most %d", servers.runs, tc.most)
 				}
@@ -233,10 +220,7 @@
 				r := newTestRequest("a", time.Second)
 				r.Key = "k"
 				_, err := runOne(p, keyed, r)
-				var refusal *briarferry.Refusal
-				if !errors.As(err, &refusal) || refusal.Outcome != tc.want {
-					t.Errorf("got %v, want %s", err, tc.want)
-				}
+				checkOutcome(t, err, tc.want)
 				time.Sleep(time.Minute)
 			})
 		})
--- a/internal/transport/bfentry/policy_test.go
+++ b/internal/transport/bfentry/policy_test.go
@@ -90,29 +90,21 @@
 		if i == 0 {
 			factor = s.faulty
 		}
-		server.answer = func(ctx context.Context, _ *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
+		server.answer = func(ctx context.Context, req *briarferry.Request) (*briarferry.Answer, *briarferry.TryError) {
 			if factor == 0 {
-				return frozen(ctx, nil)
+				return frozen(ctx, req)
 			}
 			mu.Lock()
 			hold := time.Duration((0.5 + rng.Float64()) * factor * float64(testHold))
 			mu.Unlock()
-			return serveSlot(ctx, slots, hold)
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			return after(hold)(ctx, req)
 		}
 	}
 	return r
 }
 
-func serveSlot(ctx context.Context, slots chan struct{}, hold time.Duration) (*briarferry.Answer, *briarferry.TryError) {
-	slots <- struct{}{}
-	defer func() { <-slots }()
-	a, err := answerAfter(ctx, hold)
-	if err != nil {
-		return nil, err.(*briarferry.TryError)
-	}
-	return a, nil
-}
-
 // usePipeline sends through the entry's own decisions.
 func (r *policyRun) usePipeline() {
 	p := newTestPipeline(r.servers)
