--- a/internal/coordination/bfmember/machine.go
+++ b/internal/coordination/bfmember/machine.go
@@ -33,6 +33,9 @@
 	// learned of; the others are told of in turn. In turn only, 50 VMs with 3 seeds
 	// took more than 4 s to meet.
 	newFor = 3 * time.Second
+	// settledEvery is the number of heartbeats of which one tells of another known
+	// VM; a descriptor is a third of a heartbeat among 7.
+	settledEvery = 5
 )
 
 type (
@@ -144,14 +147,17 @@
 			settled = append(settled, p)
 		}
 	}
-	h.Learned = m.inTurn(m.inTurn(nil, fresh, maxLearned-1), settled, 1)
+	h.Learned = m.inTurn(nil, m.rotation, fresh, maxLearned-1)
+	if m.rotation%settledEvery == 0 {
+		h.Learned = m.inTurn(h.Learned, m.rotation/settledEvery, settled, 1)
+	}
 	return h
 }
 
 // inTurn adds up to n descriptors, others each time.
-func (m *Machine) inTurn(list []Descriptor, peers []*peer, n int) []Descriptor {
+func (m *Machine) inTurn(list []Descriptor, turn int, peers []*peer, n int) []Descriptor {
 	for i := range min(n, len(peers)) {
-		list = append(list, Describe(peers[(m.rotation*n+i)%len(peers)].vm))
+		list = append(list, Describe(peers[(turn*n+i)%len(peers)].vm))
 	}
 	return list
 }
--- a/internal/coordination/bfslot/holder.go
+++ b/internal/coordination/bfslot/holder.go
@@ -18,6 +18,8 @@
 	// giveUpAfter is when a new request replaces an unanswered one: leases count
 	// from when a request was first sent, so the answer to an old one is worth little.
 	giveUpAfter = 500 * time.Millisecond
+	// forgetAfter is how long the state of an exchange is kept that is of no use.
+	forgetAfter = 10 * time.Second
 	// linger is how long an unused slot is kept where nobody else waits for it.
 	linger = time.Second
 	// widenAfter is how long requests wait for slots of the own region before other
@@ -139,12 +141,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	homes := make(map[string]bool)
-	for name := range p.talks {
-		homes[name] = true
-	}
 	for _, r := range p.routes {
 		homes[r.home] = true
 	}
+	for _, l := range p.leases {
+		homes[l.grantedBy] = true
+	}
+	for name, t := range p.talks {
+		if !homes[name] && now.Sub(t.firstSent) > forgetAfter {
+			delete(p.talks, name)
+			continue
+		}
+		homes[name] = true
+	}
 	delete(homes, "")
 	var list []*Request
 	for _, name := range slices.Sorted(maps.Keys(homes)) {
@@ -176,8 +185,9 @@
 		t.dirty = false
 		return nil
 	}
-	t.sequence++
-	r.Sequence = t.sequence
+	// Sequences are of the whole pool, so that a talk can be forgotten and begun anew.
+	p.sequence++
+	t.sequence, r.Sequence = p.sequence, p.sequence
 	t.last, t.firstSent, t.lastSent, t.answered, t.dirty = r, now, now, false, false
 	counters.requests.Add(1)
 	return r
--- a/internal/coordination/bfslot/pool.go
+++ b/internal/coordination/bfslot/pool.go
@@ -48,6 +48,7 @@
 		epoch uint64
 
 		mu       sync.Mutex
+		sequence uint64
 		routes   map[uint64]*route
 		byName   map[string][]*route
 		leases   map[uint64]*lease
--- a/internal/transport/bfgossip/gnet.go
+++ b/internal/transport/bfgossip/gnet.go
@@ -18,6 +18,9 @@
 	socketBuffer = 1 << 20
 	// loops is the number of event loops on each side; messages are small and few.
 	loops = 1
+	// idleSocket is how long an unused socket is kept; VMs are replaced under new
+	// addresses many times a day.
+	idleSocket = time.Minute
 )
 
 type (
@@ -31,7 +34,14 @@
 
 		client *gnet.Client
 		mu     sync.Mutex
-		conns  map[netip.AddrPort]gnet.Conn
+		conns  map[netip.AddrPort]*socket
+		swept  time.Time
+	}
+
+	// socket sends to one VM.
+	socket struct {
+		conn gnet.Conn
+		used time.Time
 	}
 
 	server struct {
@@ -56,7 +66,7 @@
 	s := &server{g: g, booted: make(chan gnet.Engine, 1)}
 	opts := []gnet.Option{gnet.WithNumEventLoop(loops), gnet.WithLogger(logger{g.Log}),
 		gnet.WithSocketRecvBuffer(socketBuffer), gnet.WithSocketSendBuffer(socketBuffer)}
-	g.conns = make(map[netip.AddrPort]gnet.Conn)
+	g.conns = make(map[netip.AddrPort]*socket)
 	if g.client, err = gnet.NewClient(&dialer{g: g}, opts...); err != nil {
 		return nil, eris.Wrap(err, "bfgossip: create client")
 	}
@@ -98,10 +108,8 @@
 }
 
 func (g *Gnet) conn(to netip.AddrPort) (gnet.Conn, error) {
-	g.mu.Lock()
-	c := g.conns[to]
-	g.mu.Unlock()
-	if c != nil {
+	now := time.Now()
+	if c := g.use(to, now); c != nil {
 		return c, nil
 	}
 	// The lock isn't held here: dialing waits for the event loop, and the event
@@ -114,16 +122,37 @@
 	defer g.mu.Unlock()
 	if other := g.conns[to]; other != nil {
 		_ = c.Close()
-		return other, nil
+		return other.conn, nil
 	}
-	g.conns[to] = c
+	g.conns[to] = &socket{conn: c, used: now}
 	return c, nil
 }
 
+// use returns the socket to a VM, or nil, and closes those that are idle.
+func (g *Gnet) use(to netip.AddrPort, now time.Time) gnet.Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.swept) > idleSocket {
+		g.swept = now
+		for a, s := range g.conns {
+			if now.Sub(s.used) > idleSocket {
+				delete(g.conns, a)
+				_ = s.conn.Close()
+			}
+		}
+	}
+	s := g.conns[to]
+	if s == nil {
+		return nil
+	}
+	s.used = now
+	return s.conn
+}
+
 func (g *Gnet) forget(to netip.AddrPort, c gnet.Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.conns[to] == c {
+	if s := g.conns[to]; s != nil && s.conn == c {
 		delete(g.conns, to)
 	}
 }
--- a/internal/transport/bfgossip/node.go
+++ b/internal/transport/bfgossip/node.go
@@ -175,6 +175,7 @@
 	if now.Sub(n.lastSweep) > time.Second {
 		n.lastSweep = now
 		n.Table.Sweep(now)
+		n.forgetPeers()
 	}
 	out, h := n.Members.Tick()
 	countMembers(n.Members.Stats())
@@ -187,6 +188,17 @@
 	}
 }
 
+// forgetPeers drops the state of VMs that the membership has forgotten.
+func (n *Node) forgetPeers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range n.peers {
+		if _, ok := n.Members.Address(name); !ok {
+			delete(n.peers, name)
+		}
+	}
+}
+
 // sendMore sends the changes that had no room in the heartbeat.
 func (n *Node) sendMore(now time.Time, o bfmember.Outgoing, upto uint64) {
 	target := n.Table.Version()
@@ -196,7 +208,9 @@
 		}
 		c := &bfwire.Changes{From: n.Table.Origin, Incarnation: n.Members.Self().Incarnation}
 		n.mu.Lock()
-		c.Delta = n.delta(now, o.Name, n.peers[o.Name])
+		if p := n.peers[o.Name]; p != nil {
+			c.Delta = n.delta(now, o.Name, p)
+		}
 		n.mu.Unlock()
 		upto = c.Delta.Upto
 		n.send(o.To, c)
