--- a/internal/coordination/bfraft/log.go
+++ b/internal/coordination/bfraft/log.go
@@ -134,6 +134,17 @@
 	l.base = index
 }
 
+// keepFrom returns the index up to which entries may be dropped, where a number of
+// entries before the snapshot's index is kept within a byte limit.
+func (l *raftLog) keepFrom(index, count uint64, bytes int) uint64 {
+	for ; index > l.base && count > 0; index, count = index-1, count-1 {
+		if bytes -= len(l.entries[index-l.base-1].Data) + entryOverhead; bytes < 0 {
+			break
+		}
+	}
+	return index
+}
+
 // conflictHint returns the last index up to the given one whose term is at most
 // the given term, so that one rejection skips a whole run of conflicting entries.
 func (l *raftLog) conflictHint(index, term uint64) (uint64, uint64) {
--- a/internal/coordination/bfraft/snapshot.go
+++ b/internal/coordination/bfraft/snapshot.go
@@ -38,8 +38,6 @@
 		return r.log.base
 	}
 	r.snapshot = s
-	if s.Index > r.cfg.KeepEntries {
-		r.log.compact(s.Index - r.cfg.KeepEntries)
-	}
+	r.log.compact(r.log.keepFrom(s.Index, r.cfg.KeepEntries, r.cfg.KeepBytes))
 	return r.log.base
 }
--- a/internal/coordination/bfraft/types.go
+++ b/internal/coordination/bfraft/types.go
@@ -186,8 +186,10 @@
 		MaxMessageBytes int
 		// MaxInflight bounds the unacknowledged appends per peer.
 		MaxInflight int
-		// KeepEntries is the number of entries kept before a snapshot for slow followers.
+		// KeepEntries and KeepBytes bound the entries kept before a snapshot for slow
+		// followers.
 		KeepEntries uint64
+		KeepBytes   int
 		Rand        *rand.Rand
 	}
 
--- a/internal/coordination/bfreplica/apply.go
+++ b/internal/coordination/bfreplica/apply.go
@@ -27,8 +27,10 @@
 		membership bfraft.Membership
 		snapshot   uint64
 		bytes      int
-		saving     atomic.Bool
-		saves      sync.WaitGroup
+		// size is the size of the last snapshot.
+		size   int
+		saving atomic.Bool
+		saves  sync.WaitGroup
 	}
 
 	work struct {
@@ -117,7 +119,7 @@
 		a.membership = m
 	}
 	a.term = e.Term
-	a.bytes += len(e.Data)
+	a.bytes += len(e.Data) + entryBytes
 	a.node.applied.Store(e.Index)
 	a.node.waits.finish(e.Index, e.Term, result)
 	return nil
@@ -128,16 +130,19 @@
 		return eris.Wrap(err, "bfreplica: restore snapshot")
 	}
 	a.term, a.membership, a.snapshot, a.bytes = s.Term, s.Membership, s.Index, 0
+	a.size = len(s.Data)
 	a.node.applied.Store(s.Index)
 	return nil
 }
 
 // maybeSnapshot takes a snapshot between two commands, so it holds exactly the
-// commands up to its index; saving it goes on while later commands are applied.
+// commands up to its index; saving it goes on while later commands are applied. It
+// waits until the log has half the size of the last snapshot, so that a large state
+// is not written again for a short log.
 func (a *applier) maybeSnapshot(ctx context.Context) error {
 	index := a.node.applied.Load()
 	due := index-a.snapshot >= a.node.SnapshotEntries || a.bytes >= a.node.SnapshotBytes
-	if !due || index == a.snapshot || a.saving.Load() {
+	if !due || a.bytes < a.size/2 || a.saving.Load() {
 		return nil
 	}
 	data, err := a.node.Machine.Snapshot()
@@ -145,7 +150,7 @@
 		return eris.Wrap(err, "bfreplica: take snapshot")
 	}
 	s := bfraft.Snapshot{Index: index, Term: a.term, Membership: a.membership, Data: data}
-	a.snapshot, a.bytes = index, 0
+	a.snapshot, a.bytes, a.size = index, 0, len(data)
 	a.saving.Store(true)
 	a.saves.Go(func() {
 		defer a.saving.Store(false)
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -35,6 +35,11 @@
 	// maxInflight lets a leader with 1 ms between syncs fill a round trip of 110 ms.
 	maxInflight = 128
 	inboxSize   = 4096
+	// keepBytes bounds the log kept for slow followers; it covers a follower that was
+	// away for seconds at the claim rates of today.
+	keepBytes = 4 << 20
+	// entryBytes is what an entry takes on disk beside its command.
+	entryBytes = 32
 )
 
 var (
@@ -210,7 +215,7 @@
 	n.core, err = bfraft.New(bfraft.Config{
 		ID: n.VM + "/" + rec.DiskID, ElectionTicks: n.ticks(n.ElectionTimeout), SpreadTicks: n.ticks(n.ElectionSpread),
 		HeartbeatTicks: n.ticks(n.Heartbeat), MaxMessageBytes: maxMessageBytes, MaxInflight: maxInflight,
-		KeepEntries: n.SnapshotEntries / 4, Rand: n.Rand,
+		KeepEntries: n.SnapshotEntries / 4, KeepBytes: keepBytes, Rand: n.Rand,
 	}, recovered)
 	if err != nil {
 		return err
