--- a/internal/coordination/bfplacement/shift.go
+++ b/internal/coordination/bfplacement/shift.go
@@ -91,7 +91,10 @@
 // fitsRegion checks the cap, the region's limit and the link; at is the site where
 // the block stays, if it does.
 func (p *Planner) fitsRegion(s *step, q search, region, at int) Reason {
-	if p.shiftRate(q, at) > max(0, s.capLeft[region]) && !s.unlimited {
+	if rate := p.shiftRate(q, at); rate > max(0, s.capLeft[region]) && !s.unlimited {
+		if rate > s.capFull[region] && s.regionLimit[region] > 0 {
+			return HeldByBlockSize
+		}
 		return HeldByShiftCap
 	}
 	if p.regionNeed(s, q, region) > 0 {
@@ -227,8 +230,20 @@
 	h.Rate += rate
 }
 
-func (s *step) waiting() bool {
+// waitsForCap tells whether demand waits for a shift cap. Moves for delay or balance
+// would use up what it waits for.
+func (s *step) waitsForCap() bool {
 	for _, h := range s.held {
+		if h.Blocks > 0 && (h.Reason == HeldByShiftCap || h.Reason == HeldByColdCap) {
+			return true
+		}
+	}
+	return false
+}
+
+// contested tells whether demand is held back that has the region as its nearest.
+func (s *step) contested(region int) bool {
+	for _, h := range s.held[region*reasons : (region+1)*reasons] {
 		if h.Blocks > 0 {
 			return true
 		}
