--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -21,6 +21,8 @@
 		cmds []string
 		// pause is the time that a snapshot takes.
 		pause time.Duration
+		// work is the time that a command takes.
+		work time.Duration
 	}
 
 	member struct {
@@ -63,6 +65,7 @@
 )
 
 func (l *ledger) Apply(_ uint64, cmd []byte) []byte {
+	time.Sleep(l.work)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cmds = append(l.cmds, string(cmd))
--- a/internal/coordination/bfreplica/formation_test.go
+++ b/internal/coordination/bfreplica/formation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +114,29 @@
 		t.Errorf("seed %d, wiped %s, lost %s: %d commands", seed, order[0], order[1], len(got))
 	}
 }
+
+// TestFullQueueGoesOn guards against commands that wait for the next tick whenever
+// the bound of waiting commands was reached.
+func TestFullQueueGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Millisecond, memoryFS(1), func(n *Node) {
+			n.MaxPending = 4
+			n.Machine.(*ledger).work = 3 * time.Millisecond
+		})
+		defer c.close()
+		c.propose("first")
+		started := time.Now()
+		var group sync.WaitGroup
+		for i := range 8 {
+			group.Go(func() {
+				for j := range 25 {
+					c.propose(fmt.Sprint(i, " ", j))
+				}
+			})
+		}
+		group.Wait()
+		if spent := time.Since(started); spent > 1500*time.Millisecond {
+			t.Errorf("200 commands of 3 ms each, 4 at a time, took %v", spent)
+		}
+	})
+}
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -162,6 +162,7 @@
 		n.saved = make(chan bfraft.Snapshot, 1)
 		n.readWaits = map[uint64]*read{}
 		n.waits.pending = map[uint64]*proposal{}
+		n.waits.limit, n.waits.room = n.MaxPending, make(chan struct{}, 1)
 	})
 }
 
@@ -262,6 +263,7 @@
 			n.startRead(r)
 		case fn := <-n.calls:
 			fn()
+		case <-n.waits.room:
 		case s := <-n.saved:
 			if err := n.compact(s); err != nil {
 				return err
--- a/internal/coordination/bfreplica/propose.go
+++ b/internal/coordination/bfreplica/propose.go
@@ -25,6 +25,10 @@
 	waitTable struct {
 		mu      sync.Mutex
 		pending map[uint64]*proposal
+		limit   int
+		// room receives when the table is no longer full, as the loop takes no
+		// proposals while it is.
+		room chan struct{}
 	}
 
 	read struct {
@@ -113,8 +117,15 @@
 func (w *waitTable) finish(index, term uint64, result []byte) {
 	w.mu.Lock()
 	p := w.pending[index]
+	wasFull := len(w.pending) >= w.limit
 	delete(w.pending, index)
 	w.mu.Unlock()
+	if wasFull {
+		select {
+		case w.room <- struct{}{}:
+		default:
+		}
+	}
 	switch {
 	case p == nil:
 	case p.term != term:
