Apply announced drains to look-ups and dispatches

Drains in the replicated state had no effect on entries. Each entry now follows the list, leaves draining VMs out of look-ups and draining backend servers out of its choice, and shows the state of each drain. VMs do not share their requests in flight, so a VM's drain is never shown as empty.

Nodes that start at the same time in one process could publish the same expvar name and panic, as a test run of bfnode with -race did; publishing now holds a lock.

--- a/internal/coordination/bfdrain/set.go
+++ b/internal/coordination/bfdrain/set.go
@@ -139,7 +139,7 @@
 
 // fits tells whether the other targets can carry the pool's load without the given
 // one and all that have begun. Silent targets carry nothing, but their last known
-// load still counts.
+// load still counts. At least one other target must be left.
 func (s *Set) fits(without Target, ordered []Target) bool {
 	p, capacity, load := pool{without.Kind, without.Service}, 0, 0
 	for _, t := range ordered {
@@ -151,7 +151,7 @@
 			capacity += t.Capacity
 		}
 	}
-	return float64(load) <= float64(capacity)*s.limits.FillShare
+	return capacity > 0 && float64(load) <= float64(capacity)*s.limits.FillShare
 }
 
 func (s *Set) hasBegun(t Target) bool {
--- a/internal/coordination/bfdrain/tracker.go
+++ b/internal/coordination/bfdrain/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarferry"
@@ -12,6 +13,8 @@
 type Tracker struct {
 	mu  sync.RWMutex
 	set *Set
+	// active is false while there is no drain, so that dispatches skip the lock.
+	active atomic.Bool
 }
 
 // NewTracker returns a tracker without drains.
@@ -22,24 +25,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	err := t.set.Reconcile(drains)
+	t.active.Store(len(t.set.drains) > 0)
 	t.set.Step(now, readings)
 	return err
 }
 
+// BackendTarget returns a backend server as a target without readings.
+func BackendTarget(b briarferry.Backend) Target {
+	return Target{Kind: briarferry.DrainBackend, Name: b.Address.String(), Service: b.Service, Region: b.Region, FailureDomain: b.FailureDomain}
+}
+
+// VMTarget returns a VM as a target without readings.
+func VMTarget(vm briarferry.VM) Target {
+	return Target{Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain}
+}
+
 // MayTakeBackend tells whether a backend server may get new work.
 func (t *Tracker) MayTakeBackend(b briarferry.Backend) bool {
-	return t.mayTake(Target{Kind: briarferry.DrainBackend, Name: b.Address.String(), Service: b.Service, Region: b.Region, FailureDomain: b.FailureDomain})
+	return !t.active.Load() || t.mayTake(BackendTarget(b))
 }
 
 // MayTakeVM tells whether look-ups may name a VM.
 func (t *Tracker) MayTakeVM(vm briarferry.VM) bool {
-	return t.mayTake(Target{Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain})
+	return !t.active.Load() || t.mayTake(VMTarget(vm))
 }
 
 func (t *Tracker) mayTake(target Target) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return len(t.set.drains) == 0 || t.set.MayTakeWork(target)
+	return t.set.MayTakeWork(target)
 }
 
 // Progress describes all drains.
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -15,6 +15,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfplacement"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfentry"
 	"briarferry/internal/transport/bfrpc"
 )
@@ -56,21 +57,27 @@
 	if err != nil {
 		return err
 	}
-	sharing := n.newSharing(control)
+	drains := newDrains(control, n.Log)
+	sharing := n.newSharing(control, drains.tracker.MayTakeBackend)
+	drains.sharing = sharing
 	entry := &bfentry.Entry{
 		Config:           control.config,
 		Members:          sharing.Members,
-		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: sharing.MayTakeWork},
+		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeVM},
 		Announcements:    sharing,
 		TrustedResolvers: n.Resolvers,
 		Pipeline:         n.newPipeline(parts, group, mux, control, sharing),
 		Operators:        control.operators,
-		Local:            control.describe,
+		Local: func(s *bfapi.VMStatus) {
+			control.describe(s)
+			drains.describe(s)
+		},
 	}
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
 	}
 	group.Go(func() error { return sharing.Run(parts, entry.Ready) })
+	group.Go(func() error { return drains.run(parts) })
 	server := &bfentry.Server{
 		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
 	}
--- a/internal/transport/bfnode/sharing.go
+++ b/internal/transport/bfnode/sharing.go
@@ -45,9 +45,9 @@
 }
 
 // newSharing creates what this VM shares with the others.
-func (n *Node) newSharing(c *control) *Sharing {
+func (n *Node) newSharing(c *control, may func(briarferry.Backend) bool) *Sharing {
 	s := &Sharing{
-		VM: n.VM, Seeds: n.Peers, Balancer: &bfbalancer.Balancer{Seed: n.VM.Incarnation}, Config: c.config, Log: n.Log,
+		VM: n.VM, Seeds: n.Peers, Balancer: &drainBalancer{&bfbalancer.Balancer{Seed: n.VM.Incarnation}, may}, Config: c.config, Log: n.Log,
 	}
 	s.Open()
 	return s
--- a/internal/transport/bfnode/vars.go
+++ b/internal/transport/bfnode/vars.go
@@ -3,15 +3,22 @@
 import (
 	"encoding/json"
 	"expvar"
+	"sync"
 
 	"briarferry/internal/coordination/bflease"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/state/bfmachine"
 )
 
+// publishMu keeps two nodes of one process from publishing the same name at once,
+// which expvar answers with a panic.
+var publishMu sync.Mutex
+
 // publish shows a variable. Where several nodes run in one process, as in tests,
 // the first one is shown.
 func publish(name string, value func() any) {
+	publishMu.Lock()
+	defer publishMu.Unlock()
 	if expvar.Get(name) == nil {
 		expvar.Publish(name, expvar.Func(value))
 	}
