--- a/internal/transport/bfnode/drains.go
+++ b/internal/transport/bfnode/drains.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,47 +13,37 @@
 	"briarferry/internal/protocol/bfapi"
 )
 
-const (
-	drainInterval = 250 * time.Millisecond
+const drainInterval = 200 * time.Millisecond
 
-	// VMs do not tell each other their requests in flight. Each counts as half used,
-	// so that the drain of a region leaves more than half of all VMs, and none counts
-	// as empty here.
-	vmCapacity = 2
-	vmInFlight = 1
-)
-
-type (
-	// drains applies the drains in force to look-ups and dispatches of this entry.
-	drains struct {
-		tracker *bfdrain.Tracker
-		list    func() []briarferry.Drain
-		sharing *Sharing
-		log     zerolog.Logger
-	}
+// drains applies the drains in force to this entry's choices.
+type drains struct {
+	tracker *bfdrain.Tracker
+	sharing *Sharing
+	// inForce returns the drains that the configuration lease covers.
+	inForce func() []briarferry.Drain
+	// serving counts the requests that this VM has in flight.
+	serving *atomic.Int64
+	log     zerolog.Logger
+}
 
-	// drainBalancer offers no backend server that drains.
-	drainBalancer struct {
-		briarferry.Balancer
-		may func(briarferry.Backend) bool
+// newDrains connects the drains in force with the table of backend servers.
+func (n *Node) newDrains(c *control, s *Sharing, serving *atomic.Int64) *drains {
+	d := &drains{
+		tracker: bfdrain.NewTracker(bfdrain.DefaultLimits()), sharing: s, inForce: c.drains, serving: serving, log: n.Log,
 	}
-)
-
-func newDrains(c *control, log zerolog.Logger) *drains {
-	return &drains{tracker: bfdrain.NewTracker(bfdrain.DefaultLimits()), list: c.drains, log: log}
+	s.Table.IsDrained = func(b briarferry.Backend) bool { return !d.tracker.MayTakeBackend(b) }
+	return d
 }
 
-// run follows the drains in force until the context ends.
-func (d *drains) run(ctx context.Context) error {
+// Run follows the drains until ctx ends.
+func (d *drains) Run(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	failed := false
 	for {
-		err := d.tracker.Update(time.Now(), d.list(), d.readings(time.Now()))
-		if err != nil && !failed {
-			d.log.Error().Err(err).Msg("drain is not followed")
+		now := time.Now()
+		if err := d.tracker.Update(now, d.inForce(), d.readings(now)); err != nil {
+			d.log.Warn().Err(err).Msg("a drain is not followed")
 		}
-		failed = err != nil
 		select {
 		case <-ctx.Done():
 			return nil
@@ -61,61 +52,40 @@
 	}
 }
 
+// readings returns what this VM knows of every target. The load that a server
+// announces may mislead, so requests that this entry has in flight always count.
 func (d *drains) readings(now time.Time) []bfdrain.Target {
+	own := d.sharing.Slots.InFlight()
 	var out []bfdrain.Target
 	d.sharing.Table.All(now, func(_ uint64, b briarferry.Backend, _ time.Time) {
-		t := bfdrain.BackendTarget(b)
-		t.Capacity, t.Age = b.Slots, now.Sub(b.HeardAt)
-		t.InFlight = int(math.Ceil(b.Load * float64(b.Slots)))
-		out = append(out, t)
+		announced := int(math.Round(b.Load * float64(b.Slots)))
+		out = append(out, bfdrain.Target{
+			Kind: briarferry.DrainBackend, Name: b.Address.String(), Service: b.Service, Region: b.Region,
+			FailureDomain: b.FailureDomain, Capacity: b.Slots, InFlight: max(own[b.ID()], announced), Age: now.Sub(b.HeardAt),
+		})
 	})
 	for _, vm := range d.sharing.Members.Live() {
-		t := bfdrain.VMTarget(vm)
-		t.Capacity, t.InFlight = vmCapacity, vmInFlight
+		t := bfdrain.Target{
+			Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain, Capacity: 1,
+		}
+		if vm.Name == d.sharing.VM.Name {
+			t.InFlight = int(d.serving.Load())
+		}
 		out = append(out, t)
 	}
 	return out
 }
 
-func (d *drains) mayTakeVM(vm briarferry.VM) bool {
+// mayTakeWork tells whether look-ups may name a VM.
+func (d *drains) mayTakeWork(vm briarferry.VM) bool {
 	return d.sharing.MayTakeWork(vm) && d.tracker.MayTakeVM(vm)
 }
 
-// describe adds the progress of drains to this VM's status. The requests in flight
-// are the ones that backend servers report to all VMs, so only the first live VM
-// tells them, since the status page sums the VMs' numbers.
 func (d *drains) describe(s *bfapi.VMStatus) {
-	live := d.sharing.Members.Live()
-	first := len(live) > 0 && live[0].Name == s.Name
 	for _, p := range d.tracker.Progress(time.Now()) {
-		for i := range s.Drains {
-			if s.Drains[i].ID != p.ID {
-				continue
-			}
-			s.Drains[i].State = string(p.State)
-			if first && p.Kind != briarferry.DrainVM {
-				s.Drains[i].InFlight = p.InFlight
-			}
-		}
-	}
-}
-
-// Pick chooses among the candidates that do not drain.
-func (b *drainBalancer) Pick(now time.Time, candidates []briarferry.Candidate) int {
-	var kept []briarferry.Candidate
-	var index []int
-	for i, c := range candidates {
-		if !b.may(c.Backend) {
-			continue
-		}
-		kept, index = append(kept, c), append(index, i)
-	}
-	if len(kept) == 0 {
-		return -1
-	}
-	i := b.Balancer.Pick(now, kept)
-	if i < 0 || i >= len(index) {
-		return -1
+		s.Drains = append(s.Drains, bfapi.DrainStatus{
+			ID: p.ID, Kind: string(p.Kind), Target: p.Target, State: string(p.State), InFlight: p.InFlight,
+			Targets: p.Targets, Empty: p.Empty, BreaksLimit: p.BreaksLimit,
+		})
 	}
-	return index[i]
 }
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfadmission"
 	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfentry"
@@ -57,27 +58,31 @@
 	if err != nil {
 		return err
 	}
-	drains := newDrains(control, n.Log)
-	sharing := n.newSharing(control, drains.tracker.MayTakeBackend)
-	drains.sharing = sharing
+	sharing := n.newSharing(control)
+	queue := &bfadmission.Admitter{Pool: sharing.Slots, Slots: sharing.Slots.Slots}
 	entry := &bfentry.Entry{
 		Config:           control.config,
 		Members:          sharing.Members,
-		Placement:        &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeVM},
 		Announcements:    sharing,
 		TrustedResolvers: n.Resolvers,
-		Pipeline:         n.newPipeline(parts, group, mux, control, sharing),
+		Pipeline:         n.newPipeline(parts, group, mux, control, sharing, queue),
 		Operators:        control.operators,
-		Local: func(s *bfapi.VMStatus) {
-			control.describe(s)
-			drains.describe(s)
-		},
 	}
+	drains := n.newDrains(control, sharing, entry.Serving())
+	entry.Placement = &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeWork}
+	entry.Drained = func() bool { return !drains.tracker.MayTakeVM(n.VM) }
+	entry.Local = func(s *bfapi.VMStatus) {
+		control.describe(s)
+		drains.describe(s)
+		if cfg, _, ok := control.config.Current(); ok {
+			describeServices(s, sharing, queue, cfg)
+		}
+	}
+	group.Go(func() error { return drains.Run(parts) })
 	if err := n.serveRPC(parts, group, mux); err != nil {
 		return err
 	}
 	group.Go(func() error { return sharing.Run(parts, entry.Ready) })
-	group.Go(func() error { return drains.run(parts) })
 	server := &bfentry.Server{
 		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
 	}
