Pace drains of VMs whose capacity is unknown by their number

VMs tell requests in flight but no capacity. Counted as one request each, a region's drain waited for ever as soon as an entry had more than a few requests in flight. Where no target of a pool tells a capacity, half of the targets must be left. A drain also never begins at the last target of a pool.

--- a/internal/coordination/bfdrain/set.go
+++ b/internal/coordination/bfdrain/set.go
@@ -139,18 +139,26 @@
 
 // fits tells whether the other targets can carry the pool's load without the given
 // one and all that have begun. Silent targets carry nothing, but their last known
-// load still counts. At least one other target must be left.
+// load still counts. Where no target of the pool tells a capacity, half of them must
+// be left.
 func (s *Set) fits(without Target, ordered []Target) bool {
-	p, capacity, load := pool{without.Kind, without.Service}, 0, 0
+	p, all, capacity, load := pool{without.Kind, without.Service}, 0, 0, 0
+	total, left := 0, 0
 	for _, t := range ordered {
 		if (pool{t.Kind, t.Service}) != p {
 			continue
 		}
+		total++
+		all += t.Capacity
 		load += t.InFlight
 		if t.key() != without.key() && t.Age < s.limits.Silence && !s.hasBegun(t) {
+			left++
 			capacity += t.Capacity
 		}
 	}
+	if all == 0 {
+		return left > 0 && 2*left >= total
+	}
 	return capacity > 0 && float64(load) <= float64(capacity)*s.limits.FillShare
 }
 
--- a/internal/coordination/bfdrain/set_test.go
+++ b/internal/coordination/bfdrain/set_test.go
@@ -153,3 +153,23 @@
 		}
 	}
 }
+
+// TestUnknownCapacityLeavesHalf guards against a region's drain that waits for ever
+// because VMs tell requests in flight but no capacity, or that takes all VMs.
+func TestUnknownCapacityLeavesHalf(t *testing.T) {
+	for _, c := range []struct{ drained, kept, begun int }{{3, 4, 3}, {2, 2, 2}, {4, 3, 3}, {2, 0, 1}, {1, 0, 0}} {
+		var vms []Target
+		for i := range c.drained + c.kept {
+			region := "r0"
+			if i >= c.drained {
+				region = "r1"
+			}
+			vms = append(vms, Target{Kind: briarferry.DrainVM, Name: fmt.Sprint("vm", i), Region: region, InFlight: 50})
+		}
+		s := announced(t, briarferry.Drain{ID: "1", Kind: briarferry.DrainRegion, Target: "r0"})
+		s.Step(at, vms)
+		if p := s.Progress(at)[0]; p.Begun != c.begun || p.BreaksLimit != (c.begun < c.drained) {
+			t.Errorf("%+v: %+v", c, p)
+		}
+	}
+}
--- a/internal/coordination/bfdrain/types.go
+++ b/internal/coordination/bfdrain/types.go
@@ -40,7 +40,7 @@
 		Service       string
 		Region        string
 		FailureDomain string
-		// Capacity and InFlight are in requests at a time.
+		// Capacity and InFlight are in requests at a time; a Capacity of 0 is unknown.
 		Capacity int
 		InFlight int
 		// Age is the age of the reading.
--- a/internal/transport/bfnode/drains.go
+++ b/internal/transport/bfnode/drains.go
@@ -65,9 +65,7 @@
 		})
 	})
 	for _, vm := range d.sharing.Members.Live() {
-		t := bfdrain.Target{
-			Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain, Capacity: 1,
-		}
+		t := bfdrain.Target{Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain}
 		if vm.Name == d.sharing.VM.Name {
 			t.InFlight = int(d.serving.Load())
 		}
