Drain the busiest server in the system test

Cause: TestDrains drained the first server, which at this load may have had no request at all, so that its last check said nothing about the drain. Change: it drains the server that has served the most, and still requires that it had work, got no more after 3 s and is empty.

--- a/internal/systemtest/claims_test.go
+++ b/internal/systemtest/claims_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -181,20 +182,17 @@
 // entry, a backend server or a failure domain with new work.
 func TestDrains(t *testing.T) {
 	c := startCluster(t)
-	target := c.servers()[0]
 	var stopped bool
-	var later bfstandin.ServerStatus
+	var first, later bfstandin.ServerStatus
 	report := c.load(t, 14*time.Second, bfload.Flow{Service: "catalogue", Urgency: 1, Rate: 300, Timeout: briarferry.Duration(time.Second)}, func() {
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
+		target := c.busiest("catalogue")
 		c.drain(briarferry.Drain{Kind: briarferry.DrainBackend, Target: target.Address.String()})
 		go func() { time.Sleep(time.Second); stopped = c.vms[6].stop(20 * time.Second) }()
 		time.Sleep(3 * time.Second)
-		first := c.servers()[0]
+		first = c.server(target.Address)
 		time.Sleep(3 * time.Second)
-		later = c.servers()[0]
-		if later.Served > first.Served+first.Busy {
-			t.Errorf("the drained server was given new work: %d, then %d served", first.Served, later.Served)
-		}
+		later = c.server(target.Address)
 	})
 	f := report.Flows[0]
 	t.Logf("%+v p99 %s", f.Counts, f.P99)
@@ -204,7 +202,32 @@
 	if !stopped {
 		t.Error("the drained entry did not end by itself")
 	}
+	if later.Served > first.Served+first.Busy {
+		t.Errorf("the drained server was given new work: %d, then %d served", first.Served, later.Served)
+	}
 	if later.Served == 0 || later.Busy != 0 {
-		t.Errorf("the drained server is not empty: %+v", later)
+		t.Errorf("the drained server is not empty, or never had work: %+v", later)
+	}
+}
+
+// busiest returns the server of a service that has served the most.
+func (c *cluster) busiest(service string) bfstandin.ServerStatus {
+	c.t.Helper()
+	var best bfstandin.ServerStatus
+	for _, s := range c.servers() {
+		if s.Service == service && s.Served >= best.Served {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *cluster) server(address netip.AddrPort) bfstandin.ServerStatus {
+	c.t.Helper()
+	for _, s := range c.servers() {
+		if s.Address == address {
+			return s
+		}
 	}
+	return bfstandin.ServerStatus{}
 }
