Show a drain in status as soon as it is in force

A drain's order is answered once it is in force everywhere, but status listed it only after the next update of its progress, up to 200 ms later; TestControlGroup failed on that.

--- a/internal/coordination/bfdrain/set_test.go
+++ b/internal/coordination/bfdrain/set_test.go
@@ -152,6 +152,9 @@
 			t.Errorf("update %d: may take work is %t", i, !c.may)
 		}
 	}
+	if err := tracker.Follow(list); err != nil || tracker.MayTakeVM(vm) || len(tracker.Progress(at)) != 2 {
+		t.Errorf("the list is not followed before an update: %v", err)
+	}
 }
 
 // TestUnknownCapacityLeavesHalf guards against a region's drain that waits for ever
--- a/internal/coordination/bfdrain/tracker.go
+++ b/internal/coordination/bfdrain/tracker.go
@@ -30,6 +30,16 @@
 	return err
 }
 
+// Follow takes the list of drains in force without new readings, for an answer that
+// must not wait for the next update.
+func (t *Tracker) Follow(drains []briarferry.Drain) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	err := t.set.Reconcile(drains)
+	t.active.Store(len(t.set.drains) > 0)
+	return err
+}
+
 // BackendTarget returns a backend server as a target without readings.
 func BackendTarget(b briarferry.Backend) Target {
 	return Target{Kind: briarferry.DrainBackend, Name: b.Address.String(), Service: b.Service, Region: b.Region, FailureDomain: b.FailureDomain}
--- a/internal/transport/bfnode/drains.go
+++ b/internal/transport/bfnode/drains.go
@@ -79,7 +79,12 @@
 	return d.sharing.MayTakeWork(vm) && d.tracker.MayTakeVM(vm)
 }
 
+// describe adds all drains, also those that came after the last update: an
+// operator's order is answered once it is in force, so status must show it then.
 func (d *drains) describe(s *bfapi.VMStatus) {
+	if err := d.tracker.Follow(d.inForce()); err != nil {
+		d.log.Warn().Err(err).Msg("a drain is not followed")
+	}
 	for _, p := range d.tracker.Progress(time.Now()) {
 		s.Drains = append(s.Drains, bfapi.DrainStatus{
 			ID: p.ID, Kind: string(p.Kind), Target: p.Target, State: string(p.State), InFlight: p.InFlight,
