Publish variables under a lock and wait for drains within their bound

Two nodes that start in one process could publish the same expvar name at the same time, which panics. The node's test read the drains in the status right after the change was answered; since drains are followed every 200 ms, the status shows them a moment later.

--- a/internal/transport/bfnode/control_test.go
+++ b/internal/transport/bfnode/control_test.go
@@ -20,6 +20,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfdrain"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfrpc"
 )
@@ -268,9 +269,15 @@
 	if a, err := s.call(stopped, "POST", "/v1/drains", map[string]string{"Idempotency-Key": "d"}, drain); err != nil || a.status != http.StatusCreated {
 		t.Errorf("drain: %d %s %v", a.status, a.body, err)
 	}
+	start = time.Now()
 	for i, vm := range s.vms {
-		if v := s.status(i); len(v.Drains) != 1 || v.Drains[0].Target != "vm3" {
-			t.Errorf("%s does not know the drain: %+v", vm.Name, v.Drains)
+		v := s.status(i)
+		for len(v.Drains) == 0 && time.Since(start) < bfdrain.StopWithin {
+			time.Sleep(20 * time.Millisecond)
+			v = s.status(i)
+		}
+		if len(v.Drains) != 1 || v.Drains[0].Target != "vm3" {
+			t.Errorf("%s does not act on the drain after %s: %+v", vm.Name, time.Since(start), v.Drains)
 		}
 	}
 }
--- a/internal/transport/bfnode/vars.go
+++ b/internal/transport/bfnode/vars.go
@@ -3,15 +3,22 @@
 import (
 	"encoding/json"
 	"expvar"
+	"sync"
 
 	"briarferry/internal/coordination/bflease"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/state/bfmachine"
 )
 
+// publishing guards the check for a name and its use: expvar panics on a name that
+// is published twice.
+var publishing sync.Mutex
+
 // publish shows a variable. Where several nodes run in one process, as in tests,
 // the first one is shown.
 func publish(name string, value func() any) {
+	publishing.Lock()
+	defer publishing.Unlock()
 	if expvar.Get(name) == nil {
 		expvar.Publish(name, expvar.Func(value))
 	}
