--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -35,6 +35,11 @@
 	// maxInflight lets a leader with 1 ms between syncs fill a round trip of 110 ms.
 	maxInflight = 128
 	inboxSize   = 4096
+	// keepBytes bounds the log kept for slow followers; it covers a follower that was
+	// away for seconds at the claim rates of today.
+	keepBytes = 4 << 20
+	// entryBytes is what an entry takes on disk beside its command.
+	entryBytes = 32
 )
 
 var (
@@ -157,6 +162,7 @@
 		n.saved = make(chan bfraft.Snapshot, 1)
 		n.readWaits = map[uint64]*read{}
 		n.waits.pending = map[uint64]*proposal{}
+		n.waits.limit, n.waits.room = n.MaxPending, make(chan struct{}, 1)
 	})
 }
 
@@ -210,7 +216,7 @@
 	n.core, err = bfraft.New(bfraft.Config{
 		ID: n.VM + "/" + rec.DiskID, ElectionTicks: n.ticks(n.ElectionTimeout), SpreadTicks: n.ticks(n.ElectionSpread),
 		HeartbeatTicks: n.ticks(n.Heartbeat), MaxMessageBytes: maxMessageBytes, MaxInflight: maxInflight,
-		KeepEntries: n.SnapshotEntries / 4, Rand: n.Rand,
+		KeepEntries: n.SnapshotEntries / 4, KeepBytes: keepBytes, Rand: n.Rand,
 	}, recovered)
 	if err != nil {
 		return err
@@ -257,6 +263,7 @@
 			n.startRead(r)
 		case fn := <-n.calls:
 			fn()
+		case <-n.waits.room:
 		case s := <-n.saved:
 			if err := n.compact(s); err != nil {
 				return err
--- a/internal/transport/bfnode/vars.go
+++ b/internal/transport/bfnode/vars.go
@@ -10,15 +10,15 @@
 	"briarferry/internal/state/bfmachine"
 )
 
-// publishing guards the check for a name and its use: expvar panics on a name that
-// is published twice.
-var publishing sync.Mutex
+// publishMu keeps two nodes of one process from publishing the same name at once,
+// which expvar answers with a panic.
+var publishMu sync.Mutex
 
 // publish shows a variable. Where several nodes run in one process, as in tests,
 // the first one is shown.
 func publish(name string, value func() any) {
-	publishing.Lock()
-	defer publishing.Unlock()
+	publishMu.Lock()
+	defer publishMu.Unlock()
 	if expvar.Get(name) == nil {
 		expvar.Publish(name, expvar.Func(value))
 	}
