--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,17 @@
 demo: build
 	@scripts/demo.sh
 
+# Runs exactly the tests that docs/guarantees.md names.
+guarantees:
+	@scripts/guarantees.sh
+
+# Repeats the tests with real processes under failures for SOAK each, with SEED.
+SOAK ?= 60s
+SEED ?= 1
+soak:
+	BRIARFERRY_TEST_FOR=$(SOAK) BRIARFERRY_TEST_SEED=$(SEED) $(GO) test -count=1 -v -timeout 30m \
+		-run '^(TestConfigHistory|TestClaimsUnderFailures)$$' ./internal/systemtest
+
 # Measures costs at several sizes; OUT=docs/CAPACITY.md replaces the page.
 OUT ?=
 capacity:
--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -94,6 +94,9 @@
 		trace:     bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + f.name},
 		drainFor:  v.positive("drain-for", f.drainFor),
 	}
+	if f.token == "" && s.vm.HTTP.IsValid() && !s.vm.HTTP.Addr().IsLoopback() {
+		v.findings.Add("--token", "is required where --http is not a loopback address, since operators' changes are served there")
+	}
 	if f.config != "" {
 		s.config = &briarferry.Config{}
 		v.document("config", f.config, s.config)
