--- a/internal/coordination/bfreplica/formation_test.go
+++ b/internal/coordination/bfreplica/formation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,8 +12,8 @@
 	"briarferry/internal/state/bfstorage"
 )
 
-func (c *cluster) stopAll(vms ...string) {
-	for _, vm := range vms {
+func (c *cluster) stopAll(names ...string) {
+	for _, vm := range names {
 		m := c.member(vm)
 		m.stop()
 		<-m.ended
@@ -42,7 +43,7 @@
 		defer c.close()
 		c.isolate("b", true)
 		time.Sleep(20 * time.Second)
-		for _, vm := range []string{"a", "b", "c"} {
+		for _, vm := range vms {
 			if last := c.member(vm).node.Info().LastIndex; last != 0 {
 				t.Errorf("%s has %d entries although b is cut off", vm, last)
 			}
@@ -105,7 +106,7 @@
 	c.isolate(order[1], true)
 	c.stopAll(order[1])
 	for i := range 20 {
-		c.proposeElsewhere(order[1], fmt.Sprint("after ", i))
+		c.propose(fmt.Sprint("after ", i), order[1])
 	}
 	c.isolate(order[1], false)
 	c.start(order[1], c.member(order[1]).fs)
@@ -113,3 +114,29 @@
 		t.Errorf("seed %d, wiped %s, lost %s: %d commands", seed, order[0], order[1], len(got))
 	}
 }
+
+// TestFullQueueGoesOn guards against commands that wait for the next tick whenever
+// the bound of waiting commands was reached.
+func TestFullQueueGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Millisecond, memoryFS(1), func(n *Node) {
+			n.MaxPending = 4
+			n.Machine.(*ledger).work = 3 * time.Millisecond
+		})
+		defer c.close()
+		c.propose("first")
+		started := time.Now()
+		var group sync.WaitGroup
+		for i := range 8 {
+			group.Go(func() {
+				for j := range 25 {
+					c.propose(fmt.Sprint(i, " ", j))
+				}
+			})
+		}
+		group.Wait()
+		if spent := time.Since(started); spent > 1500*time.Millisecond {
+			t.Errorf("200 commands of 3 ms each, 4 at a time, took %v", spent)
+		}
+	})
+}
--- a/internal/transport/bfnode/drains.go
+++ b/internal/transport/bfnode/drains.go
@@ -65,9 +65,7 @@
 		})
 	})
 	for _, vm := range d.sharing.Members.Live() {
-		t := bfdrain.Target{
-			Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain, Capacity: 1,
-		}
+		t := bfdrain.Target{Kind: briarferry.DrainVM, Name: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain}
 		if vm.Name == d.sharing.VM.Name {
 			t.InFlight = int(d.serving.Load())
 		}
@@ -81,7 +79,12 @@
 	return d.sharing.MayTakeWork(vm) && d.tracker.MayTakeVM(vm)
 }
 
+// describe adds all drains, also those that came after the last update: an
+// operator's order is answered once it is in force, so status must show it then.
 func (d *drains) describe(s *bfapi.VMStatus) {
+	if err := d.tracker.Follow(d.inForce()); err != nil {
+		d.log.Warn().Err(err).Msg("a drain is not followed")
+	}
 	for _, p := range d.tracker.Progress(time.Now()) {
 		s.Drains = append(s.Drains, bfapi.DrainStatus{
 			ID: p.ID, Kind: string(p.Kind), Target: p.Target, State: string(p.State), InFlight: p.InFlight,
