Make slot acquisition and new demand cheaper

SetDemand searched all servers for each server, and TryAcquire allocated its candidates anew. Homes are now summed up per service at each tick and the buffers reused.

--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -38,32 +38,41 @@
 	return &slot{p: p, l: l, backend: candidates[i].Backend}, true
 }
 
+// candidates returns the leases with a free slot, and the same for the balancer; the
+// avoided servers only where there are no others. The slices are reused. The lock
+// is held.
 func (p *Pool) candidates(now time.Time, service string, avoid []briarferry.BackendID) ([]*lease, []briarferry.Candidate) {
-	var leases, avoided []*lease
-	var list, avoidedList []briarferry.Candidate
-	for _, r := range p.byName[service] {
-		l := p.leases[r.key]
-		if l == nil || l.valid(now) <= l.inFlight || l.grantedBy != r.home {
+	p.freeLeases, p.free = p.freeLeases[:0], p.free[:0]
+	avoided := false
+	for _, r := range p.of(service).all {
+		if len(avoid) > 0 && slices.Contains(avoid, r.id) {
+			avoided = true
 			continue
 		}
-		b, ok := p.Table.Get(now, r.key)
-		if !ok || b.State == briarferry.StateDraining {
-			continue
-		}
-		c := briarferry.Candidate{Backend: b, InFlight: l.inFlight, Held: l.granted, Local: r.local}
-		if p.Delay != nil {
-			c.Delay = p.Delay(b.Region)
-		}
-		if slices.Contains(avoid, r.id) {
-			avoided, avoidedList = append(avoided, l), append(avoidedList, c)
-		} else {
-			leases, list = append(leases, l), append(list, c)
+		p.addCandidate(now, r)
+	}
+	if len(p.free) == 0 && avoided {
+		for _, r := range p.of(service).all {
+			p.addCandidate(now, r)
 		}
 	}
-	if len(list) == 0 {
-		return avoided, avoidedList
+	return p.freeLeases, p.free
+}
+
+func (p *Pool) addCandidate(now time.Time, r *route) {
+	l := p.leases[r.key]
+	if l == nil || l.valid(now) <= l.inFlight || l.grantedBy != r.home {
+		return
+	}
+	b, ok := p.Table.Get(now, r.key)
+	if !ok || b.State == briarferry.StateDraining {
+		return
+	}
+	c := briarferry.Candidate{Backend: b, InFlight: l.inFlight, Held: l.granted, Local: r.local}
+	if p.Delay != nil {
+		c.Delay = p.Delay(b.Region)
 	}
-	return leases, list
+	p.freeLeases, p.free = append(p.freeLeases, l), append(p.free, c)
 }
 
 // Capacity returns the number of slots held for a service, busy or free.
@@ -87,7 +96,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, r := range p.byName[service] {
+	for _, r := range p.of(service).all {
 		n += r.slots
 	}
 	return n
@@ -127,9 +136,9 @@
 	if !grown {
 		return
 	}
-	for _, r := range p.byName[service] {
-		if r.home != "" && p.asks(now, service, d, r.home) {
-			p.talk(r.home).dirty = true
+	for home := range p.of(service).homes {
+		if p.asks(now, service, d, home) {
+			p.talk(home).dirty = true
 		}
 	}
 	p.wake()
--- a/internal/coordination/bfslot/holder.go
+++ b/internal/coordination/bfslot/holder.go
@@ -111,9 +111,9 @@
 			continue
 		}
 		d.widened = true
-		for _, r := range p.byName[service] {
-			if !r.local && r.home != "" {
-				p.talk(r.home).dirty = true
+		for home, local := range p.of(service).homes {
+			if !local {
+				p.talk(home).dirty = true
 			}
 		}
 	}
@@ -141,8 +141,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	homes := make(map[string]bool)
-	for _, r := range p.routes {
-		homes[r.home] = true
+	for name := range p.homes {
+		homes[name] = true
 	}
 	for _, l := range p.leases {
 		homes[l.grantedBy] = true
@@ -222,18 +222,9 @@
 // asks tells whether a home is asked for a service: at once where it has servers of
 // the own region, and otherwise where those don't suffice.
 func (p *Pool) asks(now time.Time, service string, d *demand, home string) bool {
-	local, any := false, false
-	slots := 0
-	for _, r := range p.byName[service] {
-		if r.local {
-			slots += r.slots
-		}
-		if r.home == home && r.slots > 0 {
-			any = true
-			local = local || r.local
-		}
-	}
-	return local || any && (slots < d.total || now.Sub(d.since) >= widenAfter)
+	routes := p.of(service)
+	local, any := routes.homes[home]
+	return local || any && (routes.localSlots < d.total || now.Sub(d.since) >= widenAfter)
 }
 
 func (t *talk) resendAfter() time.Duration {
--- a/internal/coordination/bfslot/pool.go
+++ b/internal/coordination/bfslot/pool.go
@@ -50,10 +50,23 @@
 		mu       sync.Mutex
 		sequence uint64
 		routes   map[uint64]*route
-		byName   map[string][]*route
+		byName   map[string]*serviceRoutes
+		homes    map[string]bool
 		leases   map[uint64]*lease
 		talks    map[string]*talk
 		services map[string]*demand
+		// freeLeases and free are the buffers of candidates.
+		freeLeases []*lease
+		free       []briarferry.Candidate
+	}
+
+	// serviceRoutes are the backend servers of one service.
+	serviceRoutes struct {
+		all        []*route
+		localSlots int
+		// homes has the homes of servers with open slots; the value is true where one
+		// of the servers is in the own region.
+		homes map[string]bool
 	}
 
 	// route is a backend server with its home entry.
@@ -73,6 +86,7 @@
 		p.kick = make(chan struct{}, 1)
 		p.home = newHome()
 		p.routes = make(map[uint64]*route)
+		p.byName = make(map[string]*serviceRoutes)
 		p.leases = make(map[uint64]*lease)
 		p.talks = make(map[string]*talk)
 		p.services = make(map[string]*demand)
@@ -158,22 +172,45 @@
 // updateRoutes finds the home of each server and returns the servers of this VM.
 func (p *Pool) updateRoutes(now time.Time, up []briarferry.VM) map[uint64]ownServer {
 	self := p.Members.Self()
-	routes, byName := make(map[uint64]*route), make(map[string][]*route)
+	routes, byName, homes := make(map[uint64]*route), make(map[string]*serviceRoutes), make(map[string]bool)
 	own := make(map[uint64]ownServer)
 	p.Table.All(now, func(key uint64, b briarferry.Backend, startedAt time.Time) {
 		r := &route{key: key, id: b.ID(), home: homeOf(key, b.Region, up), slots: openSlots(now, b, startedAt), local: b.Region == self.Region}
 		routes[key] = r
-		byName[b.Service] = append(byName[b.Service], r)
+		if byName[b.Service] == nil {
+			byName[b.Service] = &serviceRoutes{homes: make(map[string]bool)}
+		}
+		byName[b.Service].add(r)
+		homes[r.home] = true
 		if r.home == self.Name {
 			own[key] = ownServer{service: b.Service, region: b.Region, slots: r.slots}
 		}
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.routes, p.byName = routes, byName
+	delete(homes, "")
+	p.routes, p.byName, p.homes = routes, byName, homes
 	return own
 }
 
+func (s *serviceRoutes) add(r *route) {
+	s.all = append(s.all, r)
+	if r.local {
+		s.localSlots += r.slots
+	}
+	if r.home != "" && r.slots > 0 {
+		s.homes[r.home] = s.homes[r.home] || r.local
+	}
+}
+
+// of returns the routes of a service, which may be none. The lock is held.
+func (p *Pool) of(service string) *serviceRoutes {
+	if s := p.byName[service]; s != nil {
+		return s
+	}
+	return &serviceRoutes{}
+}
+
 // openSlots returns how many slots of a server are given out.
 func openSlots(now time.Time, b briarferry.Backend, startedAt time.Time) int {
 	switch b.State {
