--- a/internal/systemtest/claims_test.go
+++ b/internal/systemtest/claims_test.go
@@ -56,11 +56,11 @@
 }
 
 // TestClaimsUnderFailures guards against a keyed request that runs twice, and
-// against "not run" for one that ran, while entries are killed and frozen and
-// backend servers answer late, truncated and crossed.
+// against "not run" for one that ran, while entries are killed and frozen, control
+// VMs are cut off, and backend servers answer late, truncated and crossed.
 func TestClaimsUnderFailures(t *testing.T) {
 	seed := testSeed(t)
-	c := startCluster(t)
+	c := startClusterWith(t, clusterOptions{relayed: true})
 	b := json.RawMessage(`{"late_share":0.05,"late_by":"1500ms","truncated_share":0.05,"crossed_share":0.05}`)
 	c.behave(bfstandin.Change{Service: "order-desk", Behaviour: b})
 	ctx, cancel := context.WithTimeout(t.Context(), testLength(t, 15*time.Second))
@@ -86,23 +86,35 @@
 	c.checkKeys(log.ends)
 }
 
-// disturbEntries kills or freezes one VM at a time, control VMs included.
+// disturbEntries kills or freezes one VM at a time, or cuts off a control VM.
 func (c *cluster) disturbEntries(ctx context.Context, rng *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
 		v := c.vms[rng.IntN(len(c.vms))]
-		if i%2 == 0 {
+		switch i % 3 {
+		case 0:
 			v.kill()
 			time.Sleep(300 * time.Millisecond)
 			v.start()
-		} else {
+		case 1:
 			v.freeze()
 			time.Sleep(time.Duration(500+rng.IntN(3000)) * time.Millisecond)
 			v.resume()
+		case 2:
+			v = c.cutForAWhile(rng)
 		}
 		c.waitReady(v)
 	}
 }
 
+// cutForAWhile cuts off a control VM, in one direction or both.
+func (c *cluster) cutForAWhile(rng *rand.Rand) *vm {
+	n, direction := rng.IntN(controlCount), rng.IntN(3)
+	c.relays.cut(n, direction != 0, direction != 1)
+	time.Sleep(time.Duration(500+rng.IntN(3500)) * time.Millisecond)
+	c.relays.cut(n, false, false)
+	return c.vms[n]
+}
+
 func (c *cluster) checkKeys(ends []keyEnd) {
 	c.t.Helper()
 	runs := c.executions()
--- a/internal/systemtest/config_test.go
+++ b/internal/systemtest/config_test.go
@@ -111,10 +111,10 @@
 
 // TestConfigHistory guards against an accepted change that is lost, reverted or
 // made twice, while operators race with equal versions and control VMs are killed,
-// frozen and lose their disks.
+// frozen, cut off and lose their disks.
 func TestConfigHistory(t *testing.T) {
 	seed := testSeed(t)
-	c := startCluster(t)
+	c := startClusterWith(t, clusterOptions{relayed: true})
 	base, etag, err := c.config(c.vms[0])
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +122,7 @@
 	if versionOf(etag) != 1 {
 		t.Fatalf("first configuration has the tag %s", etag)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), testLength(t, 12*time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), testLength(t, 15*time.Second))
 	defer cancel()
 	h := &history{}
 	var wg sync.WaitGroup
@@ -150,11 +150,11 @@
 	c.expectAgreement()
 }
 
-// disturbControl kills, freezes and wipes one control VM at a time.
+// disturbControl kills, freezes, wipes or cuts off one control VM at a time.
 func (c *cluster) disturbControl(ctx context.Context, rng *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
 		v := c.vms[rng.IntN(controlCount)]
-		switch i % 3 {
+		switch i % 4 {
 		case 0:
 			v.kill()
 			time.Sleep(500 * time.Millisecond)
@@ -167,6 +167,8 @@
 			v.kill()
 			_ = os.RemoveAll(v.folder)
 			v.start()
+		case 3:
+			v = c.cutForAWhile(rng)
 		}
 		c.waitReady(v)
 		c.awaitVoters()
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -60,7 +60,12 @@
 		standin *process
 		admin   netip.AddrPort
 		client  *http.Client
+		// relays carry the calls to control VMs where the test cuts links.
+		relays relays
 	}
+
+	// clusterOptions vary how a cluster is started.
+	clusterOptions struct{ relayed bool }
 )
 
 func TestMain(m *testing.M) {
@@ -158,7 +163,7 @@
 
 func tail(t *testing.T, name, path string) {
 	data, _ := os.ReadFile(path)
-	const most = 1500
+	const most = 6000
 	if len(data) > most {
 		data = data[len(data)-most:]
 	}
@@ -168,19 +173,25 @@
 // startCluster starts seven VMs, three with data folders in three regions, and the
 // stand-in, and puts the example configuration in force.
 func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	return startClusterWith(t, clusterOptions{})
+}
+
+func startClusterWith(t *testing.T, options clusterOptions) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	cfg := exampleConfig(t)
 	addrs := freeAddresses(t, vmCount*3+1)
 	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}}
-	var control, peers []string
+	var peers []string
 	for i := range vmCount {
-		if i < controlCount {
-			control = append(control, fmt.Sprintf("vm%d=%s", i+1, addrs[i*3+1]))
-		}
 		peers = append(peers, addrs[i*3+2].String())
 	}
 	for i := range vmCount {
+		var control []string
+		for j := range controlCount {
+			control = append(control, fmt.Sprintf("vm%d=%s", j+1, c.controlAddress(i, j, addrs[j*3+1], options)))
+		}
 		c.vms = append(c.vms, newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers))
 	}
 	for _, v := range c.vms {
@@ -218,6 +229,16 @@
 	})
 }
 
+// controlAddress returns where one VM reaches a control VM.
+func (c *cluster) controlAddress(from, to int, address netip.AddrPort, options clusterOptions) netip.AddrPort {
+	if !options.relayed || from == to {
+		return address
+	}
+	r := newRelay(c.t, from, to, address)
+	c.relays = append(c.relays, r)
+	return r.address
+}
+
 func exampleConfig(t *testing.T) *briarferry.Config {
 	t.Helper()
 	data, err := os.ReadFile("../../examples/mantas.answers.json")
@@ -329,8 +350,14 @@
 
 func (c *cluster) waitReady(v *vm) time.Duration {
 	c.t.Helper()
+	var p bfapi.Problem
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("%s is not ready: %s", v.name, p.Detail)
+		}
+	}()
 	return c.await(v.name+" is ready", readyWithin, func() bool {
-		return c.get(v.http, bfapi.PathReady, nil) == http.StatusOK
+		return c.get(v.http, bfapi.PathReady, &p) == http.StatusOK
 	})
 }
 
