--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -350,7 +350,9 @@
 
 func (c *cluster) waitReady(v *vm) time.Duration {
 	c.t.Helper()
-	var p bfapi.Problem
+	var p struct {
+		Detail string `json:"detail"`
+	}
 	defer func() {
 		if c.t.Failed() {
 			c.t.Logf("%s is not ready: %s", v.name, p.Detail)
