Spread the load of idle servers evenly

Cause: an entry held only the slots of its busiest moment, at the first servers by key where several were equally free, and kept them while it had load. The balancer then compared noisy latencies strictly, so the server with the last peak got nothing until it faded, and counted a server of which one slot was held as busier than others.

Change: a home grants idle slots of the entry's own region ahead of demand, keeping half of them, and breaks ties in an order per entry; such leases are kept while the service is in use. The balancer takes times within a factor of 1.5 as equal. A server with few recent tries is explored until they overrule its report.

--- a/internal/coordination/bfbalancer/balancer.go
+++ b/internal/coordination/bfbalancer/balancer.go
@@ -23,9 +23,13 @@
 	// minLatency stands in for the latency of a service without observations.
 	minLatency = time.Millisecond
 	sweepEvery = time.Minute
-	// exploreShare is the share of choices that ignore the cost of a server without
+	// exploreShare is the share of choices that ignore the cost of a server with few
 	// recent tries. A report of full load would otherwise never be put to the test.
 	exploreShare = 0.05
+	// alike is the largest ratio of two times that counts as none. Times vary by 30%
+	// about their mean at equal servers, and a peak fades over seconds: without the
+	// allowance the server with the last peak gets nothing until then.
+	alike = 1.5
 )
 
 type (
@@ -81,12 +85,23 @@
 	if first.server.untested(now) && g.rng.Float64() < exploreShare {
 		return first.index
 	}
-	if second.server.cost(now, candidates[second.index], usual) < first.server.cost(now, candidates[first.index], usual) {
+	if better(now, candidates, second, first, usual) {
 		return second.index
 	}
 	return first.index
 }
 
+// better tells whether a is the better choice. Where their times per request don't
+// differ clearly, only their load counts.
+func better(now time.Time, candidates []briarferry.Candidate, a, b choice, usual float64) bool {
+	ta, tb := a.server.time(now, candidates[a.index], usual), b.server.time(now, candidates[b.index], usual)
+	la, lb := a.server.load(now, candidates[a.index]), b.server.load(now, candidates[b.index])
+	if max(ta, tb) <= alike*min(ta, tb) {
+		return la < lb
+	}
+	return ta*la < tb*lb
+}
+
 // Report feeds back what a try showed.
 func (b *Balancer) Report(now time.Time, id briarferry.BackendID, r briarferry.TryReport) {
 	g := b.group(id.Service)
@@ -176,8 +191,9 @@
 	}
 }
 
-// cost is the expected time of one more request at the server; lower is better.
-func (s *server) cost(now time.Time, c briarferry.Candidate, usual float64) float64 {
+// time is the expected time of a request at the server apart from its load, with the
+// chance of an error; lower is better.
+func (s *server) time(now time.Time, c briarferry.Candidate, usual float64) float64 {
 	// Old observations fade to what is usual, so that a server that was avoided is
 	// tried again.
 	age := now.Sub(s.latencyAt)
@@ -186,14 +202,19 @@
 	if s.latencyAt.IsZero() {
 		latency = usual
 	}
+	success := math.Max(0.05, 1-s.errors*decay(age, latencyDecay))
+	return latency / (success * success) / s.ramp(now)
+}
+
+// load is one and the share of the server's slots that is busy with one more request,
+// or the share of the held slots that is busy already. One more request would make an
+// idle server with few held slots look busy.
+func (s *server) load(now time.Time, c briarferry.Candidate) float64 {
 	slots := math.Max(1, float64(c.Backend.Slots))
-	held := math.Max(1, float64(c.Held))
 	own := float64(c.InFlight)
 	// The report covers the work of all entries, so the own part is taken out.
 	reported := math.Max(0, c.Backend.Load*slots-own) * s.trust(now, c.Backend)
-	busy := math.Max((own+1)/held, (own+1+reported)/slots)
-	success := math.Max(0.05, 1-s.errors*decay(age, latencyDecay))
-	return latency * (1 + busy) / (success * success) / s.ramp(now)
+	return 1 + math.Max(own/math.Max(1, float64(c.Held)), (own+1+reported)/slots)
 }
 
 // trust returns the weight of the reported load: it falls with the report's age
@@ -207,5 +228,8 @@
 	return s.evidence * decay(now.Sub(s.triedAt), evidenceDecay)
 }
 
-// untested tells whether a server in full service has had no recent try.
-func (s *server) untested(now time.Time) bool { return s.recent(now) < 1 && s.ramp(now) == 1 }
+// untested tells whether a server in full service has had too few recent tries to
+// overrule what it reports.
+func (s *server) untested(now time.Time) bool {
+	return s.recent(now) < enoughEvidence && s.ramp(now) == 1
+}
--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -35,6 +35,7 @@
 	l := leases[i]
 	l.inFlight++
 	l.usedAt = now
+	p.demand(service).usedAt = now
 	return &slot{p: p, l: l, backend: candidates[i].Backend}, true
 }
 
@@ -167,6 +168,7 @@
 	l.inFlight--
 	l.usedAt = now
 	d := s.p.demand(l.service)
+	d.usedAt = now
 	if d.contended && d.total == 0 && l.granted > l.inFlight {
 		s.p.giveBack(l)
 	}
--- a/internal/coordination/bfslot/counters.go
+++ b/internal/coordination/bfslot/counters.go
@@ -5,7 +5,7 @@
 var counters = newCounters()
 
 type counterSet struct {
-	granted, refused, expired, waits, requests, resends, returned *expvar.Int
+	granted, ahead, refused, expired, waits, requests, resends, returned *expvar.Int
 }
 
 func newCounters() *counterSet {
@@ -16,7 +16,7 @@
 		return v
 	}
 	return &counterSet{
-		granted: add("leases_granted"), refused: add("leases_refused"), expired: add("leases_expired"),
+		granted: add("leases_granted"), ahead: add("leases_granted_ahead"), refused: add("leases_refused"), expired: add("leases_expired"),
 		waits: add("home_waits"), requests: add("requests"), resends: add("resends"), returned: add("slots_returned"),
 	}
 }
--- a/internal/coordination/bfslot/holder.go
+++ b/internal/coordination/bfslot/holder.go
@@ -57,6 +57,8 @@
 		// widened is true once homes in other regions were asked.
 		widened bool
 		freed   chan struct{}
+		// usedAt is when a slot of the service was last taken or given back.
+		usedAt time.Time
 		// contended is true while others wait for the service's slots.
 		contended bool
 	}
@@ -91,7 +93,7 @@
 		if l.valid(now) == 0 {
 			l.granted = 0
 		}
-		if l.granted > l.inFlight && now.Sub(l.usedAt) > linger && p.demand(l.service).total == 0 {
+		if l.granted > l.inFlight && now.Sub(p.usedAt(l)) > linger && p.demand(l.service).total == 0 {
 			p.giveBack(l)
 		}
 		if l.granted == 0 && l.inFlight == 0 {
@@ -100,6 +102,16 @@
 	}
 }
 
+// usedAt returns when a lease was last of use. Those of the own region are kept while
+// any of their service is used, so that requests go round all of its servers.
+func (p *Pool) usedAt(l *lease) time.Time {
+	used := p.demand(l.service).usedAt
+	if r := p.routes[l.key]; r != nil && r.local && used.After(l.usedAt) {
+		return used
+	}
+	return l.usedAt
+}
+
 // widen asks the homes in other regions where requests still wait.
 func (p *Pool) widen(now time.Time) {
 	p.mu.Lock()
--- a/internal/coordination/bfslot/home.go
+++ b/internal/coordination/bfslot/home.go
@@ -56,6 +56,7 @@
 
 	// server is a backend server that this VM is the home of.
 	server struct {
+		key             uint64
 		service, region string
 		// since is when this VM became the home.
 		since time.Time
@@ -86,7 +87,9 @@
 
 	// view is what the home needs to know of the other VMs.
 	view struct {
-		up        map[holderID]bool
+		up map[holderID]bool
+		// regions has the region of each live VM by name.
+		regions   map[string]string
 		connected bool
 		agreed    bool
 	}
@@ -106,7 +109,7 @@
 	for key, o := range own {
 		s := h.servers[key]
 		if s == nil {
-			s = &server{service: o.service, region: o.region, since: now, ledger: make(map[holderID]*charge)}
+			s = &server{key: key, service: o.service, region: o.region, since: now, ledger: make(map[holderID]*charge)}
 			h.servers[key] = s
 		}
 		s.slots = o.slots
@@ -161,6 +164,7 @@
 	changed := map[string]bool{r.From: true}
 	for service := range services {
 		h.allocate(now, v, service, changed)
+		h.spread(now, v, service, r.From)
 	}
 	return h.grants(now, v, changed)
 }
@@ -255,7 +259,7 @@
 		}
 	}
 	for _, c := range claimants {
-		for c.held < c.target && h.grantOne(now, servers, c) {
+		for c.held < c.target && h.grantOne(now, c, h.freest(servers, c.name)) {
 			changed[c.name] = true
 		}
 		if c.held < c.demand {
@@ -329,57 +333,8 @@
 	}
 }
 
-func (h *home) grantOne(now time.Time, servers []*server, c *claimant) bool {
-	var best *server
-	for _, s := range servers {
-		if s.free() > 0 && (best == nil || s.free() > best.free()) {
-			best = s
-		}
-	}
-	if best == nil {
-		return false
-	}
-	id := h.id(c.name)
-	ch := best.ledger[id]
-	if ch == nil {
-		ch = &charge{}
-		best.ledger[id] = ch
-	}
-	ch.granted++
-	ch.held = max(ch.held, ch.granted)
-	ch.expires = now.Add(homeLease)
-	c.held++
-	h.holders[c.name].gainedAt[best.service] = now
-	counters.granted.Add(1)
-	return true
-}
-
-func missing(list []*claimant) int {
-	n := 0
-	for _, c := range list {
-		n += max(0, c.target-c.held)
-	}
-	return n
-}
-
-func sumFree(servers []*server) int {
-	n := 0
-	for _, s := range servers {
-		n += max(0, s.free())
-	}
-	return n
-}
-
 func (h *home) id(name string) holderID { return holderID{name, h.holders[name].incarnation} }
 
-func (s *server) free() int {
-	n := s.slots
-	for _, c := range s.ledger {
-		n -= c.held
-	}
-	return n
-}
-
 // grants builds the messages for the entries whose grants changed. Each renews all
 // leases of its entry.
 func (h *home) grants(now time.Time, v view, changed map[string]bool) []*Grant {
--- a/internal/coordination/bfslot/pool.go
+++ b/internal/coordination/bfslot/pool.go
@@ -109,9 +109,10 @@
 
 // view also makes the home wait again after this VM was cut off.
 func (p *Pool) view(now time.Time) view {
-	v := view{up: make(map[holderID]bool), connected: p.Members.Connected(), agreed: p.Members.Agreed()}
+	v := view{up: make(map[holderID]bool), regions: make(map[string]string), connected: p.Members.Connected(), agreed: p.Members.Agreed()}
 	for _, vm := range p.Members.Up() {
 		v.up[holderID{vm.Name, vm.Incarnation}] = true
+		v.regions[vm.Name] = vm.Region
 	}
 	epoch := p.Members.Epoch()
 	p.mu.Lock()
--- a/internal/transport/bfgossip/slots_test.go
+++ b/internal/transport/bfgossip/slots_test.go
@@ -21,7 +21,9 @@
 		now    map[briarferry.BackendID]int
 		most   int
 		served map[int]int
-		waits  []time.Duration
+		// total counts the requests of each server.
+		total map[briarferry.BackendID]int
+		waits []time.Duration
 	}
 
 	// driver puts load on one entry, as its admission queue does.
@@ -37,7 +39,7 @@
 )
 
 func newUsage() *usage {
-	return &usage{now: make(map[briarferry.BackendID]int), served: make(map[int]int)}
+	return &usage{now: make(map[briarferry.BackendID]int), served: make(map[int]int), total: make(map[briarferry.BackendID]int)}
 }
 
 func (u *usage) enter(id briarferry.BackendID, index int, waited time.Duration) {
@@ -46,6 +48,7 @@
 	u.now[id]++
 	u.most = max(u.most, u.now[id])
 	u.served[index]++
+	u.total[id]++
 	u.waits = append(u.waits, waited)
 }
 
