Measure the request path through real processes

make bench starts seven serve processes and the stand-in and measures the spread over idle servers, the cost of an entry, floods by class beside a naive policy, claims, and half load with faults.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,13 @@
 
 bench-policies:
 	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
+
+bench: bench-paths
+
+# The request path through the system's real processes; PARTS selects some of spread,
+# entry, flood, claims and faults, and REPEAT repeats each.
+PARTS ?=
+REPEAT ?= 1
+.PHONY: bench-paths
+bench-paths: build
+	$(GO) run ./internal/transport/bfbench/run -parts "$(PARTS)" -repeat "$(REPEAT)"
--- /dev/null
+++ b/internal/transport/bfbench/cluster.go
@@ -0,0 +1,259 @@
+// Package bfbench measures the request path through the system's real processes.
+package bfbench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfstandin"
+)
+
+const (
+	vmCount      = 7
+	controlCount = 3
+	readyWithin  = 30 * time.Second
+	// settleTime covers the wait of new homes before they grant slots.
+	settleTime = 1500 * time.Millisecond
+)
+
+// cluster is a set of serve processes with one stand-in for all backend servers.
+type cluster struct {
+	program string
+	dir     string
+	config  *briarferry.Config
+	vms     []*process
+	entries []netip.AddrPort
+	standin *process
+	admin   netip.AddrPort
+	base    netip.AddrPort
+	client  *http.Client
+}
+
+// startCluster starts seven VMs, three with data folders, and the stand-in, and puts
+// the configuration in force.
+func startCluster(ctx context.Context, program string, cfg *briarferry.Config) (*cluster, error) {
+	c, err := newCluster(program, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.start(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// startAlone starts one VM that runs without the others, and the stand-in.
+func startAlone(ctx context.Context, program string, cfg *briarferry.Config) (*cluster, error) {
+	c, err := newCluster(program, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.startOne(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func newCluster(program string, cfg *briarferry.Config) (*cluster, error) {
+	dir, err := os.MkdirTemp("", "briarferry-bench")
+	if err != nil {
+		return nil, fmt.Errorf("bfbench: %w", err)
+	}
+	c := &cluster{program: program, dir: dir, config: cfg, client: &http.Client{Timeout: 10 * time.Second}}
+	data, err := json.Marshal(cfg)
+	if err != nil {
+		return nil, fmt.Errorf("bfbench: %w", err)
+	}
+	return c, os.WriteFile(c.configPath(), data, 0o600)
+}
+
+func (c *cluster) configPath() string { return filepath.Join(c.dir, "config.json") }
+
+func (c *cluster) startOne(ctx context.Context) error {
+	addrs, err := freeAddresses(4)
+	if err != nil {
+		return err
+	}
+	c.admin = addrs[3]
+	if err := c.startVM(0, addrs[:3], "--config", c.configPath()); err != nil {
+		return err
+	}
+	return c.startServers(ctx)
+}
+
+func (c *cluster) start(ctx context.Context) error {
+	addrs, err := freeAddresses(vmCount*3 + 1)
+	if err != nil {
+		return err
+	}
+	c.admin = addrs[vmCount*3]
+	var control, peers []string
+	for i := range vmCount {
+		if i < controlCount {
+			control = append(control, fmt.Sprintf("vm%d=%s", i+1, addrs[i*3+1]))
+		}
+		peers = append(peers, addrs[i*3+2].String())
+	}
+	for i := range vmCount {
+		args := []string{"--control", strings.Join(control, ","), "--peers", strings.Join(peers, ",")}
+		if i < controlCount {
+			args = append(args, "--data", filepath.Join(c.dir, fmt.Sprintf("vm%d-data", i+1)))
+		}
+		if err := c.startVM(i, addrs[i*3:i*3+3], args...); err != nil {
+			return err
+		}
+	}
+	if err := c.await(ctx, "the configuration is accepted", c.apply); err != nil {
+		return err
+	}
+	return c.startServers(ctx)
+}
+
+func (c *cluster) startVM(i int, addrs []netip.AddrPort, more ...string) error {
+	region := c.config.Regions[i%len(c.config.Regions)]
+	name := fmt.Sprintf("vm%d", i+1)
+	args := append([]string{
+		"serve", "--name", name, "--region", region.Name,
+		"--failure-domain", region.FailureDomains[i/len(c.config.Regions)%len(region.FailureDomains)],
+		"--http", addrs[0].String(), "--rpc", addrs[1].String(), "--gossip", addrs[2].String(),
+	}, more...)
+	p, err := startProcess(c.program, c.dir, name, args...)
+	if err != nil {
+		return err
+	}
+	c.vms = append(c.vms, p)
+	c.entries = append(c.entries, addrs[0])
+	return nil
+}
+
+func (c *cluster) startServers(ctx context.Context) error {
+	workers := 0
+	for _, s := range c.config.Services {
+		workers += s.Workers
+	}
+	base, err := freeRun(workers)
+	if err != nil {
+		return err
+	}
+	c.base = base
+	list := make([]string, len(c.entries))
+	for i, e := range c.entries {
+		list[i] = e.String()
+	}
+	c.standin, err = startProcess(c.program, c.dir, "standin", "standin", "--config", c.configPath(),
+		"--admin", c.admin.String(), "--base", base.String(), "--entries", strings.Join(list, ","))
+	if err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		if err := c.await(ctx, "an entry knows all backend servers", func() bool { return c.knows(e) == workers }); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+// knows returns the number of backend servers that a ready entry knows.
+func (c *cluster) knows(e netip.AddrPort) int {
+	if c.get(e, bfapi.PathReady, nil) != http.StatusOK {
+		return 0
+	}
+	var s bfapi.VMStatus
+	c.get(e, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal, &s)
+	n := 0
+	for _, service := range s.Services {
+		n += service.Servers
+	}
+	return n
+}
+
+func (c *cluster) apply() bool {
+	resp, err := c.client.Get("http://" + c.entries[0].String() + bfapi.PathConfig)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	data, _ := json.Marshal(c.config)
+	req, _ := http.NewRequest(http.MethodPut, "http://"+c.entries[0].String()+bfapi.PathConfig, bytes.NewReader(data))
+	req.Header.Set(bfapi.HeaderIfMatch, resp.Header.Get(bfapi.HeaderETag))
+	req.Header.Set(bfapi.HeaderIdempotencyKey, bfapi.NewRequestID())
+	if resp, err = c.client.Do(req); err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// stop ends every process by its own id and removes the files.
+func (c *cluster) stop() {
+	for _, p := range append(c.vms, c.standin) {
+		if p != nil {
+			p.kill()
+		}
+	}
+	_ = os.RemoveAll(c.dir)
+}
+
+func (c *cluster) await(ctx context.Context, what string, ok func() bool) error {
+	for start := time.Now(); !ok(); time.Sleep(50 * time.Millisecond) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if time.Since(start) > readyWithin {
+			return fmt.Errorf("bfbench: not within %s: %s", readyWithin, what)
+		}
+	}
+	return nil
+}
+
+// get reads a JSON document; it returns the status, or 0 where there was no answer.
+func (c *cluster) get(address netip.AddrPort, path string, out any) int {
+	resp, err := c.client.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if out != nil && json.NewDecoder(resp.Body).Decode(out) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// behave changes the behaviour of the stand-in's servers.
+func (c *cluster) behave(change bfstandin.Change) error {
+	data, _ := json.Marshal(change)
+	resp, err := c.client.Post("http://"+c.admin.String()+"/behaviour", bfapi.TypeJSON, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("bfbench: change behaviour: %w", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("bfbench: change behaviour: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// servers returns the stand-in's servers of one service.
+func (c *cluster) servers(service string) []bfstandin.ServerStatus {
+	var all, list []bfstandin.ServerStatus
+	c.get(c.admin, "/servers", &all)
+	for _, s := range all {
+		if s.Service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/internal/transport/bfload/generator.go
+++ b/internal/transport/bfload/generator.go
@@ -43,6 +43,8 @@
 
 		lookups *lookups
 		client  *http.Client
+		// call answers a request in place of send where it is set.
+		call func(f Flow, scheduled time.Time) result
 	}
 )
 
@@ -73,6 +75,7 @@
 	slots := make(chan struct{}, maxOutstanding)
 	start := time.Now()
 	next := start
+	out.since, out.until = start.Add(min(time.Second, g.For/4)), start.Add(g.For)
 	for ctx.Err() == nil {
 		next = next.Add(time.Duration(rng.ExpFloat64() / f.Rate * float64(time.Second)))
 		if next.Sub(start) > g.For {
@@ -90,6 +93,10 @@
 		scheduled, seed := next, rng.Uint64()
 		wg.Go(func() {
 			defer func() { <-slots }()
+			if g.call != nil {
+				out.add(g.call(f, scheduled))
+				return
+			}
 			out.add(g.send(ctx, f, scheduled, rand.New(rand.NewPCG(seed, 1))))
 		})
 	}
--- a/internal/transport/bfload/report.go
+++ b/internal/transport/bfload/report.go
@@ -27,6 +27,10 @@
 		Requests int `json:"requests"`
 		OK       int `json:"ok"`
 		InTime   int `json:"in_time"`
+		// InWindow requests were answered in time between the end of the first
+		// second and the end of the load, so that neither the start nor the queues
+		// that are left at the end count in a rate.
+		InWindow int `json:"in_window"`
 		NotRun   int `json:"not_run"`
 		Unknown  int `json:"unknown"`
 		Cut      int `json:"cut"`
@@ -45,8 +49,9 @@
 		// NotRunKeys are the keys whose last answer was "not run".
 		NotRunKeys []string `json:"not_run_keys,omitempty"`
 
-		mu   sync.Mutex
-		hist *hdrhistogram.Histogram
+		mu           sync.Mutex
+		since, until time.Time
+		hist         *hdrhistogram.Histogram
 	}
 )
 
@@ -54,6 +59,9 @@
 	return &FlowReport{Flow: f, Reasons: map[string]int{}, hist: hdrhistogram.New(1, histogramMax, histogramDigits)}
 }
 
+// Window returns the time in which requests count as InWindow.
+func (r *FlowReport) Window() time.Duration { return r.until.Sub(r.since) }
+
 func (r *FlowReport) skip() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,6 +75,9 @@
 	r.Counts.Requests++
 	if res.inTime {
 		r.Counts.InTime++
+		if res.ended.After(r.since) && !res.ended.After(r.until) {
+			r.Counts.InWindow++
+		}
 	}
 	if res.reason != "" {
 		r.Reasons[res.reason]++
@@ -95,6 +106,7 @@
 		r.Total.Requests += f.Counts.Requests
 		r.Total.OK += f.Counts.OK
 		r.Total.InTime += f.Counts.InTime
+		r.Total.InWindow += f.Counts.InWindow
 		r.Total.NotRun += f.Counts.NotRun
 		r.Total.Unknown += f.Counts.Unknown
 		r.Total.Cut += f.Counts.Cut
--- /dev/null
+++ b/internal/transport/bfload/simulate.go
@@ -0,0 +1,31 @@
+package bfload
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Simulate sends the flows on schedule to a function in place of entries; it tells
+// whether a request was answered in time.
+func Simulate(ctx context.Context, flows []Flow, d time.Duration, seed uint64, answer func(f Flow, scheduled time.Time) bool) *Report {
+	report := &Report{Flows: make([]*FlowReport, len(flows))}
+	var wg sync.WaitGroup
+	for i, f := range flows {
+		out := newFlowReport(f)
+		report.Flows[i] = out
+		g := &Generator{For: d, call: func(f Flow, scheduled time.Time) result {
+			inTime := answer(f, scheduled)
+			res := result{status: statusOK, inTime: inTime, latency: time.Since(scheduled), ended: time.Now()}
+			if !inTime {
+				res.status = statusUnknown
+			}
+			return res
+		}}
+		wg.Go(func() { g.runFlow(ctx, f, out, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	wg.Wait()
+	report.finish()
+	return report
+}
