--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -52,7 +52,7 @@
 func (p *Pool) candidates(now time.Time, service string, avoid []briarferry.BackendID) *choices {
 	p.free.reset()
 	p.avoided.reset()
-	for _, r := range p.byName[service] {
+	for _, r := range p.of(service).all {
 		l := p.leases[r.key]
 		if l == nil || l.valid(now) <= l.inFlight || l.grantedBy != r.home || r.backend.State == briarferry.StateDraining {
 			continue
@@ -79,7 +79,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, r := range p.byName[service] {
+	for _, r := range p.of(service).all {
 		if l := p.leases[r.key]; l != nil {
 			n += l.held(now)
 		}
@@ -93,7 +93,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, r := range p.byName[service] {
+	for _, r := range p.of(service).all {
 		n += r.slots
 	}
 	return n
@@ -133,9 +133,9 @@
 	if !grown {
 		return
 	}
-	for _, r := range p.byName[service] {
-		if r.home != "" && p.asks(now, service, d, r.home) {
-			p.talk(r.home).dirty = true
+	for home := range p.of(service).homes {
+		if p.asks(now, service, d, home) {
+			p.talk(home).dirty = true
 		}
 	}
 	p.wake()
--- a/internal/coordination/bfslot/holder.go
+++ b/internal/coordination/bfslot/holder.go
@@ -18,6 +18,8 @@
 	// giveUpAfter is when a new request replaces an unanswered one: leases count
 	// from when a request was first sent, so the answer to an old one is worth little.
 	giveUpAfter = 500 * time.Millisecond
+	// forgetAfter is how long the state of an exchange is kept that is of no use.
+	forgetAfter = 10 * time.Second
 	// linger is how long an unused slot is kept where nobody else waits for it.
 	linger = time.Second
 	// widenAfter is how long requests wait for slots of the own region before other
@@ -121,9 +123,9 @@
 			continue
 		}
 		d.widened = true
-		for _, r := range p.byName[service] {
-			if !r.local && r.home != "" {
-				p.talk(r.home).dirty = true
+		for home, local := range p.of(service).homes {
+			if !local {
+				p.talk(home).dirty = true
 			}
 		}
 	}
@@ -151,11 +153,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	homes := make(map[string]bool)
-	for name := range p.talks {
+	for name := range p.homes {
 		homes[name] = true
 	}
-	for _, r := range p.routes {
-		homes[r.home] = true
+	for _, l := range p.leases {
+		homes[l.grantedBy] = true
+	}
+	for name, t := range p.talks {
+		if !homes[name] && now.Sub(t.firstSent) > forgetAfter {
+			delete(p.talks, name)
+			continue
+		}
+		homes[name] = true
 	}
 	delete(homes, "")
 	var list []*Request
@@ -188,8 +197,9 @@
 		t.dirty = false
 		return nil
 	}
-	t.sequence++
-	r.Sequence = t.sequence
+	// Sequences are of the whole pool, so that a talk can be forgotten and begun anew.
+	p.sequence++
+	t.sequence, r.Sequence = p.sequence, p.sequence
 	t.last, t.firstSent, t.lastSent, t.answered, t.dirty = r, now, now, false, false
 	counters.requests.Add(1)
 	return r
@@ -224,18 +234,9 @@
 // asks tells whether a home is asked for a service: at once where it has servers of
 // the own region, and otherwise where those don't suffice.
 func (p *Pool) asks(now time.Time, service string, d *demand, home string) bool {
-	local, any := false, false
-	slots := 0
-	for _, r := range p.byName[service] {
-		if r.local {
-			slots += r.slots
-		}
-		if r.home == home && r.slots > 0 {
-			any = true
-			local = local || r.local
-		}
-	}
-	return local || any && (slots < d.total || now.Sub(d.since) >= widenAfter)
+	routes := p.of(service)
+	local, any := routes.homes[home]
+	return local || any && (routes.localSlots < d.total || now.Sub(d.since) >= widenAfter)
 }
 
 func (t *talk) resendAfter() time.Duration {
--- a/internal/systemtest/claims_test.go
+++ b/internal/systemtest/claims_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -55,11 +56,11 @@
 }
 
 // TestClaimsUnderFailures guards against a keyed request that runs twice, and
-// against "not run" for one that ran, while entries are killed and frozen and
-// backend servers answer late, truncated and crossed.
+// against "not run" for one that ran, while entries are killed and frozen, control
+// VMs are cut off, and backend servers answer late, truncated and crossed.
 func TestClaimsUnderFailures(t *testing.T) {
 	seed := testSeed(t)
-	c := startCluster(t)
+	c := startClusterWith(t, clusterOptions{relayed: true})
 	b := json.RawMessage(`{"late_share":0.05,"late_by":"1500ms","truncated_share":0.05,"crossed_share":0.05}`)
 	c.behave(bfstandin.Change{Service: "order-desk", Behaviour: b})
 	ctx, cancel := context.WithTimeout(t.Context(), testLength(t, 15*time.Second))
@@ -85,23 +86,35 @@
 	c.checkKeys(log.ends)
 }
 
-// disturbEntries kills or freezes one VM at a time, control VMs included.
+// disturbEntries kills or freezes one VM at a time, or cuts off a control VM.
 func (c *cluster) disturbEntries(ctx context.Context, rng *rand.Rand) {
 	for i := 0; ctx.Err() == nil; i++ {
 		v := c.vms[rng.IntN(len(c.vms))]
-		if i%2 == 0 {
+		switch i % 3 {
+		case 0:
 			v.kill()
 			time.Sleep(300 * time.Millisecond)
 			v.start()
-		} else {
+		case 1:
 			v.freeze()
 			time.Sleep(time.Duration(500+rng.IntN(3000)) * time.Millisecond)
 			v.resume()
+		case 2:
+			v = c.cutForAWhile(rng)
 		}
 		c.waitReady(v)
 	}
 }
 
+// cutForAWhile cuts off a control VM, in one direction or both.
+func (c *cluster) cutForAWhile(rng *rand.Rand) *vm {
+	n, direction := rng.IntN(controlCount), rng.IntN(3)
+	c.relays.cut(n, direction != 0, direction != 1)
+	time.Sleep(time.Duration(500+rng.IntN(3500)) * time.Millisecond)
+	c.relays.cut(n, false, false)
+	return c.vms[n]
+}
+
 func (c *cluster) checkKeys(ends []keyEnd) {
 	c.t.Helper()
 	runs := c.executions()
@@ -181,20 +194,17 @@
 // entry, a backend server or a failure domain with new work.
 func TestDrains(t *testing.T) {
 	c := startCluster(t)
-	target := c.servers()[0]
 	var stopped bool
-	var later bfstandin.ServerStatus
+	var first, later bfstandin.ServerStatus
 	report := c.load(t, 14*time.Second, bfload.Flow{Service: "catalogue", Urgency: 1, Rate: 300, Timeout: briarferry.Duration(time.Second)}, func() {
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
+		target := c.busiest("catalogue")
 		c.drain(briarferry.Drain{Kind: briarferry.DrainBackend, Target: target.Address.String()})
 		go func() { time.Sleep(time.Second); stopped = c.vms[6].stop(20 * time.Second) }()
 		time.Sleep(3 * time.Second)
-		first := c.servers()[0]
+		first = c.server(target.Address)
 		time.Sleep(3 * time.Second)
-		later = c.servers()[0]
-		if later.Served > first.Served+first.Busy {
-			t.Errorf("the drained server was given new work: %d, then %d served", first.Served, later.Served)
-		}
+		later = c.server(target.Address)
 	})
 	f := report.Flows[0]
 	t.Logf("%+v p99 %s", f.Counts, f.P99)
@@ -204,7 +214,32 @@
 	if !stopped {
 		t.Error("the drained entry did not end by itself")
 	}
+	if later.Served > first.Served+first.Busy {
+		t.Errorf("the drained server was given new work: %d, then %d served", first.Served, later.Served)
+	}
 	if later.Served == 0 || later.Busy != 0 {
-		t.Errorf("the drained server is not empty: %+v", later)
+		t.Errorf("the drained server is not empty, or never had work: %+v", later)
+	}
+}
+
+// busiest returns the server of a service that has served the most.
+func (c *cluster) busiest(service string) bfstandin.ServerStatus {
+	c.t.Helper()
+	var best bfstandin.ServerStatus
+	for _, s := range c.servers() {
+		if s.Service == service && s.Served >= best.Served {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *cluster) server(address netip.AddrPort) bfstandin.ServerStatus {
+	c.t.Helper()
+	for _, s := range c.servers() {
+		if s.Address == address {
+			return s
+		}
 	}
+	return bfstandin.ServerStatus{}
 }
