--- a/internal/coordination/bfslot/acquire.go
+++ b/internal/coordination/bfslot/acquire.go
@@ -8,12 +8,20 @@
 	"briarferry"
 )
 
-// slot is the right to have one request in flight; it implements briarferry.Slot.
-type slot struct {
-	p       *Pool
-	l       *lease
-	backend briarferry.Backend
-}
+type (
+	// slot is the right to have one request in flight; it implements briarferry.Slot.
+	slot struct {
+		p       *Pool
+		l       *lease
+		backend briarferry.Backend
+	}
+
+	// choices are servers with their leases.
+	choices struct {
+		leases []*lease
+		list   []briarferry.Candidate
+	}
+)
 
 // TryAcquire takes a slot that this entry holds and doesn't use.
 func (p *Pool) TryAcquire(service string, avoid []briarferry.BackendID) (briarferry.Slot, bool) {
@@ -24,57 +32,46 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	leases, candidates := p.candidates(now, service, avoid)
-	if len(candidates) == 0 {
+	free := p.candidates(now, service, avoid)
+	if len(free.list) == 0 {
 		return nil, false
 	}
-	i := p.Balancer.Pick(now, candidates)
-	if i < 0 || i >= len(candidates) {
+	i := p.Balancer.Pick(now, free.list)
+	if i < 0 || i >= len(free.list) {
 		return nil, false
 	}
-	l := leases[i]
+	l := free.leases[i]
 	l.inFlight++
 	l.usedAt = now
-	return &slot{p: p, l: l, backend: candidates[i].Backend}, true
+	p.demand(service).usedAt = now
+	return &slot{p: p, l: l, backend: free.list[i].Backend}, true
 }
 
-// candidates returns the leases with a free slot, and the same for the balancer; the
-// avoided servers only where there are no others. The slices are reused. The lock
-// is held.
-func (p *Pool) candidates(now time.Time, service string, avoid []briarferry.BackendID) ([]*lease, []briarferry.Candidate) {
-	p.freeLeases, p.free = p.freeLeases[:0], p.free[:0]
-	avoided := false
+// candidates returns the servers with a free held slot, those to avoid only where
+// there is no other. The result is valid until the next call.
+func (p *Pool) candidates(now time.Time, service string, avoid []briarferry.BackendID) *choices {
+	p.free.reset()
+	p.avoided.reset()
 	for _, r := range p.of(service).all {
-		if len(avoid) > 0 && slices.Contains(avoid, r.id) {
-			avoided = true
+		l := p.leases[r.key]
+		if l == nil || l.valid(now) <= l.inFlight || l.grantedBy != r.home || r.backend.State == briarferry.StateDraining {
 			continue
 		}
-		p.addCandidate(now, r)
-	}
-	if len(p.free) == 0 && avoided {
-		for _, r := range p.of(service).all {
-			p.addCandidate(now, r)
+		to := &p.free
+		if len(avoid) > 0 && slices.Contains(avoid, r.id) {
+			to = &p.avoided
 		}
+		to.leases = append(to.leases, l)
+		to.list = append(to.list, briarferry.Candidate{Backend: r.backend, InFlight: l.inFlight, Held: l.granted, Local: r.local, Delay: r.delay})
 	}
-	return p.freeLeases, p.free
-}
-
-func (p *Pool) addCandidate(now time.Time, r *route) {
-	l := p.leases[r.key]
-	if l == nil || l.valid(now) <= l.inFlight || l.grantedBy != r.home {
-		return
-	}
-	b, ok := p.Table.Get(now, r.key)
-	if !ok || b.State == briarferry.StateDraining {
-		return
-	}
-	c := briarferry.Candidate{Backend: b, InFlight: l.inFlight, Held: l.granted, Local: r.local}
-	if p.Delay != nil {
-		c.Delay = p.Delay(b.Region)
+	if len(p.free.list) == 0 {
+		return &p.avoided
 	}
-	p.freeLeases, p.free = append(p.freeLeases, l), append(p.free, c)
+	return &p.free
 }
 
+func (c *choices) reset() { c.leases, c.list = c.leases[:0], c.list[:0] }
+
 // Capacity returns the number of slots held for a service, busy or free.
 func (p *Pool) Capacity(service string) int {
 	p.init()
@@ -82,8 +79,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for _, l := range p.leases {
-		if l.service == service {
+	for _, r := range p.of(service).all {
+		if l := p.leases[r.key]; l != nil {
 			n += l.held(now)
 		}
 	}
@@ -176,6 +173,7 @@
 	l.inFlight--
 	l.usedAt = now
 	d := s.p.demand(l.service)
+	d.usedAt = now
 	if d.contended && d.total == 0 && l.granted > l.inFlight {
 		s.p.giveBack(l)
 	}
--- a/internal/coordination/bfslot/pool.go
+++ b/internal/coordination/bfslot/pool.go
@@ -55,9 +55,8 @@
 		leases   map[uint64]*lease
 		talks    map[string]*talk
 		services map[string]*demand
-		// freeLeases and free are the buffers of candidates.
-		freeLeases []*lease
-		free       []briarferry.Candidate
+		// free and avoided are reused by each choice of a server.
+		free, avoided choices
 	}
 
 	// serviceRoutes are the backend servers of one service.
@@ -76,6 +75,10 @@
 		home  string
 		slots int
 		local bool
+		// backend is the server as the last tick found it; reading the table for each
+		// request would cost a lock and a copy for each server.
+		backend briarferry.Backend
+		delay   time.Duration
 	}
 )
 
@@ -124,9 +127,10 @@
 
 // view also makes the home wait again after this VM was cut off.
 func (p *Pool) view(now time.Time) view {
-	v := view{up: make(map[holderID]bool), connected: p.Members.Connected(), agreed: p.Members.Agreed()}
+	v := view{up: make(map[holderID]bool), regions: make(map[string]string), connected: p.Members.Connected(), agreed: p.Members.Agreed()}
 	for _, vm := range p.Members.Up() {
 		v.up[holderID{vm.Name, vm.Incarnation}] = true
+		v.regions[vm.Name] = vm.Region
 	}
 	epoch := p.Members.Epoch()
 	p.mu.Lock()
@@ -175,7 +179,11 @@
 	routes, byName, homes := make(map[uint64]*route), make(map[string]*serviceRoutes), make(map[string]bool)
 	own := make(map[uint64]ownServer)
 	p.Table.All(now, func(key uint64, b briarferry.Backend, startedAt time.Time) {
-		r := &route{key: key, id: b.ID(), home: homeOf(key, b.Region, up), slots: openSlots(now, b, startedAt), local: b.Region == self.Region}
+		r := &route{key: key, id: b.ID(), home: homeOf(key, b.Region, up), slots: openSlots(now, b, startedAt),
+			local: b.Region == self.Region, backend: b}
+		if p.Delay != nil {
+			r.delay = p.Delay(b.Region)
+		}
 		routes[key] = r
 		if byName[b.Service] == nil {
 			byName[b.Service] = &serviceRoutes{homes: make(map[string]bool)}
