Protect calls between VMs with mutual TLS and the system's name

Any process that reached an RPC address could vote, claim or change. bfrpc.Security gives servers and clients mutual TLS 1.3 and a header with the system's name, which the server checks before any procedure; clients expect the VM's name at addresses that they know. Without it, calls stay cleartext.

TestStrangersCallNothing: 6 kinds of strangers at 12 procedures over loopback sockets, no call reaches a handler.

--- a/internal/transport/bfrpc/client.go
+++ b/internal/transport/bfrpc/client.go
@@ -50,6 +50,8 @@
 		OnIndex func(index uint64)
 		// HTTP carries the calls; nil stands for a client with own connections.
 		HTTP *http.Client
+		// Security protects the calls; nil stands for cleartext.
+		Security *Security
 
 		once   sync.Once
 		claims *batcher[bfmachine.ClaimOp, bfmachine.ClaimResult]
@@ -86,12 +88,12 @@
 
 func (c *ControlClient) init() {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{
+		c.HTTP = c.Security.NewClient(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: claimsInFlight,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
-		}}
+		}, 0)
 	}
 	c.clients = map[netip.AddrPort]*procedures{}
 	c.claims = &batcher[bfmachine.ClaimOp, bfmachine.ClaimResult]{
@@ -256,7 +258,7 @@
 	}
 	p := c.clients[c.current]
 	if p == nil {
-		p = newProcedures(c.HTTP, c.current)
+		p = newProcedures(c.HTTP, c.Security.base(c.current))
 		c.clients[c.current] = p
 	}
 	return c.current, p
@@ -283,8 +285,7 @@
 	return known
 }
 
-func newProcedures(h *http.Client, a netip.AddrPort) *procedures {
-	base := "http://" + a.String()
+func newProcedures(h *http.Client, base string) *procedures {
 	return &procedures{
 		sync:   NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
 		claims: NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
--- a/internal/transport/bfrpc/quarantine.go
+++ b/internal/transport/bfrpc/quarantine.go
@@ -22,11 +22,13 @@
 // before use.
 type QuarantinePeers struct {
 	HTTP connect.HTTPClient
+	// Security is the one that HTTP was made by; nil stands for cleartext.
+	Security *Security
 }
 
 // Lock asks the VM for the only run of a fingerprint.
 func (p QuarantinePeers) Lock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) (bool, error) {
-	reply, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineLockReply](ctx, p.HTTP, vm, quarantineLock, &r)
+	reply, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineLockReply](ctx, p, vm, quarantineLock, &r)
 	if err != nil {
 		return false, err
 	}
@@ -35,27 +37,27 @@
 
 // Unlock ends the run.
 func (p QuarantinePeers) Unlock(ctx context.Context, vm briarferry.VM, r bfquarantine.LockRequest) error {
-	_, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineUnlock, &r)
+	_, err := callVM[bfwire.QuarantineLock, bfwire.QuarantineDone](ctx, p, vm, quarantineUnlock, &r)
 	return err
 }
 
 // Share tells the VM about crashes and clearances.
 func (p QuarantinePeers) Share(ctx context.Context, vm briarferry.VM, u bfquarantine.Update) error {
-	_, err := callVM[bfwire.QuarantineUpdate, bfwire.QuarantineDone](ctx, p.HTTP, vm, quarantineShare, &u)
+	_, err := callVM[bfwire.QuarantineUpdate, bfwire.QuarantineDone](ctx, p, vm, quarantineShare, &u)
 	return err
 }
 
 // Fetch returns what the VM knows.
 func (p QuarantinePeers) Fetch(ctx context.Context, vm briarferry.VM) (bfquarantine.Update, error) {
-	u, err := callVM[bfwire.QuarantineQuery, bfwire.QuarantineUpdate](ctx, p.HTTP, vm, quarantineFetch, &bfwire.QuarantineQuery{})
+	u, err := callVM[bfwire.QuarantineQuery, bfwire.QuarantineUpdate](ctx, p, vm, quarantineFetch, &bfwire.QuarantineQuery{})
 	if err != nil {
 		return bfquarantine.Update{}, err
 	}
 	return *u, nil
 }
 
-func callVM[Req, Res any](ctx context.Context, client connect.HTTPClient, vm briarferry.VM, procedure string, req *Req) (*Res, error) {
-	return NewCall[Req, Res](client, "http://"+vm.RPC.String(), procedure)(ctx, req)
+func callVM[Req, Res any](ctx context.Context, p QuarantinePeers, vm briarferry.VM, procedure string, req *Req) (*Res, error) {
+	return NewCall[Req, Res](p.HTTP, p.Security.base(vm.RPC), procedure)(ctx, req)
 }
 
 // HandleQuarantine serves the calls of other entries' QuarantinePeers.
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -70,6 +70,8 @@
 		// messages and 32 MB.
 		QueueMessages int
 		QueueBytes    int64
+		// Security protects the calls; nil stands for cleartext.
+		Security *Security
 
 		init  sync.Once
 		peers map[string]*raftPeer
@@ -153,10 +155,10 @@
 		}
 		c.peers = map[string]*raftPeer{}
 		for vm, addr := range c.Peers {
-			c.peers[vm] = &raftPeer{client: c, base: "http://" + addr.String(), queue: make(chan bfraft.Message, c.QueueMessages)}
+			c.peers[vm] = &raftPeer{client: c, base: c.Security.base(addr), queue: make(chan bfraft.Message, c.QueueMessages)}
 		}
 		// Formation calls are rare, so each uses its own connection and none goes silent.
-		c.calls = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		c.calls = c.Security.NewClient(&http.Transport{DisableKeepAlives: true}, 0)
 	})
 }
 
--- a/internal/transport/bfrpc/raft_peer.go
+++ b/internal/transport/bfrpc/raft_peer.go
@@ -108,7 +108,7 @@
 	case first = <-p.queue:
 	}
 	ctx, cancel := context.WithCancelCause(parent)
-	conns, client := newStreamClient()
+	conns, client := newStreamClient(p.client.Security)
 	s := connect.NewClient[RaftBatch, RaftAck](client, p.base+raftStream, clientOptions()...).CallBidiStream(ctx)
 	var track unacked
 	var group sync.WaitGroup
@@ -209,12 +209,12 @@
 	closed bool
 }
 
-func newStreamClient() (*connTracker, *http.Client) {
+func newStreamClient(s *Security) (*connTracker, *http.Client) {
 	t := &connTracker{}
 	dialer := net.Dialer{Timeout: raftCallTimeout}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return t, &http.Client{Transport: &http.Transport{
+	return t, s.NewClient(&http.Transport{
 		Protocols: protocols,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
@@ -223,7 +223,7 @@
 			}
 			return c, t.add(c)
 		},
-	}}
+	}, 0)
 }
 
 func (t *connTracker) add(c net.Conn) error {
--- /dev/null
+++ b/internal/transport/bftls/secrets.go
@@ -0,0 +1,61 @@
+package bftls
+
+import (
+	"bytes"
+	"encoding/hex"
+
+	"briarferry"
+)
+
+const minTokenBytes = 16
+
+// LoadTokens reads a file with one token a line. All are accepted, and the first is
+// the one to send.
+func LoadTokens(setting, path string) (*Watched[[]string], briarferry.Findings) {
+	return Watch([]File{{Setting: setting, Path: path, Secret: true}}, func(contents [][]byte) ([]string, briarferry.Findings) {
+		var findings briarferry.Findings
+		var tokens []string
+		for _, line := range lines(contents[0]) {
+			if len(line) < minTokenBytes {
+				findings.Add(setting, "%s: each token must have at least %d characters", path, minTokenBytes)
+			}
+			tokens = append(tokens, string(line))
+		}
+		if len(tokens) == 0 {
+			findings.Add(setting, "%s has no token", path)
+		}
+		return tokens, findings
+	})
+}
+
+// LoadKeys reads a file with one key a line in hexadecimal form and makes a value of
+// the keys.
+func LoadKeys[T any](setting, path string, use func(keys [][]byte) T) (*Watched[T], briarferry.Findings) {
+	return Watch([]File{{Setting: setting, Path: path, Secret: true}}, func(contents [][]byte) (T, briarferry.Findings) {
+		var findings briarferry.Findings
+		var keys [][]byte
+		for i, line := range lines(contents[0]) {
+			key := make([]byte, hex.DecodedLen(len(line)))
+			// The line itself must not be in the finding.
+			if _, err := hex.Decode(key, line); err != nil || len(key) < SecretBytes {
+				findings.Add(setting, "%s: key %d must have at least %d hexadecimal digits", path, i+1, 2*SecretBytes)
+			}
+			keys = append(keys, key)
+		}
+		if len(keys) == 0 || len(keys) > 2 {
+			findings.Add(setting, "%s must have one key, or two during a rotation", path)
+		}
+		return use(keys), findings
+	})
+}
+
+// lines returns the lines that are neither empty nor comments.
+func lines(data []byte) [][]byte {
+	var out [][]byte
+	for line := range bytes.Lines(data) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != '#' {
+			out = append(out, line)
+		}
+	}
+	return out
+}
