Authenticate gossip datagrams with a shared key

Any process that reached a gossip address could make VMs known, announce backend servers or grant slots. Each datagram now carries the sender's name and incarnation and 16 bytes of HMAC-SHA256, whose key is derived from a shared key and the system's name; the first of two keys signs and both verify. A datagram without a valid tag, or whose message names another sender, is counted and dropped, as is one that an earlier process of a known VM sealed. Without a key the tag still separates systems.

--- a/internal/transport/bfgossip/counters.go
+++ b/internal/transport/bfgossip/counters.go
@@ -15,7 +15,7 @@
 )
 
 type counterSet struct {
-	heartbeatsIn, heartbeatsOut, bytesIn, bytesOut, invalid, pulls, tableFull, sendErrors *expvar.Int
+	heartbeatsIn, heartbeatsOut, bytesIn, bytesOut, invalid, pulls, tableFull, sendErrors, unauthentic *expvar.Int
 }
 
 func newCounters() *counterSet {
@@ -32,6 +32,7 @@
 		heartbeatsIn: add("heartbeats_in"), heartbeatsOut: add("heartbeats_out"),
 		bytesIn: add("bytes_in"), bytesOut: add("bytes_out"), invalid: add("invalid_messages"),
 		pulls: add("table_pulls"), tableFull: add("table_full"), sendErrors: add("send_errors"),
+		unauthentic: add("unauthentic_datagrams"),
 	}
 }
 
--- a/internal/transport/bfgossip/node.go
+++ b/internal/transport/bfgossip/node.go
@@ -58,7 +58,9 @@
 		Table   *bfbackend.Table
 		Slots   SlotHandler
 		Network Network
-		Log     zerolog.Logger
+		// Keys returns the keyring in use; nil leaves datagrams without tags.
+		Keys func() *Keyring
+		Log  zerolog.Logger
 
 		synced atomic.Bool
 		mu     sync.Mutex
@@ -119,9 +121,8 @@
 // Receive takes one datagram.
 func (n *Node) Receive(data []byte) {
 	counters.bytesIn.Add(int64(len(data)))
-	m, err := bfwire.Decode(data)
-	if err != nil {
-		counters.invalid.Add(1)
+	m, ok := n.open(data)
+	if !ok {
 		return
 	}
 	switch m := m.(type) {
@@ -163,6 +164,7 @@
 		n.Log.Error().Err(err).Msg("message was not encoded")
 		return
 	}
+	data = n.seal(m, data)
 	counters.bytesOut.Add(int64(len(data)))
 	n.Network.Send(to, data)
 }
