--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -53,6 +53,20 @@
 		folder string
 	}
 
+	// options are what a test adds to the usual settings.
+	options struct {
+		// serve returns more arguments for a VM.
+		serve func(name string) []string
+		// standin has more arguments for the stand-in.
+		standin []string
+		// client calls the entries and the stand-in; nil stands for a usual one.
+		client *http.Client
+		// scheme is that of the entries' HTTP addresses; empty stands for http.
+		scheme string
+		// token comes with operators' changes.
+		token string
+	}
+
 	// cluster is a whole system with its stand-in backend servers.
 	cluster struct {
 		t       *testing.T
@@ -60,6 +74,7 @@
 		standin *process
 		admin   netip.AddrPort
 		client  *http.Client
+		options options
 	}
 )
 
@@ -169,10 +184,17 @@
 // stand-in, and puts the example configuration in force.
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	dir := t.TempDir()
+	return startClusterWith(t, t.TempDir(), options{})
+}
+
+func startClusterWith(t *testing.T, dir string, o options) *cluster {
+	t.Helper()
 	cfg := exampleConfig(t)
 	addrs := freeAddresses(t, vmCount*3+1)
-	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}}
+	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}, options: o}
+	if o.client != nil {
+		c.client = o.client
+	}
 	var control, peers []string
 	for i := range vmCount {
 		if i < controlCount {
@@ -181,7 +203,11 @@
 		peers = append(peers, addrs[i*3+2].String())
 	}
 	for i := range vmCount {
-		c.vms = append(c.vms, newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers))
+		v := newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers)
+		if o.serve != nil {
+			v.args = append(v.args, o.serve(v.name)...)
+		}
+		c.vms = append(c.vms, v)
 	}
 	for _, v := range c.vms {
 		v.start()
@@ -266,6 +292,7 @@
 	base := netip.AddrPortFrom(c.admin.Addr(), c.admin.Port())
 	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
 		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
+	c.standin.args = append(c.standin.args, c.options.standin...)
 	c.standin.start()
 	c.await("the stand-in answers", readyWithin, func() bool { return c.get(c.admin, "/servers", nil) == http.StatusOK })
 }
@@ -293,9 +320,17 @@
 	return true
 }
 
+// url returns the URL of a path at an entry or the stand-in, which has no TLS.
+func (c *cluster) url(address netip.AddrPort, path string) string {
+	if c.options.scheme == "" || address == c.admin {
+		return "http://" + address.String() + path
+	}
+	return c.options.scheme + "://" + address.String() + path
+}
+
 // get reads a JSON document; it returns the status, or 0 where there was no answer.
 func (c *cluster) get(address netip.AddrPort, path string, out any) int {
-	resp, err := c.client.Get("http://" + address.String() + path)
+	resp, err := c.client.Get(c.url(address, path))
 	if err != nil {
 		return 0
 	}
@@ -336,7 +371,7 @@
 
 // config returns the configuration and its entity tag as one VM tells it.
 func (c *cluster) config(v *vm) (*briarferry.Config, string, error) {
-	resp, err := c.client.Get("http://" + v.http.String() + bfapi.PathConfig)
+	resp, err := c.client.Get(c.url(v.http, bfapi.PathConfig))
 	if err != nil {
 		return nil, "", err
 	}
@@ -351,8 +386,9 @@
 // put sends a change of the configuration and returns the status, or 0.
 func (c *cluster) put(ctx context.Context, v *vm, cfg *briarferry.Config, etag, key string) int {
 	data, _ := json.Marshal(cfg)
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+v.http.String()+bfapi.PathConfig, bytes.NewReader(data))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, c.url(v.http, bfapi.PathConfig), bytes.NewReader(data))
 	req.Header.Set(bfapi.HeaderIfMatch, etag)
+	req.Header.Set("Authorization", "Bearer "+c.options.token)
 	req.Header.Set(bfapi.HeaderIdempotencyKey, key)
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -406,7 +442,7 @@
 func (c *cluster) call(ctx context.Context, v *vm, method, path, key, body string, timeout time.Duration) (int, briarferry.Outcome, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+v.http.String()+path, strings.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, method, c.url(v.http, path), strings.NewReader(body))
 	req.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(timeout))
 	if key != "" {
 		req.Header.Set(bfapi.HeaderIdempotencyKey, key)
--- /dev/null
+++ b/internal/systemtest/security_test.go
@@ -0,0 +1,111 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
+)
+
+// TestSecuredSystem guards against VMs that don't form, spread a configuration or
+// serve with TLS, gossip keys and tokens as the certificates command makes them.
+func TestSecuredSystem(t *testing.T) {
+	dir := t.TempDir()
+	secrets := filepath.Join(dir, "secrets")
+	file := func(name string) string { return filepath.Join(secrets, name) }
+	var vms []string
+	for i := range vmCount {
+		vms = append(vms, fmt.Sprintf("vm%d=127.0.0.1", i+1))
+	}
+	out, err := exec.Command(program(t), "certificates", "--folder", secrets, "--system", "north", "--vms", strings.Join(vms, ",")).CombinedOutput()
+	if err != nil {
+		t.Fatalf("certificates: %v: %s", err, out)
+	}
+	trust, findings := bftls.Load(bftls.Files{CA: bftls.File{Path: file(bftls.FileCA)}})
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	client := trust.HTTPClient(&http.Transport{})
+	client.Timeout = 30 * time.Second
+	token, err := os.ReadFile(file(bftls.FileToken))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := startClusterWith(t, dir, options{
+		serve: func(name string) []string {
+			return []string{
+				"--system", "north", "--gossip-key-file", file(bftls.FileGossipKey), "--token-file", file(bftls.FileToken),
+				"--tls-cert", file(name + ".pem"), "--tls-key", file(name + ".key"), "--tls-ca", file(bftls.FileCA),
+				"--http-tls-cert", file(name + ".pem"), "--http-tls-key", file(name + ".key"),
+			}
+		},
+		standin: []string{"--ca", file(bftls.FileCA)},
+		client:  client, scheme: "https", token: strings.TrimSpace(string(token)),
+	})
+	for i, v := range c.vms {
+		status, _, body := c.call(t.Context(), v, http.MethodGet, bfapi.PathRequests+"catalogue/items", "", "", 3*time.Second)
+		if status != http.StatusOK {
+			t.Errorf("%s: read: status %d: %s", v.name, status, body)
+		}
+		status, outcome, body := c.call(t.Context(), v, http.MethodPost, bfapi.PathRequests+"order-desk/orders", fmt.Sprint("order-", i), "{}", 3*time.Second)
+		if status != http.StatusOK {
+			t.Errorf("%s: order: status %d, outcome %q: %s", v.name, status, outcome, body)
+		}
+	}
+	var s bfapi.Status
+	if c.get(c.vms[0].http, bfapi.PathStatus, &s) != http.StatusOK || len(s.VMs) != vmCount {
+		t.Errorf("status has %d VMs, degraded: %v", len(s.VMs), s.Degraded)
+	}
+	c.refusesStrangers(t)
+	run := exec.Command(program(t), "drain", "--entries", c.vms[1].http.String(), "--ca", file(bftls.FileCA),
+		"--token-file", file(bftls.FileToken), "--kind", string(briarferry.DrainVM), "--target", "vm7")
+	if out, err := run.CombinedOutput(); err != nil {
+		t.Errorf("drain: %v: %s", err, out)
+	}
+	c.hidesToken(t, dir)
+}
+
+// refusesStrangers checks that cleartext and changes without the token fail.
+func (c *cluster) refusesStrangers(t *testing.T) {
+	t.Helper()
+	resp, err := http.Get("http://" + c.vms[0].http.String() + bfapi.PathStatus)
+	if err == nil {
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			t.Error("an entry with a certificate answers in cleartext")
+		}
+	}
+	cfg, etag, err := c.config(c.vms[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	token := c.options.token
+	c.options.token = "wrong"
+	if status := c.put(t.Context(), c.vms[0], cfg, etag, "stranger"); status != http.StatusUnauthorized {
+		t.Errorf("a change with a wrong token gets status %d", status)
+	}
+	c.options.token = token
+}
+
+// hidesToken looks for the token in every log.
+func (c *cluster) hidesToken(t *testing.T, dir string) {
+	t.Helper()
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	if len(logs) < vmCount {
+		t.Fatalf("only %d logs", len(logs))
+	}
+	for _, path := range logs {
+		data, _ := os.ReadFile(path)
+		if strings.Contains(string(data), c.options.token) {
+			t.Errorf("%s has the token", path)
+		}
+	}
+}
--- a/internal/transport/bfcommand/apply.go
+++ b/internal/transport/bfcommand/apply.go
@@ -18,8 +18,9 @@
 )
 
 type applyFlags struct {
-	entries, answers, token string
-	yes                     bool
+	entries, answers string
+	client           clientFlags
+	yes              bool
 }
 
 func applyCommand() *command {
@@ -30,7 +31,7 @@
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&f.entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries, comma separated")
 			fs.StringVar(&f.answers, "answers", "answers.json", "answers file")
-			fs.StringVar(&f.token, "token", "", "token for operators' changes")
+			f.client.registerToken(fs)
 			fs.BoolVar(&f.yes, "yes", false, "apply without showing the difference first")
 		},
 		run: func(ctx context.Context, _ []string) error { return f.run(ctx) },
@@ -39,7 +40,7 @@
 
 func (f *applyFlags) run(ctx context.Context) error {
 	var v values
-	client := &operatorClient{entries: v.addresses("entries", f.entries), token: f.token}
+	client := f.client.operator(&v, f.entries)
 	if err := v.findings.Err(); err != nil {
 		return err
 	}
--- a/internal/transport/bfcommand/command.go
+++ b/internal/transport/bfcommand/command.go
@@ -41,6 +41,7 @@
 	c.Register(c.HelpCommand(), "")
 	for _, cmd := range []*command{serveCommand(), standinCommand(), loadCommand(), lookupCommand(),
 		answersCommand(), generateCommand(), checkCommand(), applyCommand(), drainCommand(), statusCommand(),
+		certificatesCommand(),
 	} {
 		c.Register(cmd, "")
 	}
--- a/internal/transport/bfcommand/command_test.go
+++ b/internal/transport/bfcommand/command_test.go
@@ -28,7 +28,7 @@
 
 // TestServeReportsAllFindings guards against settings that are reported one by one.
 func TestServeReportsAllFindings(t *testing.T) {
-	open := serveFlags{name: "a", region: "b", failureDomain: "c", http: "192.0.2.1:80", rpc: "127.0.0.1:1", gossip: "127.0.0.1:2", logLevel: "info", drainFor: 1}
+	open := serveFlags{name: "a", region: "b", failureDomain: "c", http: "192.0.2.1:80", rpc: "127.0.0.1:1", gossip: "127.0.0.1:2", logLevel: "info", drainFor: 1, security: securityFlags{system: "s"}}
 	if _, err := open.check(); err == nil || !strings.Contains(err.Error(), "--token") {
 		t.Errorf("operators' changes would be served to everybody: %v", err)
 	}
--- a/internal/transport/bfcommand/drain.go
+++ b/internal/transport/bfcommand/drain.go
@@ -18,8 +18,9 @@
 )
 
 type drainFlags struct {
-	entries, kind, target, remove, token string
-	wait                                 time.Duration
+	entries, kind, target, remove string
+	client                        clientFlags
+	wait                          time.Duration
 }
 
 // drainOrder is the body of an announced drain.
@@ -39,7 +40,7 @@
 			fs.StringVar(&f.kind, "kind", "backend_server", "backend_server, vm, failure_domain or region")
 			fs.StringVar(&f.target, "target", "", "address of the backend server, or name of the VM, failure domain or region")
 			fs.StringVar(&f.remove, "remove", "", "id of a drain to end")
-			fs.StringVar(&f.token, "token", "", "token for operators' changes")
+			f.client.registerToken(fs)
 			fs.DurationVar(&f.wait, "wait", 0, "how long to wait until the target is empty; 0 for not at all")
 		},
 		run: func(ctx context.Context, _ []string) error { return f.run(ctx) },
@@ -48,7 +49,7 @@
 
 func (f *drainFlags) run(ctx context.Context) error {
 	var v values
-	client := &operatorClient{entries: v.addresses("entries", f.entries), token: f.token}
+	client := f.client.operator(&v, f.entries)
 	if err := v.findings.Err(); err != nil {
 		return err
 	}
--- a/internal/transport/bfcommand/load.go
+++ b/internal/transport/bfcommand/load.go
@@ -28,6 +28,7 @@
 		duration                     time.Duration
 		seed                         uint64
 		check                        bool
+		client                       clientFlags
 	}
 
 	// loadSummary is the last line of output.
@@ -70,6 +71,7 @@
 		synopsis: "send open-loop load and report what callers saw",
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&f.entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries for look-ups, comma separated")
+			f.client.register(fs)
 			fs.StringVar(&f.flows, "flows", "", "file with the flows to send")
 			fs.StringVar(&f.standin, "standin", "", "admin address of the stand-in, to count executions")
 			fs.StringVar(&f.out, "out", "", "file for the full report as JSON")
@@ -91,10 +93,11 @@
 		standin = v.address("standin", f.standin)
 	}
 	v.positive("for", f.duration)
+	trust := f.client.source(&v)
 	if err := v.findings.Err(); err != nil {
 		return err
 	}
-	g := &bfload.Generator{Entries: entries, Flows: flows.Flows, For: f.duration, Seed: f.seed}
+	g := &bfload.Generator{Entries: entries, Flows: flows.Flows, For: f.duration, Seed: f.seed, TLS: trust}
 	report, err := g.Run(ctx)
 	if err != nil {
 		return err
--- a/internal/transport/bfcommand/lookup.go
+++ b/internal/transport/bfcommand/lookup.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"os"
 
@@ -14,12 +13,14 @@
 
 func lookupCommand() *command {
 	var entry, service, client string
+	var security clientFlags
 	return &command{
 		name:     "lookup",
 		synopsis: "ask which entries to use for a service",
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&entry, "entry", "127.0.0.1:7000", "HTTP address of an entry")
 			fs.StringVar(&service, "service", "", "name of the service")
+			security.register(fs)
 			fs.StringVar(&client, "client", "", "address of the client that the look-up is for")
 		},
 		run: func(ctx context.Context, _ []string) error {
@@ -33,10 +34,11 @@
 					v.findings.Add("--client", "must be an IP address: %q", client)
 				}
 			}
+			caller := security.caller(&v, nil)
 			if err := v.findings.Err(); err != nil {
 				return err
 			}
-			answer, err := bfload.Ask(ctx, http.DefaultClient, address, service, forClient)
+			answer, err := bfload.Ask(ctx, caller, address, service, forClient)
 			if err != nil {
 				return err
 			}
--- a/internal/transport/bfcommand/operator.go
+++ b/internal/transport/bfcommand/operator.go
@@ -14,6 +14,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const operatorTimeout = 15 * time.Second
@@ -23,6 +24,7 @@
 // operatorClient calls the operators' paths of the first entry that answers.
 type operatorClient struct {
 	entries []netip.AddrPort
+	caller  bftls.Caller
 	token   string
 }
 
@@ -60,7 +62,7 @@
 func (c *operatorClient) callOne(ctx context.Context, entry netip.AddrPort, method, path string, header map[string]string, payload []byte) (operatorAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.String()+path, bytes.NewReader(payload))
+	req, err := http.NewRequestWithContext(ctx, method, c.caller.URL(entry, path), bytes.NewReader(payload))
 	if err != nil {
 		return operatorAnswer{}, fmt.Errorf("bfcommand: build request: %w", err)
 	}
@@ -71,7 +73,7 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.caller.Do(req)
 	if err != nil {
 		return operatorAnswer{}, fmt.Errorf("bfcommand: call %s: %w", entry, err)
 	}
--- a/internal/transport/bfcommand/serve.go
+++ b/internal/transport/bfcommand/serve.go
@@ -20,7 +20,7 @@
 		http, rpc, gossip           string
 		peers, control, data        string
 		config, resolvers, logLevel string
-		token                       string
+		security                    securityFlags
 		traceEndpoint               string
 		traceShare                  float64
 		drainFor                    time.Duration
@@ -34,6 +34,7 @@
 		data      string
 		config    *briarferry.Config
 		token     string
+		security  bfnode.Security
 		resolvers []netip.Prefix
 		log       zerolog.Logger
 		trace     bftrace.Exporter
@@ -68,7 +69,7 @@
 	fs.StringVar(&f.control, "control", "", "control VMs as NAME=RPC-ADDRESS, comma separated")
 	fs.StringVar(&f.data, "data", "", "data folder; makes this VM a control replica")
 	fs.StringVar(&f.config, "config", "", "configuration file for a process that runs alone")
-	fs.StringVar(&f.token, "token", "", "token that operators' changes must carry; empty for none")
+	f.security.register(fs)
 	fs.StringVar(&f.resolvers, "trusted-resolvers", "", "prefixes of resolvers that may name the client of a look-up")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
@@ -88,15 +89,13 @@
 		peers:     v.addresses("peers", f.peers),
 		control:   v.namedAddresses("control", f.control),
 		data:      f.data,
-		token:     f.token,
+		token:     f.security.token,
 		resolvers: v.prefixes("trusted-resolvers", f.resolvers),
 		log:       v.logger(f.logLevel).With().Str("vm", f.name).Logger(),
 		trace:     bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + f.name},
 		drainFor:  v.positive("drain-for", f.drainFor),
 	}
-	if f.token == "" && s.vm.HTTP.IsValid() && !s.vm.HTTP.Addr().IsLoopback() {
-		v.findings.Add("--token", "is required where --http is not a loopback address, since operators' changes are served there")
-	}
+	s.security = f.security.check(&v, s.vm, s.control, s.peers)
 	if f.config != "" {
 		s.config = &briarferry.Config{}
 		v.document("config", f.config, s.config)
@@ -112,7 +111,7 @@
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
 	node := &bfnode.Node{
 		VM: s.vm, Peers: s.peers, Control: s.control, Data: s.data, Alone: s.config,
-		Token: s.token, Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
+		Token: s.token, Security: s.security, Resolvers: s.resolvers, DrainFor: s.drainFor, Log: s.log,
 	}
 	return node.Run(ctx)
 }
--- a/internal/transport/bfcommand/standin.go
+++ b/internal/transport/bfcommand/standin.go
@@ -12,6 +12,7 @@
 func standinCommand() *command {
 	var config, base, admin, entries, logLevel string
 	var coldStart time.Duration
+	var client clientFlags
 	return &command{
 		name:     "standin",
 		synopsis: "emulate the backend servers of a configuration",
@@ -20,6 +21,7 @@
 			fs.StringVar(&base, "base", "127.0.0.1:21000", "address of the first server; the others follow by port")
 			fs.StringVar(&admin, "admin", "127.0.0.1:20999", "address of the endpoint that changes behaviours")
 			fs.StringVar(&entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries, comma separated")
+			client.register(fs)
 			fs.DurationVar(&coldStart, "cold-start", 0, "how long servers start cold")
 			fs.StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
 		},
@@ -29,7 +31,7 @@
 			v.document("config", config, cfg)
 			fleet := &bfstandin.Fleet{
 				Config: cfg, Base: v.address("base", base), Admin: v.address("admin", admin),
-				Entries: v.addresses("entries", entries), ColdStart: coldStart, Log: v.logger(logLevel),
+				Entries: v.addresses("entries", entries), ColdStart: coldStart, TLS: client.source(&v), Log: v.logger(logLevel),
 			}
 			if err := v.findings.Err(); err != nil {
 				return err
--- a/internal/transport/bfcommand/status.go
+++ b/internal/transport/bfcommand/status.go
@@ -20,18 +20,20 @@
 
 func statusCommand() *command {
 	var entries string
+	var client clientFlags
 	var asJSON, watch bool
 	return &command{
 		name:     "status",
 		synopsis: "show VMs, services, drains and what is degraded",
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries, comma separated")
+			client.register(fs)
 			fs.BoolVar(&asJSON, "json", false, "print JSON")
 			fs.BoolVar(&watch, "watch", false, "refresh until interrupted")
 		},
 		run: func(ctx context.Context, _ []string) error {
 			var v values
-			client := &operatorClient{entries: v.addresses("entries", entries)}
+			client := client.operator(&v, entries)
 			if err := v.findings.Err(); err != nil {
 				return err
 			}
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -2,6 +2,7 @@
 package bfentry
 
 import (
+	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 var tracer = otel.Tracer("briarferry/entry")
@@ -36,6 +38,8 @@
 		TrustedResolvers []netip.Prefix
 		// Operators serves the operators' paths; nil answers them with 404.
 		Operators http.Handler
+		// Caller asks other VMs for their status.
+		Caller bftls.Caller
 		// Local adds to this VM's status what the entry itself does not know.
 		Local func(s *bfapi.VMStatus)
 		// Draining is closed when the VM takes no new work because it stops.
@@ -60,13 +64,24 @@
 	mux.HandleFunc("GET "+bfapi.PathHealth, serveHealth)
 	mux.HandleFunc("GET "+bfapi.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+bfapi.PathStatus, e.serveStatus)
-	mux.Handle("GET "+bfapi.PathVars, expvar.Handler())
+	mux.HandleFunc("GET "+bfapi.PathVars, serveVars)
 	if e.Operators != nil {
 		mux.Handle("/v1/", e.Operators)
 	}
 	return mux
 }
 
+// serveVars shows all counters, but not the command line, which may have the token.
+func serveVars(w http.ResponseWriter, _ *http.Request) {
+	all := map[string]json.RawMessage{}
+	expvar.Do(func(v expvar.KeyValue) {
+		if v.Key != "cmdline" {
+			all[v.Key] = json.RawMessage(v.Value.String())
+		}
+	})
+	bfapi.WriteJSON(w, http.StatusOK, all)
+}
+
 func serveHealth(w http.ResponseWriter, _ *http.Request) {
 	bfapi.WriteJSON(w, http.StatusOK, map[string]string{"status": "ok"})
 }
--- a/internal/transport/bfentry/operators.go
+++ b/internal/transport/bfentry/operators.go
@@ -40,6 +40,8 @@
 		Control ControlPlane
 		// Token must come with each change; empty asks for none.
 		Token string
+		// Tokens returns more tokens, any of which may come instead; nil stands for none.
+		Tokens func() []string
 	}
 )
 
@@ -57,7 +59,7 @@
 func (o *Operators) authorized(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if o.Token != "" && (!ok || subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) != 1) {
+		if !o.accepts(token, ok) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			bfapi.WriteProblem(w, bfapi.Problem{Status: http.StatusUnauthorized, Detail: "changes need the operators' token"}, 0)
 			return
@@ -66,6 +68,22 @@
 	}
 }
 
+// accepts compares with every token, in constant time for each.
+func (o *Operators) accepts(token string, given bool) bool {
+	var tokens []string
+	if o.Token != "" {
+		tokens = append(tokens, o.Token)
+	}
+	if o.Tokens != nil {
+		tokens = append(tokens, o.Tokens()...)
+	}
+	matches := 0
+	for _, t := range tokens {
+		matches += subtle.ConstantTimeCompare([]byte(token), []byte(t))
+	}
+	return len(tokens) == 0 || given && matches > 0
+}
+
 func (o *Operators) getConfig(w http.ResponseWriter, r *http.Request) {
 	s, ok := o.state(w, r)
 	if !ok {
--- a/internal/transport/bfentry/server.go
+++ b/internal/transport/bfentry/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const (
@@ -24,7 +25,9 @@
 type Server struct {
 	Listen netip.AddrPort
 	Entry  *Entry
-	Log    zerolog.Logger
+	// TLS has the certificate; nil stands for cleartext.
+	TLS *bftls.Source
+	Log zerolog.Logger
 	// DrainFor is how long the server still answers after a stop was asked for, so
 	// that callers with a cached look-up have gone elsewhere.
 	DrainFor time.Duration
@@ -54,13 +57,24 @@
 	})
 	defer stop()
 	s.Log.Info().Stringer("address", s.Listen).Msg("entry listens")
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.serve(srv, ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("bfentry: serve: %w", err)
 	}
 	<-done
 	return nil
 }
 
+// serve keeps to HTTP/1.1 over TLS too, so that the end of a connection means the same.
+func (s *Server) serve(srv *http.Server, ln net.Listener) error {
+	if s.TLS == nil {
+		return srv.Serve(ln)
+	}
+	srv.Protocols = new(http.Protocols)
+	srv.Protocols.SetHTTP1(true)
+	srv.TLSConfig, srv.ErrorLog = s.TLS.Server(false, "http/1.1"), bftls.ErrorLog()
+	return srv.ServeTLS(ln, "", "")
+}
+
 func (s *Server) drain(srv *http.Server, draining chan struct{}) {
 	s.Log.Info().Msg("entry drains")
 	s.Entry.leaving.Store(true)
--- a/internal/transport/bfentry/status.go
+++ b/internal/transport/bfentry/status.go
@@ -15,6 +15,7 @@
 	"briarferry"
 	"briarferry/internal/coordination/bfdrain"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const statusTimeout = 500 * time.Millisecond
@@ -59,21 +60,21 @@
 				answers[i] = e.localStatus()
 				return
 			}
-			answers[i], errs[i] = askStatus(ctx, vm.HTTP)
+			answers[i], errs[i] = askStatus(ctx, e.Caller, vm.HTTP)
 		})
 	}
 	wg.Wait()
 	return joinStatus(live, answers, errs)
 }
 
-func askStatus(ctx context.Context, address netip.AddrPort) (bfapi.VMStatus, error) {
+func askStatus(ctx context.Context, caller bftls.Caller, address netip.AddrPort) (bfapi.VMStatus, error) {
 	var s bfapi.VMStatus
-	url := fmt.Sprintf("http://%s%s?%s=%s", address, bfapi.PathStatus, bfapi.ParamScope, bfapi.ScopeLocal)
+	url := caller.URL(address, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return s, fmt.Errorf("bfentry: build status request: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := caller.Do(req)
 	if err != nil {
 		return s, fmt.Errorf("bfentry: ask status: %w", err)
 	}
--- a/internal/transport/bfload/caller.go
+++ b/internal/transport/bfload/caller.go
@@ -79,7 +79,7 @@
 		if i == 0 {
 			entry = pick(entries, rng)
 		}
-		req, err := newRequest(ctx, f, entry, key, body, deadline)
+		req, err := g.newRequest(ctx, f, entry, key, body, deadline)
 		if err != nil {
 			return result{status: statusNotRun, reason: err.Error()}
 		}
@@ -107,12 +107,12 @@
 	return entries[0].Address
 }
 
-func newRequest(ctx context.Context, f Flow, entry netip.AddrPort, key, body string, deadline time.Time) (*http.Request, error) {
+func (g *Generator) newRequest(ctx context.Context, f Flow, entry netip.AddrPort, key, body string, deadline time.Time) (*http.Request, error) {
 	method, payload := http.MethodGet, ""
 	if f.Keyed {
 		method, payload = http.MethodPost, body
 	}
-	url := "http://" + entry.String() + bfapi.PathRequests + f.Service + "/items?q=" + hexDigest(body)
+	url := g.client.URL(entry, bfapi.PathRequests) + f.Service + "/items?q=" + hexDigest(body)
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(payload))
 	if err != nil {
 		return nil, err
--- a/internal/transport/bfload/generator.go
+++ b/internal/transport/bfload/generator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarferry"
+	"briarferry/internal/transport/bftls"
 )
 
 const (
@@ -40,9 +41,11 @@
 		Flows   []Flow
 		For     time.Duration
 		Seed    uint64
+		// TLS has the CAs of the entries' certificates; nil stands for cleartext.
+		TLS *bftls.Source
 
 		lookups *lookups
-		client  *http.Client
+		client  bftls.Caller
 	}
 )
 
@@ -52,7 +55,7 @@
 		return nil, fmt.Errorf("bfload: needs at least one entry and one flow")
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second}
-	g.client = &http.Client{Transport: transport}
+	g.client = bftls.NewCaller(g.TLS, transport)
 	defer transport.CloseIdleConnections()
 	g.lookups = &lookups{seeds: g.Entries, client: g.client}
 	report := &Report{Flows: make([]*FlowReport, len(g.Flows))}
--- a/internal/transport/bfload/lookup.go
+++ b/internal/transport/bfload/lookup.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const lookupTimeout = time.Second
@@ -19,7 +20,7 @@
 	// lookups caches the answers to look-ups for their time to live.
 	lookups struct {
 		seeds  []netip.AddrPort
-		client *http.Client
+		client bftls.Caller
 
 		mu    sync.Mutex
 		cache map[string]cachedLookup
@@ -75,10 +76,10 @@
 }
 
 // Ask sends one look-up to an entry, for another client where one is given.
-func Ask(ctx context.Context, client *http.Client, entry netip.AddrPort, service string, forClient netip.Addr) (bfapi.Lookup, error) {
+func Ask(ctx context.Context, client bftls.Caller, entry netip.AddrPort, service string, forClient netip.Addr) (bfapi.Lookup, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	url := "http://" + entry.String() + bfapi.PathLookup + "?" + bfapi.ParamService + "=" + service
+	url := client.URL(entry, bfapi.PathLookup) + "?" + bfapi.ParamService + "=" + service
 	if forClient.IsValid() {
 		url += "&" + bfapi.ParamClient + "=" + forClient.String()
 	}
--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -44,7 +44,7 @@
 	if len(n.Control) == 0 {
 		return n.aloneControl(), nil
 	}
-	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(n.Control))}
+	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(n.Control)), Security: n.calls(nil)}
 	holder := &bflease.Holder{Name: n.VM.Name, Incarnation: n.VM.Incarnation, Transport: client}
 	client.OnIndex = holder.Observe
 	replica, handOver := n.startReplica(ctx, group, mux)
@@ -55,7 +55,7 @@
 	publishLease(holder)
 	return &control{
 		config: holder, claims: client, handOver: handOver,
-		operators: (&bfentry.Operators{Control: client, Token: n.Token}).Handler(),
+		operators: (&bfentry.Operators{Control: client, Tokens: n.tokens}).Handler(),
 		drains:    func() []briarferry.Drain { return holder.State().Drains },
 		describe:  func(s *bfapi.VMStatus) { describeControl(s, holder, replica) },
 	}, nil
@@ -90,7 +90,7 @@
 	if n.Data == "" {
 		return nil, func() {}
 	}
-	network := &bfrpc.RaftClient{Peers: n.Control}
+	network := &bfrpc.RaftClient{Peers: n.Control, Security: n.calls(nil)}
 	machine := bfmachine.New()
 	replica := &bfreplica.Node{
 		VM: n.VM.Name, Control: slices.Sorted(maps.Keys(n.Control)), Dir: n.Data,
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -18,7 +18,6 @@
 	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfentry"
-	"briarferry/internal/transport/bfrpc"
 )
 
 const (
@@ -42,6 +41,7 @@
 	Resolvers []netip.Prefix
 	// Token must come with operators' changes; empty asks for none.
 	Token    string
+	Security Security
 	DrainFor time.Duration
 	Log      zerolog.Logger
 }
@@ -53,6 +53,7 @@
 	defer stop()
 	group, parts := errgroup.WithContext(parts)
 	mux := http.NewServeMux()
+	n.Security.watch(parts, group, n.Log)
 
 	control, err := n.startControl(parts, group, mux)
 	if err != nil {
@@ -67,6 +68,7 @@
 		TrustedResolvers: n.Resolvers,
 		Pipeline:         n.newPipeline(parts, group, mux, control, sharing, queue),
 		Operators:        control.operators,
+		Caller:           n.Security.caller(),
 	}
 	drains := n.newDrains(control, sharing, entry.Serving())
 	entry.Placement = &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeWork}
@@ -84,7 +86,7 @@
 	}
 	group.Go(func() error { return sharing.Run(parts, entry.Ready) })
 	server := &bfentry.Server{
-		Listen: n.VM.HTTP, Entry: entry, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
+		Listen: n.VM.HTTP, Entry: entry, TLS: n.Security.HTTP, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
 	}
 	group.Go(func() error {
 		defer stop()
@@ -109,10 +111,11 @@
 	if err != nil {
 		return fmt.Errorf("bfnode: listen for calls: %w", err)
 	}
-	srv := bfrpc.NewServer(mux)
+	calls := n.calls(nil)
+	srv := calls.NewServer(mux)
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
 	group.Go(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := calls.Serve(srv, ln); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("bfnode: serve calls: %w", err)
 		}
 		return nil
--- a/internal/transport/bfnode/pipeline.go
+++ b/internal/transport/bfnode/pipeline.go
@@ -17,13 +17,18 @@
 )
 
 // callTimeout bounds a call between entries.
-const callTimeout = 2 * time.Second
+const (
+	callTimeout = 2 * time.Second
+	// idleCallTimeout is below the server's, so that no call meets a closing connection.
+	idleCallTimeout = 20 * time.Second
+)
 
 // newPipeline assembles the decisions that a request passes.
 func (n *Node) newPipeline(ctx context.Context, group *errgroup.Group, mux *http.ServeMux, c *control, s *Sharing, queue *bfadmission.Admitter) *bfentry.Pipeline {
+	calls := n.calls(s)
 	quarantine := &bfquarantine.Quarantine{
 		Members: s.Members,
-		Peers:   bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: callTimeout}},
+		Peers:   bfrpc.QuarantinePeers{HTTP: calls.NewClient(&http.Transport{IdleConnTimeout: idleCallTimeout}, callTimeout), Security: calls},
 		Keep: func() time.Duration {
 			if cfg, _, ok := c.config.Current(); ok {
 				return cfg.Limits.QuarantineFor.Std()
--- a/internal/transport/bfnode/sharing.go
+++ b/internal/transport/bfnode/sharing.go
@@ -33,7 +33,9 @@
 	Balancer briarferry.Balancer
 	// Config gives the delays between regions; nil stands for none.
 	Config briarferry.ConfigSource
-	Log    zerolog.Logger
+	// Keys returns the keyring for datagrams; nil leaves them without tags.
+	Keys func() *bfgossip.Keyring
+	Log  zerolog.Logger
 
 	// Members, Table and Slots are set by Open.
 	Members *bfmember.Members
@@ -47,7 +49,7 @@
 // newSharing creates what this VM shares with the others.
 func (n *Node) newSharing(c *control) *Sharing {
 	s := &Sharing{
-		VM: n.VM, Seeds: n.Peers, Balancer: &bfbalancer.Balancer{Seed: n.VM.Incarnation}, Config: c.config, Log: n.Log,
+		VM: n.VM, Seeds: n.Peers, Balancer: &bfbalancer.Balancer{Seed: n.VM.Incarnation}, Config: c.config, Keys: n.Security.keys(), Log: n.Log,
 	}
 	s.Open()
 	return s
@@ -58,7 +60,7 @@
 	s.Members = bfmember.NewMembers(s.VM, s.Seeds)
 	s.Table = &bfbackend.Table{Origin: s.VM.Name}
 	s.net = &bfgossip.Gnet{Listen: s.VM.Gossip, Log: s.Log}
-	s.node = &bfgossip.Node{Members: s.Members, Table: s.Table, Network: s.net, Log: s.Log}
+	s.node = &bfgossip.Node{Members: s.Members, Table: s.Table, Network: s.net, Keys: s.Keys, Log: s.Log}
 	s.Slots = &bfslot.Pool{Members: s.Members, Table: s.Table, Balancer: s.Balancer, Sender: s.node, Delay: s.delay}
 	s.node.Slots = s.Slots
 	s.net.Receive = s.node.Receive
--- a/internal/transport/bfstandin/announce.go
+++ b/internal/transport/bfstandin/announce.go
@@ -11,6 +11,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const (
@@ -23,7 +24,7 @@
 type announcer struct {
 	server  *Server
 	entries []netip.AddrPort
-	client  *http.Client
+	client  bftls.Caller
 	next    int
 	loads   []float64
 }
@@ -97,7 +98,7 @@
 func (a *announcer) post(ctx context.Context, entry netip.AddrPort, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	url := "http://" + entry.String() + bfapi.PathAnnouncements
+	url := a.client.URL(entry, bfapi.PathAnnouncements)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("bfstandin: build announcement: %w", err)
--- a/internal/transport/bfstandin/fleet.go
+++ b/internal/transport/bfstandin/fleet.go
@@ -13,6 +13,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 const (
@@ -33,7 +34,9 @@
 		Entries []netip.AddrPort
 		// ColdStart is how long each server starts cold.
 		ColdStart time.Duration
-		Log       zerolog.Logger
+		// TLS has the CAs of the entries' certificates; nil stands for cleartext.
+		TLS *bftls.Source
+		Log zerolog.Logger
 
 		record  Record
 		servers []*Server
@@ -84,7 +87,7 @@
 // Run starts every server and serves the admin endpoint until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	f.build()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	client := bftls.NewCaller(f.TLS, &http.Transport{MaxIdleConnsPerHost: 16})
 	for i, s := range f.servers {
 		if err := s.Start(); err != nil {
 			return err
--- a/internal/transport/bftls/setup.go
+++ b/internal/transport/bftls/setup.go
@@ -33,6 +33,8 @@
 		Valid  time.Duration
 		// Renew replaces the certificates and keys of the VMs.
 		Renew bool
+		// Rotate and Step take one step of a rotation and do nothing else.
+		Rotate, Step string
 	}
 
 	// VM is a VM that gets a certificate.
@@ -44,6 +46,9 @@
 
 // Run writes the files that are missing and returns their paths.
 func (s *SetUp) Run() ([]string, error) {
+	if s.Rotate != "" {
+		return s.rotate()
+	}
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("bftls: create folder: %w", err)
 	}
