--- a/internal/transport/bfentry/operators_test.go
+++ b/internal/transport/bfentry/operators_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"briarferry"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/state/bfmachine"
 )
 
@@ -131,3 +132,41 @@
 		}
 	})
 }
+
+// TestTokens guards against changes without a token, and against a rotation that
+// refuses one of the two tokens.
+func TestTokens(t *testing.T) {
+	two := func() []string { return []string{"new", "old"} }
+	tests := []struct {
+		operators Operators
+		token     string
+		given     bool
+		want      bool
+	}{
+		{Operators{}, "", false, true},
+		{Operators{Token: "one"}, "one", true, true},
+		{Operators{Token: "one"}, "", false, false},
+		{Operators{Token: "one"}, "", true, false},
+		{Operators{Tokens: two}, "new", true, true},
+		{Operators{Tokens: two}, "old", true, true},
+		{Operators{Tokens: two}, "older", true, false},
+		{Operators{Tokens: two}, "", false, false},
+		{Operators{Tokens: func() []string { return nil }}, "", false, true},
+	}
+	for _, tt := range tests {
+		if got := tt.operators.accepts(tt.token, tt.given); got != tt.want {
+			t.Errorf("token %q, given %t: accepted %t", tt.token, tt.given, got)
+		}
+	}
+}
+
+// TestVarsHideCommandLine guards against a token on the command line that the
+// counters' path shows to everybody.
+func TestVarsHideCommandLine(t *testing.T) {
+	w := httptest.NewRecorder()
+	(&Entry{}).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, bfapi.PathVars, nil))
+	body := w.Body.String()
+	if w.Code != http.StatusOK || !strings.Contains(body, `"memstats"`) || strings.Contains(body, "cmdline") {
+		t.Errorf("status %d: %.200s", w.Code, body)
+	}
+}
