--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -53,8 +53,9 @@
 		folder string
 	}
 
-	// options are what a test adds to the usual settings.
-	options struct {
+	// clusterOptions vary how a cluster is started.
+	clusterOptions struct {
+		relayed bool
 		// serve returns more arguments for a VM.
 		serve func(name string) []string
 		// standin has more arguments for the stand-in.
@@ -74,7 +75,9 @@
 		standin *process
 		admin   netip.AddrPort
 		client  *http.Client
-		options options
+		options clusterOptions
+		// relays carry the calls to control VMs where the test cuts links.
+		relays relays
 	}
 )
 
@@ -173,7 +176,7 @@
 
 func tail(t *testing.T, name, path string) {
 	data, _ := os.ReadFile(path)
-	const most = 1500
+	const most = 6000
 	if len(data) > most {
 		data = data[len(data)-most:]
 	}
@@ -184,25 +187,27 @@
 // stand-in, and puts the example configuration in force.
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	return startClusterWith(t, t.TempDir(), options{})
+	return startClusterWith(t, clusterOptions{})
 }
 
-func startClusterWith(t *testing.T, dir string, o options) *cluster {
+func startClusterWith(t *testing.T, o clusterOptions) *cluster {
 	t.Helper()
+	dir := t.TempDir()
 	cfg := exampleConfig(t)
 	addrs := freeAddresses(t, vmCount*3+1)
 	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}, options: o}
 	if o.client != nil {
 		c.client = o.client
 	}
-	var control, peers []string
+	var peers []string
 	for i := range vmCount {
-		if i < controlCount {
-			control = append(control, fmt.Sprintf("vm%d=%s", i+1, addrs[i*3+1]))
-		}
 		peers = append(peers, addrs[i*3+2].String())
 	}
 	for i := range vmCount {
+		var control []string
+		for j := range controlCount {
+			control = append(control, fmt.Sprintf("vm%d=%s", j+1, c.controlAddress(i, j, addrs[j*3+1], o)))
+		}
 		v := newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers)
 		if o.serve != nil {
 			v.args = append(v.args, o.serve(v.name)...)
@@ -226,24 +231,6 @@
 	return c
 }
 
-// waitServers waits until a VM knows every backend server.
-func (c *cluster) waitServers(v *vm, cfg *briarferry.Config) {
-	c.t.Helper()
-	want := 0
-	for _, s := range cfg.Services {
-		want += s.Workers
-	}
-	c.await(v.name+" knows all backend servers", readyWithin, func() bool {
-		var s bfapi.VMStatus
-		c.get(v.http, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal, &s)
-		n := 0
-		for _, service := range s.Services {
-			n += service.Servers
-		}
-		return n == want
-	})
-}
-
 func exampleConfig(t *testing.T) *briarferry.Config {
 	t.Helper()
 	data, err := os.ReadFile("../../examples/mantas.answers.json")
@@ -279,47 +266,6 @@
 	return v
 }
 
-func (c *cluster) startStandin(dir string, cfg *briarferry.Config) {
-	path := filepath.Join(dir, "config.json")
-	data, _ := json.Marshal(cfg)
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		c.t.Fatal(err)
-	}
-	entries := make([]string, len(c.vms))
-	for i, v := range c.vms {
-		entries[i] = v.http.String()
-	}
-	base := netip.AddrPortFrom(c.admin.Addr(), c.admin.Port())
-	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
-		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
-	c.standin.args = append(c.standin.args, c.options.standin...)
-	c.standin.start()
-	c.await("the stand-in answers", readyWithin, func() bool { return c.get(c.admin, "/servers", nil) == http.StatusOK })
-}
-
-// standinBase finds a run of free ports for the emulated servers.
-func standinBase(t *testing.T, near netip.AddrPort, n int) netip.AddrPort {
-	t.Helper()
-	for port := 21000 + os.Getpid()%200*50; port < 32000; port += n {
-		if isFreeRun(near.Addr(), port, n) {
-			return netip.AddrPortFrom(near.Addr(), uint16(port))
-		}
-	}
-	t.Fatal("no run of free ports")
-	return netip.AddrPort{}
-}
-
-func isFreeRun(addr netip.Addr, port, n int) bool {
-	for i := range n {
-		ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, uint16(port+i)).String())
-		if err != nil {
-			return false
-		}
-		ln.Close()
-	}
-	return true
-}
-
 // url returns the URL of a path at an entry or the stand-in, which has no TLS.
 func (c *cluster) url(address netip.AddrPort, path string) string {
 	if c.options.scheme == "" || address == c.admin {
@@ -364,8 +310,17 @@
 
 func (c *cluster) waitReady(v *vm) time.Duration {
 	c.t.Helper()
+	// Only the detail is read: a ready VM answers with another document than a problem.
+	var p struct {
+		Detail string `json:"detail"`
+	}
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("%s is not ready: %s", v.name, p.Detail)
+		}
+	}()
 	return c.await(v.name+" is ready", readyWithin, func() bool {
-		return c.get(v.http, bfapi.PathReady, nil) == http.StatusOK
+		return c.get(v.http, bfapi.PathReady, &p) == http.StatusOK
 	})
 }
 
--- a/internal/systemtest/security_test.go
+++ b/internal/systemtest/security_test.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := startClusterWith(t, dir, options{
+	c := startClusterWith(t, clusterOptions{
 		serve: func(name string) []string {
 			return []string{
 				"--system", "north", "--gossip-key-file", file(bftls.FileGossipKey), "--token-file", file(bftls.FileToken),
@@ -70,7 +70,7 @@
 	if out, err := run.CombinedOutput(); err != nil {
 		t.Errorf("drain: %v: %s", err, out)
 	}
-	c.hidesToken(t, dir)
+	c.hidesToken(t)
 }
 
 // refusesStrangers checks that cleartext and changes without the token fail.
@@ -96,14 +96,14 @@
 }
 
 // hidesToken looks for the token in every log.
-func (c *cluster) hidesToken(t *testing.T, dir string) {
+func (c *cluster) hidesToken(t *testing.T) {
 	t.Helper()
-	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
-	if len(logs) < vmCount {
-		t.Fatalf("only %d logs", len(logs))
-	}
-	for _, path := range logs {
-		data, _ := os.ReadFile(path)
+	for _, v := range c.vms {
+		path := v.log.Name()
+		data, err := os.ReadFile(path)
+		if err != nil || len(data) == 0 {
+			t.Errorf("%s is not read: %v", path, err)
+		}
 		if strings.Contains(string(data), c.options.token) {
 			t.Errorf("%s has the token", path)
 		}
