--- a/internal/transport/bfbench/faults.go
+++ b/internal/transport/bfbench/faults.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"briarferry/internal/transport/bfload"
+	"briarferry/internal/transport/bftls"
 	"briarferry/internal/transport/bfstandin"
 )
 
@@ -66,7 +67,7 @@
 // victim returns an entry that callers are sent to, without a data folder where there
 // is one: the control group is not what these faults are about.
 func (c *cluster) victim() (*process, error) {
-	answer, err := bfload.Ask(context.Background(), c.client, c.entries[0], floodService, netip.Addr{})
+	answer, err := bfload.Ask(context.Background(), bftls.Caller{}, c.entries[0], floodService, netip.Addr{})
 	if err != nil {
 		return nil, err
 	}
