--- a/internal/transport/bfbench/faults.go
+++ b/internal/transport/bfbench/faults.go
@@ -9,8 +9,8 @@
 	"slices"
 
 	"briarferry/internal/transport/bfload"
-	"briarferry/internal/transport/bftls"
 	"briarferry/internal/transport/bfstandin"
+	"briarferry/internal/transport/bftls"
 )
 
 var (
