Run the placement planner on the leader and follow it at entries

Look-ups answered from the fall-back alone, since no planner ran.

Each entry counts look-ups and requests by client block and reports them to the leader each second, with its load, its region's capacity and the age of the readings. The leader plans each shift interval and whenever a site's state changes, and sends assignments as deltas or whole. Entries refuse the classes that the assignment refuses; keyed requests only with a recorded refusal. Status shows the assignment's version and what is held back.

The existing unit and system tests pass (go test ./internal/systemtest: 84 s).

--- /dev/null
+++ b/internal/coordination/bfplacement/follower.go
@@ -0,0 +1,175 @@
+package bfplacement
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briarferry"
+)
+
+const (
+	// reportInterval is well below the age at which a reading counts as missing.
+	reportInterval = time.Second
+	reportTimeout  = 900 * time.Millisecond
+)
+
+// Follower reports an entry's measurements to the leader and applies the leader's
+// assignments. The exported fields are set before Run.
+type Follower struct {
+	VM        briarferry.VM
+	Entry     *Entry
+	Transport Transport
+	Config    briarferry.ConfigSource
+	// Capacity returns what the region's servers can take, in thousandths of a slot.
+	Capacity func(cfg *briarferry.Config) Rate
+	Meter    Meter
+	// Reports, Failures, Deltas, Wholes and Rejected count calls and what they
+	// brought; Refused counts requests that the assignment refuses.
+	Reports, Failures, Deltas, Wholes, Rejected, Refused atomic.Uint64
+
+	// mu guards what the calls of Run leave for the next one.
+	mu      sync.Mutex
+	current *Assignment
+	index   *Index
+	set     *BlockSet
+	whole   bool
+	upload  bool
+}
+
+// Run reports until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		if err := f.Exchange(ctx); err != nil {
+			f.Failures.Add(1)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Exchange makes one call. A leader that asks for the assignment gets it at once.
+func (f *Follower) Exchange(ctx context.Context) error {
+	cfg, _, ok := f.Config.Current()
+	if !ok {
+		return fmt.Errorf("bfplacement: no valid configuration lease")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	read := time.Now()
+	reading, capacity := f.Meter.Read(read, len(cfg.Classes)), f.Capacity(cfg)
+	for range 2 {
+		r := f.report(reading, capacity)
+		r.AgeMillis = uint32(time.Since(read).Milliseconds())
+		reply, err := f.Transport.Placement(ctx, r)
+		if err != nil {
+			return fmt.Errorf("bfplacement: report: %w", err)
+		}
+		f.Reports.Add(1)
+		if err := f.apply(reply); err != nil {
+			f.Rejected.Add(1)
+			return err
+		}
+		if !reply.Upload {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (f *Follower) report(m Reading, capacity Rate) Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := Report{
+		Site: f.VM.Name, Region: f.VM.Region, FailureDomain: f.VM.FailureDomain, Whole: f.whole,
+		RegionCapacity: capacity, Load: m.Load, Other: m.Other, Blocks: m.Blocks,
+	}
+	if f.current == nil {
+		return r
+	}
+	r.Version, r.BlockSet = f.current.Version, f.current.BlockSet
+	if f.upload {
+		r.Assignment, r.Set, f.upload = f.current.Encode(), f.set, false
+	}
+	return r
+}
+
+// apply takes a reply. After a fault the next report asks for the whole assignment.
+func (f *Follower) apply(reply Reply) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upload = reply.Upload && f.current != nil
+	if reply.Full == nil && reply.Delta == nil {
+		return nil
+	}
+	next, index, err := f.next(reply)
+	if err == nil && f.current != nil && next.Version < f.current.Version {
+		return fmt.Errorf("bfplacement: assignment %d is older than %d", next.Version, f.current.Version)
+	}
+	if err == nil && index == nil {
+		err = fmt.Errorf("bfplacement: assignment %d without its blocks", next.Version)
+	}
+	if err == nil {
+		err = f.Entry.Set(next, index)
+	}
+	if err != nil {
+		f.whole = true
+		return err
+	}
+	if reply.Set != nil {
+		f.set = reply.Set
+	}
+	f.current, f.index, f.whole = next, index, false
+	return nil
+}
+
+func (f *Follower) next(reply Reply) (*Assignment, *Index, error) {
+	if reply.Full == nil {
+		if f.current == nil {
+			return nil, nil, fmt.Errorf("bfplacement: delta without an assignment")
+		}
+		a, err := f.current.Apply(reply.Delta)
+		f.Deltas.Add(1)
+		return a, f.index, err
+	}
+	f.Wholes.Add(1)
+	a, err := Decode(reply.Full)
+	if err != nil || reply.Set == nil {
+		return a, f.index, err
+	}
+	prefixes, err := DecodePrefixes(reply.Set.Prefixes)
+	if err != nil {
+		return nil, nil, err
+	}
+	index, err := NewIndex(prefixes)
+	return a, index, err
+}
+
+// CountLookup counts a look-up of a client.
+func (f *Follower) CountLookup(client netip.Addr) { f.Meter.Lookup(client) }
+
+// Admits counts a request and tells whether the assignment lets its class run. A
+// client outside all blocks is not steered.
+func (f *Follower) Admits(client netip.Addr, cfg *briarferry.Config, s briarferry.Service, class briarferry.PriorityClass) bool {
+	rank := 0
+	for _, c := range cfg.Classes {
+		if c.Urgency < class.Urgency {
+			rank++
+		}
+	}
+	l, ok := f.Entry.List(client)
+	admitted := !ok || rank < int(l.Classes)
+	f.Meter.Request(client, rank, s.Expected.Std(), admitted)
+	if !admitted {
+		f.Refused.Add(1)
+	}
+	return admitted
+}
--- a/internal/coordination/bfplacement/planner.go
+++ b/internal/coordination/bfplacement/planner.go
@@ -23,7 +23,9 @@
 	stale   bool
 	version uint64
 	// fresh is true until the first step or an adopted assignment.
-	fresh      bool
+	fresh bool
+	// moved tells that blocks failed over since the last step.
+	moved      bool
 	departures []departure
 	arrivals   []arrival
 	// upSince and seen remember, per site, when it came up and its last fresh load.
@@ -93,6 +95,7 @@
 	}
 	s := newStep(now, net, p.k)
 	s.unlimited = p.fresh
+	s.changed, p.moved = p.moved, false
 	p.observe(s)
 	p.expire(now)
 	p.release(s)
--- /dev/null
+++ b/internal/coordination/bfplacement/report.go
@@ -0,0 +1,99 @@
+package bfplacement
+
+import (
+	"context"
+
+	"briarferry"
+)
+
+const (
+	// maxMessage bounds an encoded assignment or block set in a message.
+	maxMessage = 4 << 20
+	maxRate    = Rate(1) << 40
+)
+
+type (
+	// BlockSet is a set of blocks with the region that each has its callers in.
+	BlockSet struct {
+		Prefixes []byte   `cbor:"p"`
+		Regions  []string `cbor:"r"`
+		Homes    []byte   `cbor:"h"`
+	}
+
+	// Report tells the leader what an entry measured and which assignment it has.
+	Report struct {
+		Site          string `cbor:"s"`
+		Region        string `cbor:"g"`
+		FailureDomain string `cbor:"d"`
+		// Version is that of the assignment in use, about the block set with the checksum.
+		Version  uint64 `cbor:"v"`
+		BlockSet uint32 `cbor:"b"`
+		// Whole asks for the whole assignment and its block set.
+		Whole bool `cbor:"w,omitempty"`
+		// AgeMillis is the age of the readings.
+		AgeMillis uint32 `cbor:"a"`
+		// RegionCapacity is what the region's servers can take, as this entry knows them.
+		RegionCapacity Rate           `cbor:"c"`
+		Load           Rate           `cbor:"l"`
+		Other          Rate           `cbor:"o"`
+		Blocks         []BlockReading `cbor:"k"`
+		// Assignment and Set are sent where the leader asked for them.
+		Assignment []byte    `cbor:"x,omitempty"`
+		Set        *BlockSet `cbor:"y,omitempty"`
+	}
+
+	// Reply brings an entry to the leader's assignment.
+	Reply struct {
+		Version uint64    `cbor:"v"`
+		Set     *BlockSet `cbor:"s,omitempty"`
+		Full    []byte    `cbor:"f,omitempty"`
+		Delta   []byte    `cbor:"d,omitempty"`
+		// Upload asks for the assignment that the entry has: a new leader adopts it.
+		Upload bool `cbor:"u,omitempty"`
+	}
+
+	// Transport carries a report to the leader.
+	Transport interface {
+		Placement(ctx context.Context, r Report) (Reply, error)
+	}
+)
+
+// Validate reports every field that is out of range.
+func (r *Report) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	for place, name := range map[string]string{"site": r.Site, "region": r.Region, "failure_domain": r.FailureDomain} {
+		if !briarferry.ValidName(name) {
+			f.Add(place, "must be a name: %q", name)
+		}
+	}
+	if len(r.Blocks) > maxReadings {
+		f.Add("blocks", "must have at most %d entries", maxReadings)
+	}
+	if len(r.Assignment) > maxMessage {
+		f.Add("assignment", "must have at most %d bytes", maxMessage)
+	}
+	rates := []Rate{r.RegionCapacity, r.Load, r.Other}
+	for _, b := range r.Blocks {
+		if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() || len(b.Demand) > maxClasses {
+			f.Add("blocks", "must have prefixes in their shortest form and at most %d classes", maxClasses)
+			break
+		}
+		rates = append(append(rates, b.Lookups), b.Demand...)
+	}
+	for _, rate := range rates {
+		if rate < 0 || rate > maxRate {
+			f.Add("rates", "must be between 0 and %d", maxRate)
+			break
+		}
+	}
+	return f
+}
+
+// Validate reports every field that is out of range.
+func (r *Reply) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if len(r.Full) > maxMessage || len(r.Delta) > maxMessage {
+		f.Add("assignment", "must have at most %d bytes", maxMessage)
+	}
+	return f
+}
--- a/internal/protocol/bfapi/status.go
+++ b/internal/protocol/bfapi/status.go
@@ -21,6 +21,8 @@
 		VMs      []VMStatus      `json:"vms"`
 		Services []ServiceStatus `json:"services"`
 		Drains   []DrainStatus   `json:"drains"`
+		// Placement is what the planner on the leader tells; it is absent without one.
+		Placement *PlacementStatus `json:"placement,omitempty"`
 		// Degraded lists what does not work as it should, with the reason.
 		Degraded []string `json:"degraded"`
 	}
@@ -42,6 +44,43 @@
 		Learners []string        `json:"learners,omitempty"`
 		Services []ServiceStatus `json:"services"`
 		Drains   []DrainStatus   `json:"drains"`
+		// PlacementVersion is that of the assignment that the VM answers look-ups from.
+		PlacementVersion uint64 `json:"placement_version"`
+		// PlacementRefused counts requests that the assignment refused.
+		PlacementRefused uint64           `json:"placement_refused"`
+		Placement        *PlacementStatus `json:"placement,omitempty"`
+	}
+
+	// PlacementStatus is the planner's state. Loads are in busy slots.
+	PlacementStatus struct {
+		Version uint64 `json:"version"`
+		Blocks  int    `json:"blocks"`
+		// Oversize counts blocks with more demand than a shift cap lets move at once.
+		Oversize   int               `json:"oversize"`
+		StepMillis float64           `json:"step_millis"`
+		Regions    []PlacementRegion `json:"regions"`
+		Held       []PlacementHeld   `json:"held"`
+		Refused    []PlacementHeld   `json:"refused"`
+	}
+
+	// PlacementRegion is a region with its loads.
+	PlacementRegion struct {
+		Region   string  `json:"region"`
+		Capacity float64 `json:"capacity"`
+		Planned  float64 `json:"planned"`
+		Measured float64 `json:"measured"`
+		// Shifted is what counts against ShiftCap now.
+		Shifted  float64 `json:"shifted"`
+		ShiftCap float64 `json:"shift_cap"`
+		Silent   int     `json:"silent"`
+	}
+
+	// PlacementHeld is load that is held back or refused, with the reason or the class.
+	PlacementHeld struct {
+		Region string  `json:"region"`
+		Reason string  `json:"reason"`
+		Blocks int     `json:"blocks,omitempty"`
+		Load   float64 `json:"load"`
 	}
 
 	// ServiceStatus is a service as one VM or the whole system sees it in a region.
--- a/internal/protocol/bfwire/control.go
+++ b/internal/protocol/bfwire/control.go
@@ -6,6 +6,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/state/bfmachine"
 )
 
@@ -18,6 +19,11 @@
 	// SyncReply grants one.
 	SyncReply = bflease.SyncReply
 
+	// PlacementReport tells the leader what an entry measured.
+	PlacementReport = bfplacement.Report
+	// PlacementReply brings the entry to the leader's assignment.
+	PlacementReply = bfplacement.Reply
+
 	// ClaimsRequest carries operations on claims, in any order of time.
 	ClaimsRequest struct {
 		Ops []bfmachine.ClaimOp `cbor:"o"`
--- a/internal/transport/bfcommand/status.go
+++ b/internal/transport/bfcommand/status.go
@@ -75,12 +75,30 @@
 	for _, d := range s.Drains {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", d.ID, d.Kind, d.Target, d.State, d.InFlight)
 	}
+	printPlacement(t, s.Placement)
 	for _, reason := range s.Degraded {
 		fmt.Fprintf(t, "degraded: %s\n", reason)
 	}
 	return t.Flush()
 }
 
+func printPlacement(w io.Writer, p *bfapi.PlacementStatus) {
+	if p == nil {
+		return
+	}
+	fmt.Fprintf(w, "\nplacement %d: %d blocks, %d above a shift cap, planned in %.1f ms\n", p.Version, p.Blocks, p.Oversize, p.StepMillis)
+	fmt.Fprintln(w, "REGION\tCAPACITY\tPLANNED\tMEASURED\tSHIFTED\tCAP\tSILENT")
+	for _, r := range p.Regions {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%d\n", r.Region, r.Capacity, r.Planned, r.Measured, r.Shifted, r.ShiftCap, r.Silent)
+	}
+	for _, h := range p.Held {
+		fmt.Fprintf(w, "held back: %s: %s (%d blocks, %.1f slots)\n", h.Region, h.Reason, h.Blocks, h.Load)
+	}
+	for _, h := range p.Refused {
+		fmt.Fprintf(w, "refused: %s: class %s (%.1f slots)\n", h.Region, h.Reason, h.Load)
+	}
+}
+
 func formatCounts(counts map[string]int64) string {
 	parts := make([]string, 0, len(counts))
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
--- a/internal/transport/bfentry/claims.go
+++ b/internal/transport/bfentry/claims.go
@@ -126,6 +126,33 @@
 	return refuseUnknown(reason)
 }
 
+// Refuse ends a request whose class has no room. With a key, only a recorded refusal
+// lets the caller be told that it did not run.
+func (p *Pipeline) Refuse(ctx context.Context, s briarferry.Service, r *briarferry.Request, lease briarferry.Lease) (*briarferry.Answer, error) {
+	const reason = "no region has room for the request's priority class"
+	t := &run{service: s, request: r, counters: p.counters()}
+	a, err := p.refuseRecorded(ctx, t, lease, reason)
+	t.countResult(a, err)
+	return a, err
+}
+
+func (p *Pipeline) refuseRecorded(ctx context.Context, t *run, lease briarferry.Lease, reason string) (*briarferry.Answer, error) {
+	if t.request.Key == "" {
+		return nil, t.refuse("placement", refuseNotRun(reason))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	c := newClaim(t.request, lease)
+	reply, err := p.Claims.Refuse(ctx, c)
+	switch {
+	case err != nil:
+		return nil, t.refuse("claim_unconfirmed", refuseUnknown("the refusal could not be recorded"))
+	case reply.Result == briarferry.ClaimReleased:
+		return nil, t.refuse("placement", refuseNotRun(reason))
+	}
+	return p.claimAnswer(ctx, t, c, reply)
+}
+
 func newClaim(r *briarferry.Request, lease briarferry.Lease) briarferry.Claim {
 	h := sha256.New()
 	for _, part := range []string{r.Method, r.Target} {
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -25,13 +25,23 @@
 		Synced() bool
 	}
 
+	// Steering counts what callers ask for and knows which of it the placement refuses.
+	Steering interface {
+		// CountLookup counts a look-up of a client.
+		CountLookup(client netip.Addr)
+		// Admits counts a request and tells whether its class may run.
+		Admits(client netip.Addr, cfg *briarferry.Config, s briarferry.Service, class briarferry.PriorityClass) bool
+	}
+
 	// Entry answers the HTTP requests of one entry VM. Its fields are set before use.
 	Entry struct {
 		Config        briarferry.ConfigSource
 		Members       briarferry.Members
 		Placement     briarferry.Placement
 		Announcements Announcements
-		Pipeline      *Pipeline
+		// Steering may be nil: nothing is counted or refused then.
+		Steering Steering
+		Pipeline *Pipeline
 		// TrustedResolvers may name the client of a look-up.
 		TrustedResolvers []netip.Prefix
 		// Operators serves the operators' paths; nil answers them with 404.
--- a/internal/transport/bfentry/lookup.go
+++ b/internal/transport/bfentry/lookup.go
@@ -25,6 +25,9 @@
 		bfapi.WriteError(w, "", err)
 		return
 	}
+	if e.Steering != nil {
+		e.Steering.CountLookup(client)
+	}
 	answer := bfapi.Lookup{Service: name, ConfigVersion: lease.Version, Entries: []bfapi.LookupEntry{}}
 	for _, p := range e.Placement.Entries(name, client) {
 		if len(answer.Entries) == maxLookupEntries {
--- a/internal/transport/bfentry/request.go
+++ b/internal/transport/bfentry/request.go
@@ -43,7 +43,12 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	a, err := e.Pipeline.Run(ctx, s, req, lease)
+	var a *briarferry.Answer
+	if e.Steering == nil || e.Steering.Admits(req.Caller, cfg, s, req.Class) {
+		a, err = e.Pipeline.Run(ctx, s, req, lease)
+	} else {
+		a, err = e.Pipeline.Refuse(ctx, s, req, lease)
+	}
 	if errors.Is(err, context.Canceled) {
 		return
 	}
--- a/internal/transport/bfentry/status.go
+++ b/internal/transport/bfentry/status.go
@@ -99,10 +99,13 @@
 		newest = max(newest, s.ConfigVersion)
 		joinServices(services, s.Services)
 		joinDrains(drains, s.Drains)
+		if s.Placement != nil {
+			out.Placement = s.Placement
+		}
 		if !s.Ready {
 			out.Degraded = append(out.Degraded, s.Name+": "+s.Reason)
 		}
-		s.Services, s.Drains = nil, nil
+		s.Services, s.Drains, s.Placement = nil, nil, nil
 		out.VMs = append(out.VMs, s)
 	}
 	for _, s := range out.VMs {
--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -14,6 +14,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/state/bfmachine"
@@ -31,6 +32,10 @@
 	drains func() []briarferry.Drain
 	// describe adds the control group to this VM's status.
 	describe func(s *bfapi.VMStatus)
+	// placement carries reports to the leader; it is nil without a control group.
+	placement bfplacement.Transport
+	// planner runs while this VM leads; it is nil without a data folder.
+	planner *bfplacement.Coordinator
 	// handOver stops the replica, which hands leadership to another VM.
 	handOver func()
 }
@@ -47,14 +52,14 @@
 	client := &bfrpc.ControlClient{Targets: slices.Collect(maps.Values(n.Control))}
 	holder := &bflease.Holder{Name: n.VM.Name, Incarnation: n.VM.Incarnation, Transport: client}
 	client.OnIndex = holder.Observe
-	replica, handOver := n.startReplica(ctx, group, mux)
+	replica, planner, handOver := n.startReplica(ctx, group, mux)
 	group.Go(func() error {
 		holder.Run(ctx)
 		return nil
 	})
 	publishLease(holder)
 	return &control{
-		config: holder, claims: client, handOver: handOver,
+		config: holder, claims: client, handOver: handOver, placement: client, planner: planner,
 		operators: (&bfentry.Operators{Control: client, Token: n.Token}).Handler(),
 		drains:    func() []briarferry.Drain { return holder.State().Drains },
 		describe:  func(s *bfapi.VMStatus) { describeControl(s, holder, replica) },
@@ -86,9 +91,9 @@
 // startReplica starts the replica and its control service where this VM has a data
 // folder. The returned function stops the replica alone: the network must outlive
 // it, since its last messages hand leadership over.
-func (n *Node) startReplica(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) (briarferry.Replica, func()) {
+func (n *Node) startReplica(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) (briarferry.Replica, *bfplacement.Coordinator, func()) {
 	if n.Data == "" {
-		return nil, func() {}
+		return nil, nil, func() {}
 	}
 	network := &bfrpc.RaftClient{Peers: n.Control}
 	machine := bfmachine.New()
@@ -96,8 +101,12 @@
 		VM: n.VM.Name, Control: slices.Sorted(maps.Keys(n.Control)), Dir: n.Data,
 		Machine: machine, Transport: network, Discovery: network, Log: n.Log,
 	}
+	planner := &bfplacement.Coordinator{
+		Term:   func() (uint64, bool) { s := replica.Status(); return s.Term, s.IsLeader },
+		Config: func() *briarferry.Config { return machine.State().Config },
+	}
 	service := &bfrpc.Control{
-		Replica: replica, Machine: machine, Address: n.controlAddress,
+		Replica: replica, Machine: machine, Address: n.controlAddress, Placement: planner,
 		Leases: &bflease.Leader{Replica: replica, Source: machine},
 	}
 	publishReplica(replica, machine, service.Leases)
@@ -106,7 +115,7 @@
 	group.Go(func() error { return network.Run(ctx) })
 	work, handOver := context.WithCancel(ctx)
 	group.Go(func() error { return replica.Run(work) })
-	return replica, handOver
+	return replica, planner, handOver
 }
 
 // controlAddress returns the RPC address of a replica, whose id is "vm/disk".
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -69,11 +69,15 @@
 		Operators:        control.operators,
 	}
 	drains := n.newDrains(control, sharing, entry.Serving())
-	entry.Placement = &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeWork}
+	placed := &bfplacement.Entry{Members: sharing.Members, MayTakeWork: drains.mayTakeWork}
+	entry.Placement = placed
+	steering := n.startPlacement(parts, group, control, sharing, drains, placed)
+	entry.Steering = steering
 	entry.Drained = func() bool { return !drains.tracker.MayTakeVM(n.VM) }
 	entry.Local = func(s *bfapi.VMStatus) {
 		control.describe(s)
 		drains.describe(s)
+		describePlacement(s, control.planner, steering)
 		if cfg, _, ok := control.config.Current(); ok {
 			describeServices(s, sharing, queue, cfg)
 		}
--- a/internal/transport/bfrpc/client.go
+++ b/internal/transport/bfrpc/client.go
@@ -41,7 +41,8 @@
 
 type (
 	// ControlClient calls the control plane through any control VM and follows the
-	// leader. It implements briarferry.Claimer and bflease.Transport. The exported
+	// leader. It implements briarferry.Claimer, bflease.Transport
+	// and bfplacement.Transport. The exported
 	// fields are set before use.
 	ControlClient struct {
 		// Targets are the RPC addresses of the control VMs.
@@ -68,11 +69,12 @@
 	rpc[Req, Res any] = func(context.Context, *Req) (*Res, error)
 
 	procedures struct {
-		sync   rpc[bfwire.SyncRequest, bfwire.SyncReply]
-		claims rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply]
-		change rpc[bfwire.ChangeRequest, bfwire.ChangeReply]
-		config rpc[bfwire.ConfigRequest, bfwire.ConfigReply]
-		status rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus]
+		sync      rpc[bfwire.SyncRequest, bfwire.SyncReply]
+		claims    rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply]
+		change    rpc[bfwire.ChangeRequest, bfwire.ChangeReply]
+		config    rpc[bfwire.ConfigRequest, bfwire.ConfigReply]
+		status    rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus]
+		placement rpc[bfwire.PlacementReport, bfwire.PlacementReply]
 	}
 )
 
@@ -111,6 +113,15 @@
 	return *reply, nil
 }
 
+// Placement reports an entry's measurements to the leader.
+func (c *ControlClient) Placement(ctx context.Context, r bfwire.PlacementReport) (bfwire.PlacementReply, error) {
+	reply, err := call(ctx, c, attemptTimeout, &r, func(p *procedures) rpc[bfwire.PlacementReport, bfwire.PlacementReply] { return p.placement })
+	if err != nil {
+		return bfwire.PlacementReply{}, err
+	}
+	return *reply, nil
+}
+
 // Change makes an operator's change and returns once it is in force. The
 // operation carries an idempotency key, so that repeating it is safe.
 func (c *ControlClient) Change(ctx context.Context, op bfmachine.Op) (bfmachine.OpResult, error) {
@@ -286,10 +297,11 @@
 func newProcedures(h *http.Client, a netip.AddrPort) *procedures {
 	base := "http://" + a.String()
 	return &procedures{
-		sync:   NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
-		claims: NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
-		change: NewCall[bfwire.ChangeRequest, bfwire.ChangeReply](h, base, procedureChange),
-		config: NewCall[bfwire.ConfigRequest, bfwire.ConfigReply](h, base, procedureConfig),
-		status: NewCall[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, base, procedureStatus),
+		sync:      NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
+		claims:    NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
+		change:    NewCall[bfwire.ChangeRequest, bfwire.ChangeReply](h, base, procedureChange),
+		config:    NewCall[bfwire.ConfigRequest, bfwire.ConfigReply](h, base, procedureConfig),
+		status:    NewCall[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, base, procedureStatus),
+		placement: NewCall[bfwire.PlacementReport, bfwire.PlacementReply](h, base, procedurePlacement),
 	}
 }
--- a/internal/transport/bfrpc/control.go
+++ b/internal/transport/bfrpc/control.go
@@ -12,6 +12,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bflease"
+	"briarferry/internal/coordination/bfplacement"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bfmachine"
@@ -19,11 +20,12 @@
 
 // Procedures of the control service.
 const (
-	procedureSync   = "/briarferry.Control/Sync"
-	procedureClaims = "/briarferry.Control/Claims"
-	procedureChange = "/briarferry.Control/Change"
-	procedureConfig = "/briarferry.Control/Config"
-	procedureStatus = "/briarferry.Control/Status"
+	procedureSync      = "/briarferry.Control/Sync"
+	procedureClaims    = "/briarferry.Control/Claims"
+	procedureChange    = "/briarferry.Control/Change"
+	procedureConfig    = "/briarferry.Control/Config"
+	procedureStatus    = "/briarferry.Control/Status"
+	procedurePlacement = "/briarferry.Control/Placement"
 
 	// headerLeader carries the leader's RPC address with a not-leader error.
 	headerLeader = "Leader-Rpc"
@@ -44,6 +46,8 @@
 	Replica briarferry.Replica
 	Machine *bfmachine.Machine
 	Leases  *bflease.Leader
+	// Placement takes entries' reports; nil answers that this VM does not lead.
+	Placement *bfplacement.Coordinator
 	// Address returns the RPC address of a replica.
 	Address func(id string) (netip.AddrPort, bool)
 
@@ -66,6 +70,7 @@
 	handle(mux, procedureChange, c, c.change)
 	handle(mux, procedureConfig, c, c.config)
 	handle(mux, procedureStatus, c, c.status)
+	handle(mux, procedurePlacement, c, c.placement)
 }
 
 func handle[Req, Res any](mux *http.ServeMux, procedure string, c *Control, f func(context.Context, *Req) (*Res, error)) {
@@ -100,6 +105,14 @@
 	return &reply, err
 }
 
+func (c *Control) placement(_ context.Context, r *bfwire.PlacementReport) (*bfwire.PlacementReply, error) {
+	if c.Placement == nil {
+		return nil, briarferry.ErrNotLeader
+	}
+	reply, err := c.Placement.Exchange(time.Now(), *r)
+	return &reply, err
+}
+
 func (c *Control) serveClaims(ctx context.Context, r *bfwire.ClaimsRequest) (*bfwire.ClaimsReply, error) {
 	if !c.Replica.Status().IsLeader {
 		return nil, briarferry.ErrNotLeader
