Hold shifts under the cap where the leader has not planned yet

A lost region's blocks went to the next sites of their lists at once, a restarted entry sent its region's callers home at once, and demand of lost entries faded before it was planned. Entries now limit requests of lost regions to their part of the cap until a plan names them, wait for their first assignment, and the leader holds demand for 30 s.

--- a/internal/coordination/bfplacement/coordinator.go
+++ b/internal/coordination/bfplacement/coordinator.go
@@ -228,7 +228,7 @@
 			classes = int8(min(int(l.Classes), len(c.shape.urgencies)))
 		}
 		site, level = append(site, at), append(level, classes)
-		c.blocks = append(c.blocks, block{prefix: p, home: home, used: now, demand: make([]Rate, len(c.shape.urgencies))})
+		c.blocks = append(c.blocks, block{prefix: p, home: home, used: now, high: now, demand: make([]Rate, len(c.shape.urgencies))})
 	}
 	return site, level, nil
 }
--- /dev/null
+++ b/internal/coordination/bfplacement/coordinator_test.go
@@ -0,0 +1,206 @@
+package bfplacement
+
+import (
+	"bytes"
+	"maps"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarferry/internal/state/bfcodec"
+)
+
+func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.run(30)
+		if v := f.followers["a1"].Entry.Version(); v == 0 {
+			t.Fatal("no assignment after 30 s")
+		}
+		if f.refused != [3]int{} {
+			t.Fatalf("refused %v with room for all", f.refused)
+		}
+		test(t, f)
+	})
+}
+
+// TestRegionLoss guards against shifts above the cap or into an overload when a region
+// is lost, against refusals of urgent work before other work, and against a jump when
+// the region returns.
+func TestRegionLoss(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.setRegion("b", true)
+		lost := len(f.served)
+		f.run(150)
+		f.checkShifts(t, lost)
+		if f.refused[0] > f.refused[1] || f.refused[1] > f.refused[2] || f.refused[2] == 0 {
+			t.Errorf("refused by class %v, want the least urgent most", f.refused)
+		}
+		if at := f.served[len(f.served)-1]; at["a"]+at["c"] < 53 {
+			t.Errorf("150 s after the loss %.1f of 54 slots are served", at["a"]+at["c"])
+		}
+		returned := len(f.served)
+		f.setRegion("b", false)
+		f.run(150)
+		f.checkShifts(t, returned)
+		if at := f.served[len(f.served)-1]; at["b"] < 4 {
+			t.Errorf("150 s after its return region b serves %.1f slots", at["b"])
+		}
+	})
+}
+
+// checkShifts compares each second's load with that of an interval before.
+func (f *fleet) checkShifts(t *testing.T, from int) {
+	t.Helper()
+	limit := fleetSlots*f.cfg.Limits.ShiftCapShare + 1e-6
+	interval := int(f.cfg.Limits.ShiftInterval.Std().Seconds())
+	for i := from; i < len(f.served); i++ {
+		for region, load := range f.served[i] {
+			if before := f.served[i-interval][region]; load-before > limit {
+				t.Errorf("second %d: region %s went from %.1f to %.1f slots in an interval, cap %.1f", i, region, before, load, limit)
+			}
+			if load > fleetSlots {
+				t.Errorf("second %d: region %s serves %.1f of %d", i, region, load, fleetSlots)
+			}
+		}
+	}
+}
+
+// TestAdoption guards against a new leader that moves blocks without need, sends
+// versions that go back, or forgets where the callers of moved blocks are.
+func TestAdoption(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		before, version := f.sites(), f.followers["a1"].Entry.Version()
+		f.leader = nil
+		f.run(5)
+		if !maps.Equal(before, f.sites()) || f.followers["a1"].Entry.Version() != version {
+			t.Fatal("entries changed their assignment while no leader spoke")
+		}
+		f.elect(2)
+		f.run(30)
+		if !maps.Equal(before, f.sites()) {
+			t.Error("a new leader moved blocks")
+		}
+		if v := f.followers["c2"].Entry.Version(); v < 2<<termShift {
+			t.Errorf("version %d is not of the new term", v)
+		}
+		for i, b := range f.leader.blocks {
+			if _, region := f.client(int(b.prefix.Addr().As4()[2])); f.cfg.Regions[b.home].Name != region {
+				t.Errorf("block %d: home %s, want %s", i, f.cfg.Regions[b.home].Name, region)
+			}
+		}
+	})
+}
+
+// TestSilence guards against readings that stop and then count as idle: nothing may
+// shift to a region whose entries are silent.
+func TestSilence(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for _, name := range []string{"c1", "c2"} {
+			f.mute[name] = true
+		}
+		f.run(4)
+		at, load := len(f.served), f.served[len(f.served)-1]["c"]
+		f.setRegion("b", true)
+		f.run(60)
+		for i, s := range f.served[at:] {
+			if i > 2 && s["c"] > load+0.01 {
+				t.Fatalf("second %d: silent region c went from %.1f to %.1f slots", i, load, s["c"])
+			}
+		}
+		sum, _ := f.leader.Summary()
+		if sum.Regions[2].Silent != 2 || sum.Regions[2].Planned < Rate(load*900) {
+			t.Errorf("silent region: %+v, had %.1f slots", sum.Regions[2], load)
+		}
+	})
+}
+
+// TestLostPredecessor guards against a delta that is applied to another assignment
+// than the one that it was made from.
+func TestLostPredecessor(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		late := f.followers["a2"]
+		f.mute["a2"] = true
+		for i := 0; f.leader.output.versions[0].Version <= late.Entry.Version(); i++ {
+			f.setRegion("b", i%2 == 0)
+			f.run(10)
+		}
+		f.setRegion("b", true)
+		wholes, deltas := late.Wholes.Load(), f.followers["a1"].Deltas.Load()
+		f.mute["a2"] = false
+		f.run(2)
+		if late.Wholes.Load() != wholes+1 || deltas == 0 {
+			t.Errorf("%d whole assignments after a lost predecessor, %d deltas elsewhere", late.Wholes.Load()-wholes, deltas)
+		}
+		// A damaged copy gives another checksum after the next delta.
+		damaged := *late.current
+		damaged.List = append([]uint16(nil), damaged.List...)
+		damaged.List[0] = (damaged.List[0] + 1) % uint16(len(damaged.Lists))
+		late.current = &damaged
+		f.setRegion("b", false)
+		f.run(90)
+		if late.Rejected.Load() == 0 || !bytes.Equal(late.current.Encode(), f.followers["a1"].current.Encode()) {
+			t.Errorf("%d rejected; the damaged copy was not replaced", late.Rejected.Load())
+		}
+	})
+}
+
+// TestMessageSizes guards against reports and replies that outgrow the budget of
+// 16 KB/s for each entry.
+func TestMessageSizes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		var report, delta, whole, largest int
+		f.bytes = func(r Report, reply Reply) {
+			a, _ := bfcodec.Marshal(r)
+			b, _ := bfcodec.Marshal(reply)
+			if r.Assignment == nil {
+				report = max(report, len(a))
+			}
+			if reply.Delta != nil {
+				delta = max(delta, len(b))
+			} else {
+				whole = max(whole, len(b))
+			}
+			largest = max(largest, len(a)+len(b))
+		}
+		f.run(30)
+		f.setRegion("b", true)
+		f.run(60)
+		t.Logf("%d blocks: report %d, delta %d, whole %d bytes at most", fleetBlocks, report, delta, whole)
+		m := &f.followers["a1"].Meter
+		for i := range 2 * maxCells {
+			m.Request(netip.AddrFrom4([4]byte{20, byte(i >> 8), byte(i), 1}), i%3, time.Millisecond*time.Duration(1+i%50), true)
+		}
+		full := Report{Site: "a1", Region: "a", FailureDomain: "a1", Blocks: m.Read(time.Now(), 3).Blocks}
+		data, err := bfcodec.Marshal(full)
+		if err != nil || len(full.Blocks) != maxReadings || len(m.cells) > maxCells {
+			t.Errorf("%d blocks reported, %d kept: %v", len(full.Blocks), len(m.cells), err)
+		}
+		t.Logf("report of %d blocks: %d bytes", len(full.Blocks), len(data))
+		if largest > 16<<10 || len(data) > 16<<10 {
+			t.Errorf("%d and %d bytes", largest, len(data))
+		}
+	})
+}
+
+// TestRegionAndLeaderLoss guards against load that shifts without a cap while no leader
+// plans, and against a new leader that takes the lost region's demand for none.
+func TestRegionAndLeaderLoss(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lost := len(f.served)
+		f.setRegion("b", true)
+		f.leader = nil
+		f.run(4)
+		if at := f.served[len(f.served)-1]; at["a"]+at["c"] <= 36 || f.refused[0] >= f.refused[2] {
+			t.Errorf("without a leader %.1f slots are served, refused %v", at["a"]+at["c"], f.refused)
+		}
+		f.elect(2)
+		f.run(120)
+		f.checkShifts(t, lost)
+		if at := f.served[len(f.served)-1]; at["a"]+at["c"] < 53 {
+			t.Errorf("120 s after the loss %.1f of 54 slots are served", at["a"]+at["c"])
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/bfplacement/fleet_test.go
@@ -0,0 +1,198 @@
+package bfplacement
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"briarferry"
+)
+
+const (
+	fleetBlocks = 60
+	fleetSlots  = 100
+)
+
+type (
+	// fleet is seven entries in three regions with one leader, under a fake clock.
+	fleet struct {
+		t         *testing.T
+		cfg       *briarferry.Config
+		vms       []briarferry.VM
+		down      map[string]bool
+		mute      map[string]bool
+		leader    *Coordinator
+		followers map[string]*Follower
+		// served is the admitted load by region and second, refused the rest by class.
+		served  []map[string]float64
+		refused [3]int
+		bytes   func(Report, Reply)
+	}
+
+	fleetMembers struct {
+		*fleet
+		self briarferry.VM
+	}
+
+	fleetTransport struct{ *fleet }
+)
+
+func (m fleetMembers) Self() briarferry.VM { return m.self }
+func (m fleetMembers) Connected() bool     { return true }
+func (m fleetMembers) Live() []briarferry.VM {
+	var out []briarferry.VM
+	for _, vm := range m.vms {
+		if !m.down[vm.Name] {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (t fleetTransport) Placement(_ context.Context, r Report) (Reply, error) {
+	if err := r.Validate().Err(); err != nil {
+		t.t.Errorf("invalid report: %v", err)
+	}
+	if t.mute[r.Site] || t.leader == nil {
+		return Reply{}, briarferry.ErrNotLeader
+	}
+	reply, err := t.leader.Exchange(time.Now(), r)
+	if t.bytes != nil && err == nil {
+		t.bytes(r, reply)
+	}
+	return reply, err
+}
+
+// Current implements briarferry.ConfigSource.
+func (f *fleet) Current() (*briarferry.Config, briarferry.Lease, bool) {
+	return f.cfg, briarferry.Lease{}, true
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, down: map[string]bool{}, mute: map[string]bool{}, followers: map[string]*Follower{}}
+	f.cfg = &briarferry.Config{Limits: briarferry.DefaultLimits()}
+	for i, name := range []string{"a", "b", "c"} {
+		f.cfg.Regions = append(f.cfg.Regions, briarferry.Region{Name: name, FailureDomains: []string{name + "1"}, CapacityShare: 1})
+		f.cfg.Classes = append(f.cfg.Classes, briarferry.PriorityClass{Name: name, Urgency: 2 * i})
+		f.cfg.Links = append(f.cfg.Links, briarferry.Link{
+			Regions: [2]string{name, string(rune('a' + (i+1)%3))}, Mbit: 4000, OneWayDelay: briarferry.Duration(20 * time.Millisecond),
+		})
+	}
+	for i := range 7 {
+		region := f.cfg.Regions[i%3].Name
+		vm := briarferry.VM{Name: region + string(rune('1'+i/3)), Region: region, FailureDomain: region + string(rune('1'+i/3%2))}
+		f.vms = append(f.vms, vm)
+		f.followers[vm.Name] = f.newFollower(vm)
+	}
+	f.elect(1)
+	for range 50 {
+		time.Sleep(200 * time.Millisecond)
+		_ = f.leader.Tick(time.Now())
+		f.exchange()
+	}
+	return f
+}
+
+func (f *fleet) newFollower(vm briarferry.VM) *Follower {
+	return &Follower{
+		VM: vm, Entry: &Entry{Members: fleetMembers{f, vm}, MayTakeWork: f.ready}, Transport: fleetTransport{f}, Config: f,
+		Capacity: func(*briarferry.Config) Rate { return fleetSlots * 1000 },
+	}
+}
+
+func (f *fleet) ready(vm briarferry.VM) bool { return f.followers[vm.Name].Synced() }
+
+func (f *fleet) elect(term uint64) {
+	f.leader = &Coordinator{
+		Term: func() (uint64, bool) { return term, true }, Config: func() *briarferry.Config { return f.cfg },
+		Members: fleetMembers{f, f.vms[0]}, State: func(vm briarferry.VM) SiteState {
+			if f.ready(vm) {
+				return SiteUp
+			}
+			return SiteDraining
+		},
+	}
+}
+
+// home returns a block's client and its region; the first blocks belong to a.
+func (f *fleet) client(b int) (netip.Addr, string) {
+	return netip.AddrFrom4([4]byte{10, 0, byte(b), 1}), f.cfg.Regions[b*3/fleetBlocks].Name
+}
+
+// entryFor looks up a client's entry at a live VM of its region, or of another one.
+func (f *fleet) entryFor(client netip.Addr, region string) *Follower {
+	var asked *Follower
+	for _, vm := range f.vms {
+		if !f.down[vm.Name] && f.followers[vm.Name].Synced() && (asked == nil || vm.Region == region && asked.VM.Region != region) {
+			asked = f.followers[vm.Name]
+		}
+	}
+	asked.CountLookup(client)
+	return f.followers[asked.Entry.Entries("", client)[0].VM.Name]
+}
+
+// run passes seconds: each block sends one request of each class, 0.9 slots in all.
+func (f *fleet) run(seconds int) {
+	f.t.Helper()
+	for range seconds {
+		served := map[string]float64{}
+		for b := range fleetBlocks {
+			client, region := f.client(b)
+			at := f.entryFor(client, region)
+			for rank, class := range f.cfg.Classes {
+				s := briarferry.Service{Expected: briarferry.Duration(300 * time.Millisecond)}
+				if at.Admits(client, f.cfg, s, class) {
+					served[at.VM.Region] += 0.3
+				} else {
+					f.refused[rank]++
+				}
+			}
+		}
+		f.served = append(f.served, served)
+		for range 5 {
+			time.Sleep(200 * time.Millisecond)
+			if f.leader != nil {
+				if err := f.leader.Tick(time.Now()); err != nil {
+					f.t.Fatal(err)
+				}
+			}
+		}
+		f.exchange()
+	}
+}
+
+func (f *fleet) exchange() {
+	for _, vm := range f.vms {
+		e := f.followers[vm.Name]
+		before := e.Entry.Version()
+		if !f.down[vm.Name] {
+			_ = e.Exchange(f.t.Context())
+		}
+		if after := e.Entry.Version(); after < before {
+			f.t.Fatalf("%s went back from version %d to %d", vm.Name, before, after)
+		}
+	}
+}
+
+func (f *fleet) setRegion(region string, down bool) {
+	for _, vm := range f.vms {
+		if vm.Region != region {
+			continue
+		}
+		f.down[vm.Name] = down
+		if !down {
+			f.followers[vm.Name] = f.newFollower(vm) // a restarted process knows nothing
+		}
+	}
+}
+
+// sites returns each client's first entry.
+func (f *fleet) sites() map[netip.Addr]string {
+	out := map[netip.Addr]string{}
+	for b := range fleetBlocks {
+		client, region := f.client(b)
+		out[client] = f.entryFor(client, region).VM.Name
+	}
+	return out
+}
--- a/internal/coordination/bfplacement/follower.go
+++ b/internal/coordination/bfplacement/follower.go
@@ -15,6 +15,9 @@
 	// reportInterval is well below the age at which a reading counts as missing.
 	reportInterval = time.Second
 	reportTimeout  = 900 * time.Millisecond
+	// waitAtMost bounds how long a started entry waits for its first assignment. It
+	// covers a leader's election and the time in which a new leader learns.
+	waitAtMost = 8 * time.Second
 )
 
 // Follower reports an entry's measurements to the leader and applies the leader's
@@ -31,6 +34,11 @@
 	// brought; Refused counts requests that the assignment refuses.
 	Reports, Failures, Deltas, Wholes, Rejected, Refused atomic.Uint64
 
+	stranded stranded
+
+	// waitUntil is the end of the wait for a first assignment, in Unix nanoseconds.
+	waitUntil atomic.Int64
+
 	// mu guards what the calls of Run leave for the next one.
 	mu      sync.Mutex
 	current *Assignment
@@ -65,7 +73,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	read := time.Now()
+	f.waitUntil.CompareAndSwap(0, read.Add(waitAtMost).UnixNano())
 	reading, capacity := f.Meter.Read(read, len(cfg.Classes)), f.Capacity(cfg)
+	f.stranded.setCapacity(capacity)
 	for range 2 {
 		r := f.report(reading, capacity)
 		r.AgeMillis = uint32(time.Since(read).Milliseconds())
@@ -153,6 +163,17 @@
 	return a, index, err
 }
 
+// Synced tells whether the entry knows an assignment. Without one it would send its
+// region's callers home at once, whatever the caps say, so that a restarted entry
+// waits for the first one for a limited time.
+func (f *Follower) Synced() bool {
+	if f.Transport == nil || f.Entry.current.Load() != nil {
+		return true
+	}
+	until := f.waitUntil.Load()
+	return until != 0 && time.Now().UnixNano() >= until
+}
+
 // CountLookup counts a look-up of a client.
 func (f *Follower) CountLookup(client netip.Addr) { f.Meter.Lookup(client) }
 
@@ -165,11 +186,26 @@
 			rank++
 		}
 	}
-	l, ok := f.Entry.List(client)
-	admitted := !ok || rank < int(l.Classes)
+	admitted := f.admits(client, cfg, s, rank)
 	f.Meter.Request(client, rank, s.Expected.Std(), admitted)
 	if !admitted {
 		f.Refused.Add(1)
 	}
 	return admitted
 }
+
+func (f *Follower) admits(client netip.Addr, cfg *briarferry.Config, s briarferry.Service, rank int) bool {
+	v := f.Entry.current.Load()
+	l, ok := v.list(client)
+	if !ok {
+		return true
+	}
+	if rank >= int(l.Classes) {
+		return false
+	}
+	now := time.Now()
+	if len(l.Sites) == 0 || !f.stranded.isLost(now, v.assignment.Sites[l.Sites[0]], f.VM, f.Entry.Members) {
+		return true
+	}
+	return f.stranded.take(now, cfg.Limits.ShiftCapShare, rank, s.Expected.Std())
+}
--- a/internal/coordination/bfplacement/measure.go
+++ b/internal/coordination/bfplacement/measure.go
@@ -17,9 +17,10 @@
 	// demand keeps its place.
 	maxPlanned = 4096
 	keepUnused = 10 * time.Minute
-	// fadeFor is the time in which demand that no entry reports any more counts as
-	// gone. Callers of a lost entry come back through others after a while, and their
-	// demand must count against the caps before they are moved.
+	// Demand that no entry reports any more counts in full for holdFor and fades in
+	// fadeFor. Callers of a lost entry come back through others after a while, and
+	// their demand must count against the caps before they are moved.
+	holdFor = 30 * time.Second
 	fadeFor = time.Minute
 	// farMicros is the delay between regions without a link.
 	farMicros  = 1_000_000
@@ -33,6 +34,8 @@
 		home   int
 		demand []Rate
 		used   time.Time
+		// high is when the demand was last near the one that counts.
+		high time.Time
 	}
 
 	// use sums what entries report of a block.
@@ -157,7 +160,13 @@
 
 // update takes over a block's demand at once where it grew, and slowly where it fell.
 func (b *block) update(u *use, now time.Time, passed time.Duration) {
-	left := max(0, 1-passed.Seconds()/fadeFor.Seconds())
+	if u != nil && sum(u.demand)*10 >= sum(b.demand)*9 {
+		b.high = now
+	}
+	left := 1.0
+	if now.Sub(b.high) > holdFor {
+		left = max(0, 1-passed.Seconds()/fadeFor.Seconds())
+	}
 	for i := range b.demand {
 		b.demand[i] = Rate(float64(b.demand[i]) * left)
 		if u != nil {
@@ -205,7 +214,7 @@
 		if sum(u.lookups) == 0 {
 			home = c.net.Sites[mostUsed(u.served)].Region
 		}
-		out = append(out, block{prefix: p, home: home, demand: u.demand, used: now})
+		out = append(out, block{prefix: p, home: home, demand: u.demand, used: now, high: now})
 	}
 	slices.SortFunc(out, func(a, b block) int {
 		return cmp.Or(cmp.Compare(sum(b.demand), sum(a.demand)), a.prefix.Addr().Compare(b.prefix.Addr()), a.prefix.Bits()-b.prefix.Bits())
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -29,6 +29,8 @@
 	Steering interface {
 		// CountLookup counts a look-up of a client.
 		CountLookup(client netip.Addr)
+		// Synced tells whether the leader's assignment is known.
+		Synced() bool
 		// Admits counts a request and tells whether its class may run.
 		Admits(client netip.Addr, cfg *briarferry.Config, s briarferry.Service, class briarferry.PriorityClass) bool
 	}
@@ -117,6 +119,9 @@
 	if !e.Announcements.Synced() {
 		return "the table of backend servers is not complete yet"
 	}
+	if e.Steering != nil && !e.Steering.Synced() {
+		return "no placement from the leader yet"
+	}
 	return ""
 }
 
--- a/internal/transport/bfentry/lookup.go
+++ b/internal/transport/bfentry/lookup.go
@@ -26,6 +26,10 @@
 		return
 	}
 	if e.Steering != nil {
+		if !e.Steering.Synced() {
+			bfapi.WriteError(w, "", refuseUnready("no placement from the leader yet"))
+			return
+		}
 		e.Steering.CountLookup(client)
 	}
 	answer := bfapi.Lookup{Service: name, ConfigVersion: lease.Version, Entries: []bfapi.LookupEntry{}}
