Plan as soon as all entries have reported to a new leader

A lost region with the leader in it left urgent work refused for 3 s, since the new leader waited 2.5 s for reports. It now plans once all live VMs have reported. Rates start as means, since the smoothed ones were 15% low in the first seconds.

--- a/internal/coordination/bfplacement/coordinator.go
+++ b/internal/coordination/bfplacement/coordinator.go
@@ -12,9 +12,9 @@
 
 const (
 	tickInterval = 200 * time.Millisecond
-	// learnFor is how long a new leader collects reports before it decides, so that
-	// each entry reports at least twice; learnAtMost bounds the wait for the
-	// assignment that it adopts.
+	// learnFor is how long a new leader waits for the reports of all live entries, of
+	// which each sends one a second; learnAtMost bounds the wait for the assignment
+	// that it adopts.
 	learnFor    = 2500 * time.Millisecond
 	learnAtMost = 5 * time.Second
 	// keepVersions is the number of assignments that deltas can start from.
@@ -140,7 +140,19 @@
 // hasLearned tells whether the reports since the start of the term suffice.
 func (c *Coordinator) hasLearned(now time.Time) bool {
 	passed := now.Sub(c.since)
-	return c.adopted != nil && c.adopted.assignment == nil || passed >= learnAtMost || passed >= learnFor && c.newestKnown() <= c.adoptedVersion()
+	if c.adopted != nil && c.adopted.assignment == nil || passed >= learnAtMost {
+		return true
+	}
+	return c.newestKnown() <= c.adoptedVersion() && (passed >= learnFor || c.allReported())
+}
+
+func (c *Coordinator) allReported() bool {
+	for _, vm := range c.Members.Live() {
+		if c.received[vm.Name] == nil {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Coordinator) newestKnown() uint64 {
--- a/internal/coordination/bfplacement/coordinator_test.go
+++ b/internal/coordination/bfplacement/coordinator_test.go
@@ -14,6 +14,7 @@
 func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
+		f.startUp()
 		f.run(30)
 		if v := f.followers["a1"].Entry.Version(); v == 0 {
 			t.Fatal("no assignment after 30 s")
@@ -151,6 +152,7 @@
 func TestMessageSizes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
+		f.startUp()
 		var report, delta, whole, largest int
 		f.bytes = func(r Report, reply Reply) {
 			a, _ := bfcodec.Marshal(r)
@@ -204,3 +206,32 @@
 		}
 	})
 }
+
+// BenchmarkCoordinator measures a step of the leader with as many blocks as it plans.
+func BenchmarkCoordinator(b *testing.B) {
+	f := newFleet(nil)
+	for i, vm := range f.vms {
+		r := Report{Site: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain, RegionCapacity: 1 << 30}
+		for j := range maxPlanned / len(f.vms) {
+			p := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(20 + i), byte(j >> 8), byte(j), 0}), blockBits4)
+			r.Blocks = append(r.Blocks, BlockReading{Prefix: p, Lookups: 1000, Demand: []Rate{300, 300, 300}})
+		}
+		if _, err := f.leader.Exchange(time.Now(), r); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := f.leader.Tick(time.Now()); err != nil {
+		b.Fatal(err)
+	}
+	now := time.Now()
+	b.ReportMetric(float64(len(f.leader.blocks)), "blocks")
+	for b.Loop() {
+		now = now.Add(f.cfg.Limits.ShiftInterval.Std())
+		for _, r := range f.leader.received {
+			r.at = now
+		}
+		if err := f.leader.Tick(now); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/coordination/bfplacement/fleet_test.go
+++ b/internal/coordination/bfplacement/fleet_test.go
@@ -86,12 +86,16 @@
 		f.followers[vm.Name] = f.newFollower(vm)
 	}
 	f.elect(1)
+	return f
+}
+
+// startUp lets the entries get their first assignment.
+func (f *fleet) startUp() {
 	for range 50 {
 		time.Sleep(200 * time.Millisecond)
 		_ = f.leader.Tick(time.Now())
 		f.exchange()
 	}
-	return f
 }
 
 func (f *fleet) newFollower(vm briarferry.VM) *Follower {
--- a/internal/coordination/bfplacement/meter.go
+++ b/internal/coordination/bfplacement/meter.go
@@ -54,7 +54,8 @@
 	// gauge is a smoothed rate; sum is what came since the last reading.
 	gauge struct {
 		sum, rate float64
-		known     bool
+		// age is the time that the rate is the mean of, until it reaches smoothFor.
+		age float64
 	}
 
 	cell struct {
@@ -157,11 +158,8 @@
 func (g *gauge) read(elapsed float64) Rate {
 	now := g.sum / elapsed
 	g.sum = 0
-	if !g.known {
-		g.known, g.rate = true, now
-	} else {
-		g.rate += (1 - math.Exp(-elapsed/smoothFor.Seconds())) * (now - g.rate)
-	}
+	g.age = min(g.age+elapsed, smoothFor.Seconds())
+	g.rate += min(1, max(elapsed/g.age, 1-math.Exp(-elapsed/smoothFor.Seconds()))) * (now - g.rate)
 	return Rate(math.Round(g.rate))
 }
 
