Read a ready VM's answer in the system tests

The harness read the answer of /readyz as a problem document, whose status is a number; a ready VM answers with a word there, so that every system test waited until it failed with 'vm1 is ready'. The harness now reads the detail only.

--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -350,7 +350,8 @@
 
 func (c *cluster) waitReady(v *vm) time.Duration {
 	c.t.Helper()
-	var p bfapi.Problem
+	// A ready VM's answer has a word as its status, which is no problem document.
+	var p struct{ Detail string }
 	defer func() {
 		if c.t.Failed() {
 			c.t.Logf("%s is not ready: %s", v.name, p.Detail)
