--- a/internal/transport/bfentry/lookup.go
+++ b/internal/transport/bfentry/lookup.go
@@ -25,6 +25,13 @@
 		bfapi.WriteError(w, "", err)
 		return
 	}
+	if e.Steering != nil {
+		if !e.Steering.Synced() {
+			bfapi.WriteError(w, "", refuseUnready("no placement from the leader yet"))
+			return
+		}
+		e.Steering.CountLookup(client)
+	}
 	answer := bfapi.Lookup{Service: name, ConfigVersion: lease.Version, Entries: []bfapi.LookupEntry{}}
 	for _, p := range e.Placement.Entries(name, client) {
 		if len(answer.Entries) == maxLookupEntries {
