Keep the configured floors among entries, and let test callers pause

Cause: the home of a server kept a tenth of the slots for each lower urgency, whatever floor the class has. Change: the floor comes from the class; callers pause 200 ms, as Retry-After asks them to wait, and the test logs the longest time without an answer. Its checks are the same.

--- a/internal/coordination/bfslot/home.go
+++ b/internal/coordination/bfslot/home.go
@@ -38,7 +38,9 @@
 		servers map[uint64]*server
 		holders map[string]*holderState
 		// contended has the services with demand that isn't met.
-		contended map[string]bool
+		// floorShare returns the share of a service's slots that an urgency keeps.
+		floorShare func(urgency int) float64
+		contended  map[string]bool
 	}
 
 	// ownServer is a server that this VM is the home of, with its open slots.
@@ -97,7 +99,7 @@
 
 func newHome() *home {
 	return &home{servers: make(map[uint64]*server), holders: make(map[string]*holderState),
-		contended: make(map[string]bool)}
+		contended: make(map[string]bool), floorShare: func(int) float64 { return defaultFloor }}
 }
 
 // update takes over the servers that this VM is the home of. A server that is not
@@ -252,7 +254,7 @@
 	}
 	claimants := h.claimants(service, servers)
 	delete(h.contended, service)
-	share(now, total, claimants)
+	share(now, total, claimants, h.floorShare)
 	if missing(claimants) > sumFree(servers) {
 		for _, c := range claimants {
 			h.recall(servers, c, changed)
--- a/internal/coordination/bfslot/pool.go
+++ b/internal/coordination/bfslot/pool.go
@@ -41,6 +41,9 @@
 		Sender   Sender
 		// Delay returns the one-way delay to a region; nil stands for none.
 		Delay func(region string) time.Duration
+		// FloorShare returns the share of a service's slots that an urgency keeps
+		// while more urgent requests wait; nil stands for 10%.
+		FloorShare func(urgency int) float64
 
 		once  sync.Once
 		kick  chan struct{}
@@ -88,6 +91,9 @@
 	p.once.Do(func() {
 		p.kick = make(chan struct{}, 1)
 		p.home = newHome()
+		if p.FloorShare != nil {
+			p.home.floorShare = p.FloorShare
+		}
 		p.routes = make(map[uint64]*route)
 		p.byName = make(map[string]*serviceRoutes)
 		p.leases = make(map[uint64]*lease)
--- a/internal/coordination/bfslot/share.go
+++ b/internal/coordination/bfslot/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,9 +11,14 @@
 	// quantum is how long an entry keeps a slot that others with equal urgency wait
 	// for. A slot that moves between regions is idle for a round trip of 110 ms.
 	quantum = 400 * time.Millisecond
-	// floorTurns is the inverse of the share of a service's slots that is kept for
-	// each lower urgency. A part of a slot is kept as a share of the time.
-	floorTurns = 10
+	// defaultFloor is the share of a service's slots that is kept for each lower
+	// urgency where the configuration gives none.
+	defaultFloor = 0.1
+	// floorTurns is the length of a cycle in which a part of a slot is kept as a
+	// share of the time.
+	floorTurns = 20
+	// rounding keeps the product of a share and a whole number from falling short.
+	rounding = 1e-9
 )
 
 // claimant is an entry that wants slots of a service.
@@ -29,13 +35,13 @@
 // share sets the target of each claimant so that they add up to at most total. A
 // more urgent one goes first except for the floors of the others; among equals the
 // slots are divided evenly, and what can't be divided goes around.
-func share(now time.Time, total int, list []*claimant) {
+func share(now time.Time, total int, list []*claimant, floorShare func(urgency int) float64) {
 	slices.SortFunc(list, func(a, b *claimant) int { return cmp.Compare(a.urgency, b.urgency) })
 	tiers := slices.Collect(chunkByUrgency(list))
 	floors := make([]int, len(tiers))
 	reserved := 0
 	for i := len(tiers) - 1; i > 0; i-- {
-		floors[i] = min(floor(now, total), sumDemand(tiers[i]), total-reserved)
+		floors[i] = min(floor(now, total, floorShare(tiers[i][0].urgency)), sumDemand(tiers[i]), total-reserved)
 		reserved += floors[i]
 	}
 	left := total
@@ -68,12 +74,14 @@
 	})
 }
 
-func floor(now time.Time, total int) int {
-	n := total / floorTurns
-	if turn := now.UnixMilli() / quantum.Milliseconds() % floorTurns; int(turn) < total%floorTurns {
-		n++
+// floor returns the slots that an urgency keeps now.
+func floor(now time.Time, total int, share float64) int {
+	whole, part := math.Modf(float64(total)*share + rounding)
+	turn := now.UnixMilli() / quantum.Milliseconds() % floorTurns
+	if turn < int64(math.Round(part*floorTurns)) {
+		whole++
 	}
-	return n
+	return int(whole)
 }
 
 // divide gives out up to n slots evenly and returns how many it gave.
--- a/internal/coordination/bfslot/share_test.go
+++ b/internal/coordination/bfslot/share_test.go
@@ -22,7 +22,7 @@
 			demand += c.demand
 			list = append(list, c)
 		}
-		share(now, total, list)
+		share(now, total, list, tenth)
 		given, tiers := 0, map[int][2]int{}
 		for _, c := range list {
 			if c.target > c.demand || c.target < 0 {
@@ -36,7 +36,7 @@
 			t.Fatalf("%d slots given of %d for a demand of %d", given, total, demand)
 		}
 		for urgency, tier := range tiers {
-			if total >= floorTurns && tier[0] > 0 && tier[1] == 0 {
+			if total >= 10 && tier[0] > 0 && tier[1] == 0 {
 				t.Fatalf("urgency %d got nothing of %d slots", urgency, total)
 			}
 		}
@@ -51,7 +51,7 @@
 	for i := range 7 {
 		list = append(list, &claimant{name: fmt.Sprint(i), demand: 50})
 	}
-	share(now, 18, list)
+	share(now, 18, list, tenth)
 	for _, c := range list {
 		if c.target < 2 || c.target > 3 {
 			t.Errorf("entry %s gets %d of 18 slots among 7", c.name, c.target)
@@ -59,16 +59,25 @@
 	}
 }
 
+func tenth(int) float64 { return 0.1 }
+
 // TestSmallFloorTakesTurns guards against a service with few slots whose less urgent
-// requests never get one.
+// requests never get one, and against a floor other than the configured one.
 func TestSmallFloorTakesTurns(t *testing.T) {
-	turns := 0
-	for i := range 100 {
-		urgent, other := &claimant{name: "a", urgency: 1, demand: 9}, &claimant{name: "b", urgency: 5, demand: 9}
-		share(time.UnixMilli(int64(i)*quantum.Milliseconds()), 3, []*claimant{urgent, other})
-		turns += other.target
-	}
-	if turns != 30 { // a tenth of 3 slots
-		t.Errorf("one slot in %d turns of 100, want 30", turns)
+	tests := []struct {
+		total, want int
+		share       float64
+	}{{3, 30, 0.1}, {3, 60, 0.2}, {10, 100, 0.1}, {12, 300, 0.25}}
+	for _, test := range tests {
+		turns := 0
+		for i := range 100 {
+			urgent, other := &claimant{name: "a", urgency: 1, demand: 50}, &claimant{name: "b", urgency: 5, demand: 50}
+			floor := func(int) float64 { return test.share }
+			share(time.UnixMilli(int64(i)*quantum.Milliseconds()), test.total, []*claimant{urgent, other}, floor)
+			turns += other.target
+		}
+		if turns != test.want {
+			t.Errorf("%d slots, floor %.2f: %d slots in 100 turns, want %d", test.total, test.share, turns, test.want)
+		}
 	}
 }
--- a/internal/systemtest/claims_test.go
+++ b/internal/systemtest/claims_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,12 +17,15 @@
 	"briarferry/internal/transport/bfstandin"
 )
 
+const retryPause = 200 * time.Millisecond
+
 type (
 	// keyEnd is what the callers of one key were told last.
 	keyEnd struct {
 		key     string
 		answers []bfstandin.Reply
 		notRun  bool
+		endedAt time.Time
 	}
 
 	// keyLog collects what callers were told.
@@ -50,6 +54,10 @@
 		case status != 0 && outcome == briarferry.OutcomeNotRun:
 			end.notRun = true
 			return end
+		default:
+			// Entries that can't take work answer at once; without a pause a short
+			// outage would make up most of the keys.
+			time.Sleep(retryPause)
 		}
 	}
 	return end
@@ -73,6 +81,7 @@
 			for ctx.Err() == nil {
 				key := fmt.Sprintf("order-%016x", rng.Uint64())
 				end := c.order(context.WithoutCancel(ctx), key, key, rng)
+				end.endedAt = time.Now()
 				log.mu.Lock()
 				log.ends = append(log.ends, end)
 				log.mu.Unlock()
@@ -141,12 +150,30 @@
 			}
 		}
 	}
-	c.t.Logf("%d keys: %d answered, %d not run, %d unknown; %d executions beyond the first", len(ends), ok, notRun, unknown, runs.Duplicates)
+	c.t.Logf("%d keys: %d answered, %d not run, %d unknown; %d executions beyond the first; longest time without an answer %s",
+		len(ends), ok, notRun, unknown, runs.Duplicates, longestGap(ends).Round(time.Millisecond))
 	if ok < len(ends)/4 {
 		c.t.Errorf("only %d of %d orders were answered", ok, len(ends))
 	}
 }
 
+// longestGap returns the longest time between two answered orders.
+func longestGap(ends []keyEnd) time.Duration {
+	slices.SortFunc(ends, func(a, b keyEnd) int { return a.endedAt.Compare(b.endedAt) })
+	var last time.Time
+	longest := time.Duration(0)
+	for _, end := range ends {
+		if len(end.answers) == 0 {
+			continue
+		}
+		if !last.IsZero() {
+			longest = max(longest, end.endedAt.Sub(last))
+		}
+		last = end.endedAt
+	}
+	return longest
+}
+
 // TestCrashingRequest guards against a request that takes down one backend server
 // after another while its caller sends it again through every entry.
 func TestCrashingRequest(t *testing.T) {
--- a/internal/transport/bfnode/sharing.go
+++ b/internal/transport/bfnode/sharing.go
@@ -61,7 +61,7 @@
 	s.Table = &bfbackend.Table{Origin: s.VM.Name}
 	s.net = &bfgossip.Gnet{Listen: s.VM.Gossip, Log: s.Log}
 	s.node = &bfgossip.Node{Members: s.Members, Table: s.Table, Network: s.net, Keys: s.Keys, Log: s.Log}
-	s.Slots = &bfslot.Pool{Members: s.Members, Table: s.Table, Balancer: s.Balancer, Sender: s.node, Delay: s.delay}
+	s.Slots = &bfslot.Pool{Members: s.Members, Table: s.Table, Balancer: s.Balancer, Sender: s.node, Delay: s.delay, FloorShare: s.floorShare}
 	s.node.Slots = s.Slots
 	s.net.Receive = s.node.Receive
 }
@@ -127,3 +127,18 @@
 	}
 	return 0
 }
+
+// floorShare returns the configured floor of the class with an urgency.
+func (s *Sharing) floorShare(urgency int) float64 {
+	if s.Config == nil {
+		return 0
+	}
+	if cfg, _, ok := s.Config.Current(); ok {
+		for _, class := range cfg.Classes {
+			if class.Urgency == urgency {
+				return class.FloorShare
+			}
+		}
+	}
+	return 0
+}
