--- a/internal/transport/bfbench/faults.go
+++ b/internal/transport/bfbench/faults.go
@@ -5,10 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
-	"slices"
+	"strings"
 
-	"briarferry/internal/transport/bfload"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfstandin"
 )
 
@@ -63,24 +62,28 @@
 	}
 }
 
-// victim returns an entry that callers are sent to, without a data folder where there
-// is one: the control group is not what these faults are about.
+// victim returns the entry without a data folder that has answered the most requests:
+// callers of one block use the entries of one region, and a fault elsewhere would show
+// nothing. The control group is not what these faults are about.
 func (c *cluster) victim() (*process, error) {
-	answer, err := bfload.Ask(context.Background(), c.client, c.entries[0], floodService, netip.Addr{})
-	if err != nil {
-		return nil, err
-	}
-	best := -1
-	for _, e := range answer.Entries {
-		if i := slices.Index(c.entries, e.Address); e.Weight > 0 && (i >= controlCount || best < 0) {
-			best = i
-			if i >= controlCount {
-				break
+	best, most := 0, int64(0)
+	for i := controlCount; i < len(c.entries); i++ {
+		var vars struct {
+			Requests map[string]int64 `json:"requests"`
+		}
+		c.get(c.entries[i], bfapi.PathVars, &vars)
+		answered := int64(0)
+		for name, n := range vars.Requests {
+			if strings.HasSuffix(name, "/answered") {
+				answered += n
 			}
 		}
+		if answered > most {
+			best, most = i, answered
+		}
 	}
-	if best < 0 {
-		return nil, fmt.Errorf("bfbench: a look-up names no entry")
+	if most == 0 {
+		return nil, fmt.Errorf("bfbench: no entry without a data folder has answered a request")
 	}
 	return c.vms[best], nil
 }
