--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -53,6 +53,21 @@
 		folder string
 	}
 
+	// clusterOptions vary how a cluster is started.
+	clusterOptions struct {
+		relayed bool
+		// serve returns more arguments for a VM.
+		serve func(name string) []string
+		// standin has more arguments for the stand-in.
+		standin []string
+		// client calls the entries and the stand-in; nil stands for a usual one.
+		client *http.Client
+		// scheme is that of the entries' HTTP addresses; empty stands for http.
+		scheme string
+		// token comes with operators' changes.
+		token string
+	}
+
 	// cluster is a whole system with its stand-in backend servers.
 	cluster struct {
 		t       *testing.T
@@ -60,12 +75,10 @@
 		standin *process
 		admin   netip.AddrPort
 		client  *http.Client
+		options clusterOptions
 		// relays carry the calls to control VMs where the test cuts links.
 		relays relays
 	}
-
-	// clusterOptions vary how a cluster is started.
-	clusterOptions struct{ relayed bool }
 )
 
 func TestMain(m *testing.M) {
@@ -177,12 +190,15 @@
 	return startClusterWith(t, clusterOptions{})
 }
 
-func startClusterWith(t *testing.T, options clusterOptions) *cluster {
+func startClusterWith(t *testing.T, o clusterOptions) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	cfg := exampleConfig(t)
 	addrs := freeAddresses(t, vmCount*3+1)
-	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}}
+	c := &cluster{t: t, admin: addrs[vmCount*3], client: &http.Client{Timeout: 30 * time.Second}, options: o}
+	if o.client != nil {
+		c.client = o.client
+	}
 	var peers []string
 	for i := range vmCount {
 		peers = append(peers, addrs[i*3+2].String())
@@ -190,9 +206,13 @@
 	for i := range vmCount {
 		var control []string
 		for j := range controlCount {
-			control = append(control, fmt.Sprintf("vm%d=%s", j+1, c.controlAddress(i, j, addrs[j*3+1], options)))
+			control = append(control, fmt.Sprintf("vm%d=%s", j+1, c.controlAddress(i, j, addrs[j*3+1], o)))
+		}
+		v := newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers)
+		if o.serve != nil {
+			v.args = append(v.args, o.serve(v.name)...)
 		}
-		c.vms = append(c.vms, newVM(t, dir, i, cfg, addrs[i*3:i*3+3], control, peers))
+		c.vms = append(c.vms, v)
 	}
 	for _, v := range c.vms {
 		v.start()
@@ -211,34 +231,6 @@
 	return c
 }
 
-// waitServers waits until a VM knows every backend server.
-func (c *cluster) waitServers(v *vm, cfg *briarferry.Config) {
-	c.t.Helper()
-	want := 0
-	for _, s := range cfg.Services {
-		want += s.Workers
-	}
-	c.await(v.name+" knows all backend servers", readyWithin, func() bool {
-		var s bfapi.VMStatus
-		c.get(v.http, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal, &s)
-		n := 0
-		for _, service := range s.Services {
-			n += service.Servers
-		}
-		return n == want
-	})
-}
-
-// controlAddress returns where one VM reaches a control VM.
-func (c *cluster) controlAddress(from, to int, address netip.AddrPort, options clusterOptions) netip.AddrPort {
-	if !options.relayed || from == to {
-		return address
-	}
-	r := newRelay(c.t, from, to, address)
-	c.relays = append(c.relays, r)
-	return r.address
-}
-
 func exampleConfig(t *testing.T) *briarferry.Config {
 	t.Helper()
 	data, err := os.ReadFile("../../examples/mantas.answers.json")
@@ -274,49 +266,17 @@
 	return v
 }
 
-func (c *cluster) startStandin(dir string, cfg *briarferry.Config) {
-	path := filepath.Join(dir, "config.json")
-	data, _ := json.Marshal(cfg)
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		c.t.Fatal(err)
-	}
-	entries := make([]string, len(c.vms))
-	for i, v := range c.vms {
-		entries[i] = v.http.String()
-	}
-	base := netip.AddrPortFrom(c.admin.Addr(), c.admin.Port())
-	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
-		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
-	c.standin.start()
-	c.await("the stand-in answers", readyWithin, func() bool { return c.get(c.admin, "/servers", nil) == http.StatusOK })
-}
-
-// standinBase finds a run of free ports for the emulated servers.
-func standinBase(t *testing.T, near netip.AddrPort, n int) netip.AddrPort {
-	t.Helper()
-	for port := 21000 + os.Getpid()%200*50; port < 32000; port += n {
-		if isFreeRun(near.Addr(), port, n) {
-			return netip.AddrPortFrom(near.Addr(), uint16(port))
-		}
+// url returns the URL of a path at an entry or the stand-in, which has no TLS.
+func (c *cluster) url(address netip.AddrPort, path string) string {
+	if c.options.scheme == "" || address == c.admin {
+		return "http://" + address.String() + path
 	}
-	t.Fatal("no run of free ports")
-	return netip.AddrPort{}
-}
-
-func isFreeRun(addr netip.Addr, port, n int) bool {
-	for i := range n {
-		ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, uint16(port+i)).String())
-		if err != nil {
-			return false
-		}
-		ln.Close()
-	}
-	return true
+	return c.options.scheme + "://" + address.String() + path
 }
 
 // get reads a JSON document; it returns the status, or 0 where there was no answer.
 func (c *cluster) get(address netip.AddrPort, path string, out any) int {
-	resp, err := c.client.Get("http://" + address.String() + path)
+	resp, err := c.client.Get(c.url(address, path))
 	if err != nil {
 		return 0
 	}
@@ -350,7 +310,10 @@
 
 func (c *cluster) waitReady(v *vm) time.Duration {
 	c.t.Helper()
-	var p bfapi.Problem
+	// Only the detail is read: a ready VM answers with another document than a problem.
+	var p struct {
+		Detail string `json:"detail"`
+	}
 	defer func() {
 		if c.t.Failed() {
 			c.t.Logf("%s is not ready: %s", v.name, p.Detail)
@@ -363,7 +326,7 @@
 
 // config returns the configuration and its entity tag as one VM tells it.
 func (c *cluster) config(v *vm) (*briarferry.Config, string, error) {
-	resp, err := c.client.Get("http://" + v.http.String() + bfapi.PathConfig)
+	resp, err := c.client.Get(c.url(v.http, bfapi.PathConfig))
 	if err != nil {
 		return nil, "", err
 	}
@@ -378,8 +341,9 @@
 // put sends a change of the configuration and returns the status, or 0.
 func (c *cluster) put(ctx context.Context, v *vm, cfg *briarferry.Config, etag, key string) int {
 	data, _ := json.Marshal(cfg)
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+v.http.String()+bfapi.PathConfig, bytes.NewReader(data))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, c.url(v.http, bfapi.PathConfig), bytes.NewReader(data))
 	req.Header.Set(bfapi.HeaderIfMatch, etag)
+	req.Header.Set("Authorization", "Bearer "+c.options.token)
 	req.Header.Set(bfapi.HeaderIdempotencyKey, key)
 	resp, err := c.client.Do(req)
 	if err != nil {
@@ -433,7 +397,7 @@
 func (c *cluster) call(ctx context.Context, v *vm, method, path, key, body string, timeout time.Duration) (int, briarferry.Outcome, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, method, "http://"+v.http.String()+path, strings.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, method, c.url(v.http, path), strings.NewReader(body))
 	req.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(timeout))
 	if key != "" {
 		req.Header.Set(bfapi.HeaderIdempotencyKey, key)
--- a/internal/transport/bfcommand/status.go
+++ b/internal/transport/bfcommand/status.go
@@ -20,18 +20,20 @@
 
 func statusCommand() *command {
 	var entries string
+	var client clientFlags
 	var asJSON, watch bool
 	return &command{
 		name:     "status",
 		synopsis: "show VMs, services, drains and what is degraded",
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries, comma separated")
+			client.register(fs)
 			fs.BoolVar(&asJSON, "json", false, "print JSON")
 			fs.BoolVar(&watch, "watch", false, "refresh until interrupted")
 		},
 		run: func(ctx context.Context, _ []string) error {
 			var v values
-			client := &operatorClient{entries: v.addresses("entries", entries)}
+			client := client.operator(&v, entries)
 			if err := v.findings.Err(); err != nil {
 				return err
 			}
@@ -75,12 +77,30 @@
 	for _, d := range s.Drains {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", d.ID, d.Kind, d.Target, d.State, d.InFlight)
 	}
+	printPlacement(t, s.Placement)
 	for _, reason := range s.Degraded {
 		fmt.Fprintf(t, "degraded: %s\n", reason)
 	}
 	return t.Flush()
 }
 
+func printPlacement(w io.Writer, p *bfapi.PlacementStatus) {
+	if p == nil {
+		return
+	}
+	fmt.Fprintf(w, "\nplacement %d: %d blocks, %d above a shift cap, planned in %.1f ms\n", p.Version, p.Blocks, p.Oversize, p.StepMillis)
+	fmt.Fprintln(w, "REGION\tCAPACITY\tPLANNED\tMEASURED\tSHIFTED\tCAP\tSILENT")
+	for _, r := range p.Regions {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%d\n", r.Region, r.Capacity, r.Planned, r.Measured, r.Shifted, r.ShiftCap, r.Silent)
+	}
+	for _, h := range p.Held {
+		fmt.Fprintf(w, "held back: %s: %s (%d blocks, %.1f slots)\n", h.Region, h.Reason, h.Blocks, h.Load)
+	}
+	for _, h := range p.Refused {
+		fmt.Fprintf(w, "refused: %s: class %s (%.1f slots)\n", h.Region, h.Reason, h.Load)
+	}
+}
+
 func formatCounts(counts map[string]int64) string {
 	parts := make([]string, 0, len(counts))
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
--- a/internal/transport/bfentry/handler.go
+++ b/internal/transport/bfentry/handler.go
@@ -2,6 +2,7 @@
 package bfentry
 
 import (
+	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bftls"
 )
 
 var tracer = otel.Tracer("briarferry/entry")
@@ -25,17 +27,31 @@
 		Synced() bool
 	}
 
+	// Steering counts what callers ask for and knows which of it the placement refuses.
+	Steering interface {
+		// CountLookup counts a look-up of a client.
+		CountLookup(client netip.Addr)
+		// Synced tells whether the leader's assignment is known.
+		Synced() bool
+		// Admits counts a request and tells whether its class may run.
+		Admits(client netip.Addr, cfg *briarferry.Config, s briarferry.Service, class briarferry.PriorityClass) bool
+	}
+
 	// Entry answers the HTTP requests of one entry VM. Its fields are set before use.
 	Entry struct {
 		Config        briarferry.ConfigSource
 		Members       briarferry.Members
 		Placement     briarferry.Placement
 		Announcements Announcements
-		Pipeline      *Pipeline
+		// Steering may be nil: nothing is counted or refused then.
+		Steering Steering
+		Pipeline *Pipeline
 		// TrustedResolvers may name the client of a look-up.
 		TrustedResolvers []netip.Prefix
 		// Operators serves the operators' paths; nil answers them with 404.
 		Operators http.Handler
+		// Caller asks other VMs for their status.
+		Caller bftls.Caller
 		// Local adds to this VM's status what the entry itself does not know.
 		Local func(s *bfapi.VMStatus)
 		// Draining is closed when the VM takes no new work because it stops.
@@ -60,13 +76,24 @@
 	mux.HandleFunc("GET "+bfapi.PathHealth, serveHealth)
 	mux.HandleFunc("GET "+bfapi.PathReady, e.serveReady)
 	mux.HandleFunc("GET "+bfapi.PathStatus, e.serveStatus)
-	mux.Handle("GET "+bfapi.PathVars, expvar.Handler())
+	mux.HandleFunc("GET "+bfapi.PathVars, serveVars)
 	if e.Operators != nil {
 		mux.Handle("/v1/", e.Operators)
 	}
 	return mux
 }
 
+// serveVars shows all counters, but not the command line, which may have the token.
+func serveVars(w http.ResponseWriter, _ *http.Request) {
+	all := map[string]json.RawMessage{}
+	expvar.Do(func(v expvar.KeyValue) {
+		if v.Key != "cmdline" {
+			all[v.Key] = json.RawMessage(v.Value.String())
+		}
+	})
+	bfapi.WriteJSON(w, http.StatusOK, all)
+}
+
 func serveHealth(w http.ResponseWriter, _ *http.Request) {
 	bfapi.WriteJSON(w, http.StatusOK, map[string]string{"status": "ok"})
 }
@@ -107,6 +134,9 @@
 	if !e.Announcements.Synced() {
 		return "the table of backend servers is not complete yet"
 	}
+	if e.Steering != nil && !e.Steering.Synced() {
+		return "no placement from the leader yet"
+	}
 	return ""
 }
 
--- a/internal/transport/bfrpc/client.go
+++ b/internal/transport/bfrpc/client.go
@@ -41,7 +41,8 @@
 
 type (
 	// ControlClient calls the control plane through any control VM and follows the
-	// leader. It implements briarferry.Claimer and bflease.Transport. The exported
+	// leader. It implements briarferry.Claimer, bflease.Transport
+	// and bfplacement.Transport. The exported
 	// fields are set before use.
 	ControlClient struct {
 		// Targets are the RPC addresses of the control VMs.
@@ -50,6 +51,8 @@
 		OnIndex func(index uint64)
 		// HTTP carries the calls; nil stands for a client with own connections.
 		HTTP *http.Client
+		// Security protects the calls; nil stands for cleartext.
+		Security *Security
 
 		once   sync.Once
 		claims *batcher[bfmachine.ClaimOp, bfmachine.ClaimResult]
@@ -68,11 +71,12 @@
 	rpc[Req, Res any] = func(context.Context, *Req) (*Res, error)
 
 	procedures struct {
-		sync   rpc[bfwire.SyncRequest, bfwire.SyncReply]
-		claims rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply]
-		change rpc[bfwire.ChangeRequest, bfwire.ChangeReply]
-		config rpc[bfwire.ConfigRequest, bfwire.ConfigReply]
-		status rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus]
+		sync      rpc[bfwire.SyncRequest, bfwire.SyncReply]
+		claims    rpc[bfwire.ClaimsRequest, bfwire.ClaimsReply]
+		change    rpc[bfwire.ChangeRequest, bfwire.ChangeReply]
+		config    rpc[bfwire.ConfigRequest, bfwire.ConfigReply]
+		status    rpc[bfwire.ControlStatusRequest, bfwire.ControlStatus]
+		placement rpc[bfwire.PlacementReport, bfwire.PlacementReply]
 	}
 )
 
@@ -86,12 +90,12 @@
 
 func (c *ControlClient) init() {
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{Transport: &http.Transport{
+		c.HTTP = c.Security.NewClient(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: claimsInFlight,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
-		}}
+		}, 0)
 	}
 	c.clients = map[netip.AddrPort]*procedures{}
 	c.claims = &batcher[bfmachine.ClaimOp, bfmachine.ClaimResult]{
@@ -111,6 +115,15 @@
 	return *reply, nil
 }
 
+// Placement reports an entry's measurements to the leader.
+func (c *ControlClient) Placement(ctx context.Context, r bfwire.PlacementReport) (bfwire.PlacementReply, error) {
+	reply, err := call(ctx, c, attemptTimeout, &r, func(p *procedures) rpc[bfwire.PlacementReport, bfwire.PlacementReply] { return p.placement })
+	if err != nil {
+		return bfwire.PlacementReply{}, err
+	}
+	return *reply, nil
+}
+
 // Change makes an operator's change and returns once it is in force. The
 // operation carries an idempotency key, so that repeating it is safe.
 func (c *ControlClient) Change(ctx context.Context, op bfmachine.Op) (bfmachine.OpResult, error) {
@@ -256,7 +269,7 @@
 	}
 	p := c.clients[c.current]
 	if p == nil {
-		p = newProcedures(c.HTTP, c.current)
+		p = newProcedures(c.HTTP, c.Security.base(c.current))
 		c.clients[c.current] = p
 	}
 	return c.current, p
@@ -283,13 +296,13 @@
 	return known
 }
 
-func newProcedures(h *http.Client, a netip.AddrPort) *procedures {
-	base := "http://" + a.String()
+func newProcedures(h *http.Client, base string) *procedures {
 	return &procedures{
-		sync:   NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
-		claims: NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
-		change: NewCall[bfwire.ChangeRequest, bfwire.ChangeReply](h, base, procedureChange),
-		config: NewCall[bfwire.ConfigRequest, bfwire.ConfigReply](h, base, procedureConfig),
-		status: NewCall[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, base, procedureStatus),
+		sync:      NewCall[bfwire.SyncRequest, bfwire.SyncReply](h, base, procedureSync),
+		claims:    NewCall[bfwire.ClaimsRequest, bfwire.ClaimsReply](h, base, procedureClaims),
+		change:    NewCall[bfwire.ChangeRequest, bfwire.ChangeReply](h, base, procedureChange),
+		config:    NewCall[bfwire.ConfigRequest, bfwire.ConfigReply](h, base, procedureConfig),
+		status:    NewCall[bfwire.ControlStatusRequest, bfwire.ControlStatus](h, base, procedureStatus),
+		placement: NewCall[bfwire.PlacementReport, bfwire.PlacementReply](h, base, procedurePlacement),
 	}
 }
