--- a/internal/transport/bfload/caller.go
+++ b/internal/transport/bfload/caller.go
@@ -84,14 +84,13 @@
 			return result{status: statusNotRun, reason: err.Error()}
 		}
 		res, reached := g.do(req, body, deadline)
-		if res.status == statusCut {
-			// The entry may be frozen; a new look-up leaves it out.
+		if !reached || res.status == statusCut {
+			// The entry may be gone or frozen; a new look-up leaves it out.
 			g.lookups.forget(f.Service)
 		}
 		if reached {
 			return res
 		}
-		g.lookups.forget(f.Service)
 	}
 	return result{status: statusNotRun, reason: "no entry could be reached"}
 }
