Retry soon for a started entry's first assignment

A restarted entry made its first report before it had a lease and the next a second later, and took no work meanwhile.

--- a/internal/coordination/bfplacement/follower.go
+++ b/internal/coordination/bfplacement/follower.go
@@ -15,6 +15,9 @@
 	// reportInterval is well below the age at which a reading counts as missing.
 	reportInterval = time.Second
 	reportTimeout  = 900 * time.Millisecond
+	// firstInterval lies between the calls of a started entry, which has no lease yet
+	// at its first one and takes no work before it has an assignment.
+	firstInterval = 100 * time.Millisecond
 	// waitAtMost bounds how long a started entry waits for its first assignment. It
 	// covers a leader's election and the time in which a new leader learns.
 	waitAtMost = 8 * time.Second
@@ -56,10 +59,14 @@
 		if err := f.Exchange(ctx); err != nil {
 			f.Failures.Add(1)
 		}
+		next := ticker.C
+		if !f.Synced() {
+			next = time.After(firstInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-next:
 		}
 	}
 }
