--- a/internal/systemtest/load_test.go
+++ b/internal/systemtest/load_test.go
@@ -38,7 +38,7 @@
 func (c *cluster) drain(d briarferry.Drain) {
 	c.t.Helper()
 	data, _ := json.Marshal(d)
-	req, _ := http.NewRequest(http.MethodPost, "http://"+c.vms[0].http.String()+bfapi.PathDrains, bytes.NewReader(data))
+	req, _ := http.NewRequest(http.MethodPost, c.url(c.vms[0].http, bfapi.PathDrains), bytes.NewReader(data))
 	req.Header.Set(bfapi.HeaderIdempotencyKey, bfapi.NewRequestID())
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/internal/transport/bfload/generator.go
+++ b/internal/transport/bfload/generator.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarferry"
+	"briarferry/internal/transport/bftls"
 )
 
 const (
@@ -40,9 +41,13 @@
 		Flows   []Flow
 		For     time.Duration
 		Seed    uint64
+		// TLS has the CAs of the entries' certificates; nil stands for cleartext.
+		TLS *bftls.Source
 
 		lookups *lookups
-		client  *http.Client
+		client  bftls.Caller
+		// call answers a request in place of send where it is set.
+		call func(f Flow, scheduled time.Time) result
 	}
 )
 
@@ -52,7 +57,7 @@
 		return nil, fmt.Errorf("bfload: needs at least one entry and one flow")
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 10 * time.Second}
-	g.client = &http.Client{Transport: transport}
+	g.client = bftls.NewCaller(g.TLS, transport)
 	defer transport.CloseIdleConnections()
 	g.lookups = &lookups{seeds: g.Entries, client: g.client}
 	report := &Report{Flows: make([]*FlowReport, len(g.Flows))}
@@ -73,6 +78,7 @@
 	slots := make(chan struct{}, maxOutstanding)
 	start := time.Now()
 	next := start
+	out.since, out.until = start.Add(min(time.Second, g.For/4)), start.Add(g.For)
 	for ctx.Err() == nil {
 		next = next.Add(time.Duration(rng.ExpFloat64() / f.Rate * float64(time.Second)))
 		if next.Sub(start) > g.For {
@@ -90,6 +96,10 @@
 		scheduled, seed := next, rng.Uint64()
 		wg.Go(func() {
 			defer func() { <-slots }()
+			if g.call != nil {
+				out.add(g.call(f, scheduled))
+				return
+			}
 			out.add(g.send(ctx, f, scheduled, rand.New(rand.NewPCG(seed, 1))))
 		})
 	}
