--- a/internal/transport/bfentry/plain.go
+++ b/internal/transport/bfentry/alone.go
@@ -14,12 +14,6 @@
 		Config *briarferry.Config
 	}
 
-	// FixedMembers is a membership that never changes.
-	FixedMembers struct {
-		Own briarferry.VM
-		All []briarferry.VM
-	}
-
 	// MemoryClaims keeps claims in the memory of one process.
 	MemoryClaims struct {
 		mu    sync.Mutex
@@ -38,15 +32,6 @@
 	return f.Config, briarferry.Lease{Version: f.Config.Version, ExpiresAt: time.Now().Add(time.Hour)}, true
 }
 
-// Self returns the own VM.
-func (f FixedMembers) Self() briarferry.VM { return f.Own }
-
-// Live returns all VMs.
-func (f FixedMembers) Live() []briarferry.VM { return f.All }
-
-// Connected is always true.
-func (f FixedMembers) Connected() bool { return true }
-
 // Claim grants a key to its first attempt.
 func (m *MemoryClaims) Claim(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
 	m.mu.Lock()
--- a/internal/transport/bfentry/crash_test.go
+++ b/internal/transport/bfentry/crash_test.go
@@ -54,12 +54,12 @@
 			return c.serve(s, r)
 		}
 	}
-	members, peers := FixedMembers{}, testPeers{}
+	members, peers := fixedMembers{}, testPeers{}
 	for i := range 7 {
 		members.All = append(members.All, briarferry.VM{Name: fmt.Sprintf("vm%d", i)})
 	}
 	for _, vm := range members.All {
-		q := &bfquarantine.Quarantine{Members: FixedMembers{Own: vm, All: members.All}, Peers: peers}
+		q := &bfquarantine.Quarantine{Members: fixedMembers{Own: vm, All: members.All}, Peers: peers}
 		peers[vm.Name] = q
 		p := newTestPipeline(c.servers)
 		p.Quarantine, p.Counters = q, c.counters
--- a/internal/transport/bfentry/fakes_test.go
+++ b/internal/transport/bfentry/fakes_test.go
@@ -179,3 +179,18 @@
 		t.Errorf("got %v, want %s", err, want)
 	}
 }
+
+// fixedMembers is a membership that never changes.
+type fixedMembers struct {
+	Own briarferry.VM
+	All []briarferry.VM
+}
+
+// Self returns the own VM.
+func (f fixedMembers) Self() briarferry.VM { return f.Own }
+
+// Live returns all VMs.
+func (f fixedMembers) Live() []briarferry.VM { return f.All }
+
+// Connected is always true.
+func (f fixedMembers) Connected() bool { return true }
--- a/internal/transport/bfentry/request_test.go
+++ b/internal/transport/bfentry/request_test.go
@@ -21,7 +21,7 @@
 		Limits:   briarferry.DefaultLimits(),
 	}
 	cfg.Limits.MaxBodyBytes = 8
-	e := &Entry{Config: FixedConfig{Config: cfg}, Members: FixedMembers{}, Announcements: syncedTable{}, Pipeline: &Pipeline{}}
+	e := &Entry{Config: FixedConfig{Config: cfg}, Members: fixedMembers{}, Announcements: syncedTable{}, Pipeline: &Pipeline{}}
 	tests := []struct {
 		name, path, body string
 		header           map[string]string
