--- a/internal/transport/bfcommand/standin.go
+++ b/internal/transport/bfcommand/standin.go
@@ -7,12 +7,14 @@
 
 	"briarferry"
 	"briarferry/internal/transport/bfstandin"
+	"briarferry/internal/transport/bftrace"
 )
 
 func standinCommand() *command {
 	var config, base, admin, entries, logLevel string
 	var coldStart time.Duration
 	var client clientFlags
+	trace := bftrace.Exporter{Process: "standin"}
 	return &command{
 		name:     "standin",
 		synopsis: "emulate the backend servers of a configuration",
@@ -23,6 +25,7 @@
 			fs.StringVar(&entries, "entries", "127.0.0.1:7000", "HTTP addresses of entries, comma separated")
 			client.register(fs)
 			fs.DurationVar(&coldStart, "cold-start", 0, "how long servers start cold")
+			fs.StringVar(&trace.Endpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
 			fs.StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
 		},
 		run: func(ctx context.Context, _ []string) error {
@@ -36,6 +39,11 @@
 			if err := v.findings.Err(); err != nil {
 				return err
 			}
+			flush, err := trace.Start(ctx)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = flush(context.WithoutCancel(ctx)) }()
 			return fleet.Run(ctx)
 		},
 	}
--- a/internal/transport/bfstandin/server.go
+++ b/internal/transport/bfstandin/server.go
@@ -17,9 +17,14 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
 	"briarferry/internal/protocol/bfapi"
 )
 
+var tracer = otel.Tracer("briarferry/standin")
+
 type (
 	// Server is one emulated backend server.
 	Server struct {
@@ -122,6 +127,10 @@
 		s.serveHealth(w)
 		return
 	}
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := tracer.Start(ctx, "backend")
+	defer span.End()
+	r = r.WithContext(ctx)
 	b := s.Behaviour()
 	if s.isSilent(r, b) {
 		<-r.Context().Done()
