--- a/config.go
+++ b/config.go
@@ -55,7 +55,7 @@
 		Idempotent bool     `json:"idempotent"`
 		Hedge      bool     `json:"hedge"`
 		Slots      int      `json:"slots"`
-		Workers    int      `json:"workers"`
+		Servers    int      `json:"servers"`
 		Expected   Duration `json:"expected_latency"`
 		Regions    []string `json:"regions"`
 	}
@@ -216,8 +216,8 @@
 		if s.Slots < 1 {
 			f.Add(place+".slots", "must be at least 1")
 		}
-		if s.Workers < 0 {
-			f.Add(place+".workers", "must not be negative")
+		if s.Servers < 0 {
+			f.Add(place+".servers", "must not be negative")
 		}
 		if s.Hedge && !s.Idempotent {
 			f.Add(place+".hedge", "needs an idempotent service")
--- a/internal/coordination/bfplacement/evict.go
+++ b/internal/coordination/bfplacement/evict.go
@@ -37,7 +37,7 @@
 }
 
 // evict refuses classes of the blocks at a site, the least urgent first and none
-// more urgent than the lowest rank given, until the needed rate is free. Blocks
+// more urgent than the class given as lowest, until the needed rate is free. Blocks
 // before a cursor hold nothing of its class: a class is only admitted in its own
 // pass, which comes after the evictions for all more urgent ones.
 func (p *Planner) evict(s *step, at, lowest int, need Rate) Rate {
--- a/internal/coordination/bfplacement/meter.go
+++ b/internal/coordination/bfplacement/meter.go
@@ -82,13 +82,13 @@
 	m.cell(client).lookups.sum++
 }
 
-// Request counts a request of the class with the given rank, which holds a slot for
-// the given time.
-func (m *Meter) Request(client netip.Addr, rank int, holds time.Duration, served bool) {
+// Request counts a request of the class with the given index, most urgent first,
+// which holds a slot for the given time.
+func (m *Meter) Request(client netip.Addr, class int, holds time.Duration, served bool) {
 	work := float64(holds.Microseconds()) / 1000
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.cell(client).demand[min(max(rank, 0), maxClasses-1)].sum += work
+	m.cell(client).demand[min(max(class, 0), maxClasses-1)].sum += work
 	if served {
 		m.load.sum += work
 	}
--- a/internal/state/bfconfig/answers.go
+++ b/internal/state/bfconfig/answers.go
@@ -52,7 +52,7 @@
 		Name            string              `json:"name"`
 		Class           string              `json:"class"`
 		Idempotent      bool                `json:"idempotent"`
-		Workers         int                 `json:"workers"`
+		Servers         int                 `json:"servers"`
 		Slots           int                 `json:"slots"`
 		ExpectedLatency briarferry.Duration `json:"expected_latency"`
 		// Regions is optional; an empty list stands for all regions.
--- a/internal/state/bfconfig/generate.go
+++ b/internal/state/bfconfig/generate.go
@@ -103,7 +103,7 @@
 		rank, known := b.answers.class(s.Class)
 		service := briarferry.Service{
 			Name: s.Name, Class: s.Class, Idempotent: s.Idempotent, Hedge: s.Idempotent && known && rank == 0,
-			Slots: s.Slots, Workers: s.Workers, Expected: s.ExpectedLatency, Regions: s.Regions,
+			Slots: s.Slots, Servers: s.Servers, Expected: s.ExpectedLatency, Regions: s.Regions,
 		}
 		b.explain(place("services", i, "hedge"), service.Hedge, "hedging is for idempotent services of the most urgent class")
 		out = append(out, service)
--- a/internal/state/bfmachine/machine_test.go
+++ b/internal/state/bfmachine/machine_test.go
@@ -18,7 +18,7 @@
 		Regions: []briarferry.Region{{Name: "koshi", FailureDomains: []string{"k1", "k2"}, CapacityShare: 0.8}},
 		Classes: []briarferry.PriorityClass{{Name: "high", Target: briarferry.Duration(time.Second)}},
 		Services: []briarferry.Service{
-			{Name: "orders", Class: "high", Slots: 3, Workers: note, Expected: 1},
+			{Name: "orders", Class: "high", Slots: 3, Servers: note, Expected: 1},
 			{Name: "quotes", Class: "high", Slots: 9, Expected: 1, Idempotent: true},
 		},
 		Limits: briarferry.DefaultLimits(),
--- a/internal/systemtest/standin_test.go
+++ b/internal/systemtest/standin_test.go
@@ -19,7 +19,7 @@
 	c.t.Helper()
 	want := 0
 	for _, s := range cfg.Services {
-		want += s.Workers
+		want += s.Servers
 	}
 	c.await(v.name+" knows all backend servers", readyWithin, func() bool {
 		var s bfapi.VMStatus
--- a/internal/transport/bfbench/cluster.go
+++ b/internal/transport/bfbench/cluster.go
@@ -139,11 +139,11 @@
 }
 
 func (c *cluster) startServers(ctx context.Context) error {
-	workers := 0
+	servers := 0
 	for _, s := range c.config.Services {
-		workers += s.Workers
+		servers += s.Servers
 	}
-	base, err := freeRun(workers)
+	base, err := freeRun(servers)
 	if err != nil {
 		return err
 	}
@@ -158,7 +158,7 @@
 		return err
 	}
 	for _, e := range c.entries {
-		if err := c.await(ctx, "an entry knows all backend servers", func() bool { return c.knows(e) == workers }); err != nil {
+		if err := c.await(ctx, "an entry knows all backend servers", func() bool { return c.knows(e) == servers }); err != nil {
 			return err
 		}
 	}
--- a/internal/transport/bfbench/config.go
+++ b/internal/transport/bfbench/config.go
@@ -36,9 +36,9 @@
 	return cfg, nil
 }
 
-func service(name, class string, workers, slots int, expected time.Duration) bfconfig.ServiceAnswer {
+func service(name, class string, servers, slots int, expected time.Duration) bfconfig.ServiceAnswer {
 	return bfconfig.ServiceAnswer{
-		Name: name, Class: class, Idempotent: true, Workers: workers, Slots: slots,
+		Name: name, Class: class, Idempotent: true, Servers: servers, Slots: slots,
 		ExpectedLatency: briarferry.Duration(expected),
 	}
 }
--- a/internal/transport/bfbench/flood.go
+++ b/internal/transport/bfbench/flood.go
@@ -14,13 +14,13 @@
 
 const (
 	floodService = "desk"
-	floodWorkers = 12
+	floodServers = 12
 	floodSlots   = 3
 	floodHold    = 80 * time.Millisecond
 	floodTime    = 6 * time.Second
 	floodTimes   = 4
 	// floodCapacity is the number of requests per second that the servers can run.
-	floodCapacity = floodWorkers * floodSlots * float64(time.Second) / float64(floodHold)
+	floodCapacity = floodServers * floodSlots * float64(time.Second) / float64(floodHold)
 )
 
 type (
@@ -67,7 +67,7 @@
 }
 
 func floodCluster(ctx context.Context, program string) (*cluster, error) {
-	cfg, err := newConfig(service(floodService, "urgent", floodWorkers, floodSlots, floodHold))
+	cfg, err := newConfig(service(floodService, "urgent", floodServers, floodSlots, floodHold))
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +116,7 @@
 
 func writeHead(w io.Writer) {
 	fmt.Fprintf(w, "capacity %.0f requests/s: %d servers with %d slots of %v; %v a scenario; per class: answered in time, goodput as a share of capacity, p50/p99/p99.9\n",
-		floodCapacity, floodWorkers, floodSlots, floodHold, floodTime)
+		floodCapacity, floodServers, floodSlots, floodHold, floodTime)
 	fmt.Fprintf(w, "%-34s %-11s %-40s %-40s %-40s %8s %6s\n", "scenario", "policy", "urgent", "normal", "batch", "goodput", "extra")
 }
 
@@ -152,7 +152,7 @@
 type naive struct {
 	scenario scenario
 	seed     uint64
-	slots    [floodWorkers]chan struct{}
+	slots    [floodServers]chan struct{}
 	turn     atomic.Int64
 }
 
@@ -168,7 +168,7 @@
 	began := time.Now()
 	var runs atomic.Int64
 	report := bfload.Simulate(ctx, n.scenario.flows(), floodTime, n.seed, func(f bfload.Flow, scheduled time.Time) bool {
-		slots := n.slots[n.turn.Add(1)%floodWorkers]
+		slots := n.slots[n.turn.Add(1)%floodServers]
 		// Servers run what callers have given up too; only the wait is cut short.
 		select {
 		case slots <- struct{}{}:
--- a/internal/transport/bfcommand/answers.go
+++ b/internal/transport/bfcommand/answers.go
@@ -137,7 +137,7 @@
 		return s, err
 	}
 	s.Idempotent = yes == "yes"
-	if s.Workers, err = iv.number("Backend servers of "+name, "12", "The usual number; they announce themselves."); err != nil {
+	if s.Servers, err = iv.number("Backend servers of "+name, "12", "The usual number; they announce themselves."); err != nil {
 		return s, err
 	}
 	if s.Slots, err = iv.number("Slots of each", "9", "Requests that one server can run at a time."); err != nil {
--- a/internal/transport/bfcommand/command_test.go
+++ b/internal/transport/bfcommand/command_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	s := a.Services[0]
-	if len(a.Regions) != 2 || a.Delays.BetweenRegions.Std().Milliseconds() != 10 || s.Slots != 9 || s.Workers != 20 || !s.Idempotent {
+	if len(a.Regions) != 2 || a.Delays.BetweenRegions.Std().Milliseconds() != 10 || s.Slots != 9 || s.Servers != 20 || !s.Idempotent {
 		t.Errorf("wrong answers: %+v", a)
 	}
 }
--- a/internal/transport/bfcommand/drain.go
+++ b/internal/transport/bfcommand/drain.go
@@ -9,12 +9,13 @@
 	"os"
 	"time"
 
+	"briarferry"
+	"briarferry/internal/coordination/bfdrain"
 	"briarferry/internal/protocol/bfapi"
 )
 
 const (
-	drainPoll  = 500 * time.Millisecond
-	stateEmpty = "empty"
+	drainPoll = 500 * time.Millisecond
 )
 
 type drainFlags struct {
@@ -23,13 +24,6 @@
 	wait                          time.Duration
 }
 
-// drainOrder is the body of an announced drain.
-type drainOrder struct {
-	ID     string `json:"id,omitempty"`
-	Kind   string `json:"kind"`
-	Target string `json:"target"`
-}
-
 func drainCommand() *command {
 	var f drainFlags
 	return &command{
@@ -61,14 +55,17 @@
 		}
 		return err
 	}
-	a, err := client.call(ctx, http.MethodPost, bfapi.PathDrains, header, drainOrder{Kind: f.kind, Target: f.target})
+	order := briarferry.Drain{Kind: briarferry.DrainKind(f.kind), Target: f.target}
+	if err := order.Validate().Err(); err != nil {
+		return err
+	}
+	a, err := client.call(ctx, http.MethodPost, bfapi.PathDrains, header, order)
 	if err != nil {
 		return err
 	}
 	if a.status >= http.StatusBadRequest {
 		return problemError(a)
 	}
-	var order drainOrder
 	if err := json.Unmarshal(a.body, &order); err != nil {
 		return fmt.Errorf("bfcommand: read drain: %w", err)
 	}
@@ -92,7 +89,7 @@
 				continue
 			}
 			fmt.Fprintf(os.Stdout, "%5.1fs %s, %d in flight\n", time.Since(start).Seconds(), d.State, d.InFlight)
-			if d.State == stateEmpty {
+			if d.State == string(bfdrain.StateEmpty) {
 				return nil
 			}
 		}
--- a/internal/transport/bfnode/node.go
+++ b/internal/transport/bfnode/node.go
@@ -59,6 +59,33 @@
 	if err != nil {
 		return err
 	}
+	entry, sharing, err := n.startEntry(parts, group, mux, control)
+	if err != nil {
+		return err
+	}
+	server := &bfentry.Server{
+		Listen: n.VM.HTTP, Entry: entry, TLS: n.Security.HTTP, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
+	}
+	group.Go(func() error {
+		defer stop()
+		defer func() {
+			control.handOver()
+			sharing.Members.Leave()
+			time.Sleep(lingerFor)
+		}()
+		// The server also stops where another part has failed.
+		both, cancel := context.WithCancel(ctx)
+		defer context.AfterFunc(parts, cancel)()
+		return server.Run(both)
+	})
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// startEntry assembles the entry and starts what it shares with other VMs.
+func (n *Node) startEntry(parts context.Context, group *errgroup.Group, mux *http.ServeMux, control *control) (*bfentry.Entry, *Sharing, error) {
 	sharing := n.newSharing(control)
 	queue := &bfadmission.Admitter{Pool: sharing.Slots, Slots: sharing.Slots.Slots}
 	entry := &bfentry.Entry{
@@ -86,28 +113,10 @@
 	}
 	group.Go(func() error { return drains.Run(parts) })
 	if err := n.serveRPC(parts, group, mux); err != nil {
-		return err
+		return nil, nil, err
 	}
 	group.Go(func() error { return sharing.Run(parts, entry.Ready) })
-	server := &bfentry.Server{
-		Listen: n.VM.HTTP, Entry: entry, TLS: n.Security.HTTP, Log: n.Log, DrainFor: n.DrainFor, StopWithin: stopWithin,
-	}
-	group.Go(func() error {
-		defer stop()
-		defer func() {
-			control.handOver()
-			sharing.Members.Leave()
-			time.Sleep(lingerFor)
-		}()
-		// The server also stops where another part has failed.
-		both, cancel := context.WithCancel(ctx)
-		defer context.AfterFunc(parts, cancel)()
-		return server.Run(both)
-	})
-	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return entry, sharing, nil
 }
 
 func (n *Node) serveRPC(ctx context.Context, group *errgroup.Group, mux *http.ServeMux) error {
--- a/internal/transport/bfrpc/control_test.go
+++ b/internal/transport/bfrpc/control_test.go
@@ -53,12 +53,12 @@
 	}
 }
 
-// testConfig is told from others by its number of workers.
-func testConfig(workers int) briarferry.Config {
+// testConfig is told from others by its number of servers.
+func testConfig(servers int) briarferry.Config {
 	return briarferry.Config{
 		Regions:  []briarferry.Region{{Name: "koshi", FailureDomains: []string{"k1"}, CapacityShare: 0.8}},
 		Classes:  []briarferry.PriorityClass{{Name: "high", Target: 1}},
-		Services: []briarferry.Service{{Name: "orders", Class: "high", Slots: 1, Expected: 1, Workers: workers}},
+		Services: []briarferry.Service{{Name: "orders", Class: "high", Slots: 1, Expected: 1, Servers: servers}},
 		Limits:   briarferry.DefaultLimits(),
 	}
 }
@@ -66,7 +66,7 @@
 type (
 	registerState struct {
 		version uint64
-		workers int
+		servers int
 	}
 
 	registerInput struct {
@@ -135,7 +135,7 @@
 			if s, err := c.Config(ctx); err == nil {
 				out := registerOutput{state: registerState{version: s.Version()}}
 				if s.Config != nil {
-					out.state.workers = s.Config.Services[0].Workers
+					out.state.servers = s.Config.Services[0].Servers
 				}
 				known = s.Version()
 				h.add(id, registerInput{}, start, out, true)
@@ -326,7 +326,7 @@
 			if err != nil || r.Code != bfmachine.CodeOK {
 				t.Errorf("change %d: %+v, %v", i, r, err)
 			}
-			if cfg, lease, ok := holder.Current(); i > 0 && (!ok || lease.Version != uint64(i+1) || cfg.Services[0].Workers != i) {
+			if cfg, lease, ok := holder.Current(); i > 0 && (!ok || lease.Version != uint64(i+1) || cfg.Services[0].Servers != i) {
 				t.Errorf("after change %d: lease %+v, %t", i, lease, ok)
 			}
 			time.Sleep(time.Second)
--- a/internal/transport/bfstandin/fleet.go
+++ b/internal/transport/bfstandin/fleet.go
@@ -105,12 +105,12 @@
 	return nil
 }
 
-// build places the workers of each service round the failure domains in turn.
+// build places the backend servers of each service round the failure domains in turn.
 func (f *Fleet) build() {
 	port := f.Base.Port()
 	for _, service := range f.Config.Services {
 		places := f.places(service)
-		for i := range service.Workers {
+		for i := range service.Servers {
 			place := places[i%len(places)]
 			s := &Server{
 				Service: service.Name, Address: netip.AddrPortFrom(f.Base.Addr(), port),
