--- a/internal/transport/bfentry/alone.go
+++ b/internal/transport/bfentry/alone.go
@@ -8,6 +8,9 @@
 	"briarferry"
 )
 
+// maxMemoryClaims bounds the claims that a process without a control group keeps.
+const maxMemoryClaims = 100_000
+
 type (
 	// FixedConfig is a configuration that never changes.
 	FixedConfig struct {
@@ -41,6 +44,8 @@
 	}
 	held, ok := m.table[c.Service+"/"+c.Key]
 	switch {
+	case !ok && len(m.table) >= maxMemoryClaims:
+		return briarferry.ClaimReply{Result: briarferry.ClaimFull}, nil
 	case !ok:
 		m.table[c.Service+"/"+c.Key] = &memoryClaim{claim: c}
 		return briarferry.ClaimReply{Result: briarferry.ClaimGranted}, nil
