Release a claim in memory only for its holder

Cause: read-through: in a process that runs alone, any attempt's release forgot the claim of another one. Change: the token must match. Result: TestMemoryClaimsKeepForeignHolds fails without the change and passes with it.

--- a/internal/transport/bfentry/alone.go
+++ b/internal/transport/bfentry/alone.go
@@ -72,7 +72,11 @@
 func (m *MemoryClaims) Release(_ context.Context, c briarferry.Claim) (briarferry.ClaimReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.table, c.Service+"/"+c.Key)
+	key := c.Service + "/" + c.Key
+	if held, ok := m.table[key]; ok && (held.done || held.claim.Token != c.Token) {
+		return briarferry.ClaimReply{Result: briarferry.ClaimHeld}, nil
+	}
+	delete(m.table, key)
 	return briarferry.ClaimReply{Result: briarferry.ClaimReleased}, nil
 }
 
--- a/internal/transport/bfentry/request_test.go
+++ b/internal/transport/bfentry/request_test.go
@@ -63,3 +63,24 @@
 
 func (syncedTable) Announce(briarferry.Announcement) error { return nil }
 func (syncedTable) Synced() bool                           { return true }
+
+// TestMemoryClaimsKeepForeignHolds guards against an attempt that releases the claim
+// of another one, which would then run twice.
+func TestMemoryClaimsKeepForeignHolds(t *testing.T) {
+	m := &MemoryClaims{}
+	first := briarferry.Claim{Service: "orders", Key: "k", Token: "a"}
+	second := first
+	second.Token = "b"
+	if r, _ := m.Claim(t.Context(), first); r.Result != briarferry.ClaimGranted {
+		t.Fatal(r)
+	}
+	if r, _ := m.Release(t.Context(), second); r.Result != briarferry.ClaimHeld {
+		t.Errorf("a foreign release gave %s", r.Result)
+	}
+	if r, _ := m.Claim(t.Context(), second); r.Result != briarferry.ClaimHeld {
+		t.Errorf("the second attempt was %s", r.Result)
+	}
+	if r, _ := m.Release(t.Context(), first); r.Result != briarferry.ClaimReleased {
+		t.Errorf("the holder's release gave %s", r.Result)
+	}
+}
