Wait for a replaced disk before the next fault, and take ports that stay free

The logs show that vm2's disk was replaced at 07:54:45, its new replica was a learner when vm1, the leader, was wiped at 07:54:54: two of three disks were lost, and the group stops then on purpose. The check counted three voters, one of which was vm2's lost replica.

--- a/internal/systemtest/config_test.go
+++ b/internal/systemtest/config_test.go
@@ -164,9 +164,7 @@
 			time.Sleep(2500 * time.Millisecond)
 			v.resume()
 		case 2:
-			v.kill()
-			_ = os.RemoveAll(v.folder)
-			v.start()
+			c.replaceDisk(v)
 		case 3:
 			v = c.cutForAWhile(rng)
 		}
@@ -175,12 +173,30 @@
 	}
 }
 
-// awaitVoters waits until the group is whole again: while a replaced member still
-// catches up, the loss of another one is more than three control VMs can take.
+// replaceDisk wipes a control VM's folder and waits until the group is whole again.
+// Until the new replica is a voter in place of the old one, the loss of a second disk
+// would be a majority, after which the group stops on purpose.
+func (c *cluster) replaceDisk(v *vm) {
+	c.t.Helper()
+	old := ""
+	c.await(v.name+" is a voter", readyWithin, func() bool {
+		old = c.voter(v)
+		return old != ""
+	})
+	v.kill()
+	_ = os.RemoveAll(v.folder)
+	v.start()
+	c.await(v.name+" is a voter with its new disk", readyWithin, func() bool {
+		id := c.voter(v)
+		return id != "" && id != old
+	})
+}
+
+// awaitVoters waits until three voters follow one leader.
 func (c *cluster) awaitVoters() {
 	c.t.Helper()
 	c.await("three voters follow one leader", readyWithin, func() bool {
-		return c.voters() == controlCount
+		return len(c.voters()) == controlCount
 	})
 }
 
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -21,6 +20,7 @@
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/state/bfconfig"
+	"briarferry/internal/transport/bfloopback"
 	"briarferry/internal/transport/bfstandin"
 )
 
@@ -108,24 +108,13 @@
 	return binary
 }
 
-// freeAddresses returns loopback addresses whose TCP and UDP ports were free.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
-	var out []netip.AddrPort
-	for len(out) < n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
-		pc, err := net.ListenPacket("udp", ln.Addr().String())
-		if err != nil {
-			continue
-		}
-		defer pc.Close()
-		out = append(out, netip.MustParseAddrPort(ln.Addr().String()))
+	list, err := bfloopback.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return out
+	return list
 }
 
 func (p *process) start() {
--- a/internal/systemtest/load_test.go
+++ b/internal/systemtest/load_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,13 +53,29 @@
 	}
 }
 
-// voters returns the number of voters that the leader's VM shows.
-func (c *cluster) voters() int {
+// voters returns the voters that the leader's VM shows, or none while members are
+// being replaced.
+func (c *cluster) voters() []string {
 	for _, v := range c.vms[:controlCount] {
 		var s bfapi.VMStatus
-		if c.get(v.http, bfapi.PathStatus+"?"+bfapi.ParamScope+"="+bfapi.ScopeLocal, &s) == http.StatusOK && s.Role == bfapi.RoleLeader {
-			return len(s.Voters)
+		path := bfapi.PathStatus + "?" + bfapi.ParamScope + "=" + bfapi.ScopeLocal
+		if c.get(v.http, path, &s) == http.StatusOK && s.Role == bfapi.RoleLeader && len(s.Learners) == 0 {
+			return s.Voters
 		}
 	}
-	return 0
+	return nil
+}
+
+// voter returns the only voter on a VM, or "".
+func (c *cluster) voter(v *vm) string {
+	found := ""
+	for _, id := range c.voters() {
+		if strings.HasPrefix(id, v.name+"/") {
+			if found != "" {
+				return ""
+			}
+			found = id
+		}
+	}
+	return found
 }
--- a/internal/systemtest/standin_test.go
+++ b/internal/systemtest/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -12,6 +11,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfloopback"
 )
 
 // waitServers waits until a VM knows every backend server.
@@ -52,33 +52,19 @@
 	for i, v := range c.vms {
 		entries[i] = v.http.String()
 	}
-	base := netip.AddrPortFrom(c.admin.Addr(), c.admin.Port())
 	c.standin = newProcess(c.t, dir, "standin", "standin", "--config", path, "--admin", c.admin.String(),
-		"--base", standinBase(c.t, base, 60).String(), "--entries", strings.Join(entries, ","))
+		"--base", standinBase(c.t, 60).String(), "--entries", strings.Join(entries, ","))
 	c.standin.args = append(c.standin.args, c.options.standin...)
 	c.standin.start()
 	c.await("the stand-in answers", readyWithin, func() bool { return c.get(c.admin, "/servers", nil) == http.StatusOK })
 }
 
 // standinBase finds a run of free ports for the emulated servers.
-func standinBase(t *testing.T, near netip.AddrPort, n int) netip.AddrPort {
+func standinBase(t *testing.T, n int) netip.AddrPort {
 	t.Helper()
-	for port := 21000 + os.Getpid()%200*50; port < 32000; port += n {
-		if isFreeRun(near.Addr(), port, n) {
-			return netip.AddrPortFrom(near.Addr(), uint16(port))
-		}
-	}
-	t.Fatal("no run of free ports")
-	return netip.AddrPort{}
-}
-
-func isFreeRun(addr netip.Addr, port, n int) bool {
-	for i := range n {
-		ln, err := net.Listen("tcp", netip.AddrPortFrom(addr, uint16(port+i)).String())
-		if err != nil {
-			return false
-		}
-		ln.Close()
+	base, err := bfloopback.FreeRun(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return true
+	return base
 }
--- a/internal/transport/bfbench/cluster.go
+++ b/internal/transport/bfbench/cluster.go
@@ -15,6 +15,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfloopback"
 	"briarferry/internal/transport/bfstandin"
 )
 
@@ -82,7 +83,7 @@
 func (c *cluster) configPath() string { return filepath.Join(c.dir, "config.json") }
 
 func (c *cluster) startOne(ctx context.Context) error {
-	addrs, err := freeAddresses(4)
+	addrs, err := bfloopback.Free(4)
 	if err != nil {
 		return err
 	}
@@ -94,7 +95,7 @@
 }
 
 func (c *cluster) start(ctx context.Context) error {
-	addrs, err := freeAddresses(vmCount*3 + 1)
+	addrs, err := bfloopback.Free(vmCount*3 + 1)
 	if err != nil {
 		return err
 	}
@@ -143,7 +144,7 @@
 	for _, s := range c.config.Services {
 		servers += s.Servers
 	}
-	base, err := freeRun(servers)
+	base, err := bfloopback.FreeRun(servers)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/bfnode/control_test.go
+++ b/internal/transport/bfnode/control_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -22,6 +21,7 @@
 	"briarferry"
 	"briarferry/internal/coordination/bfdrain"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfloopback"
 	"briarferry/internal/transport/bfrpc"
 )
 
@@ -45,12 +45,12 @@
 )
 
 func freeAddress(t testing.TB) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	list, err := bfloopback.Free(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).AddrPort()
+	return list[0]
 }
 
 // newTestSystem starts 3 control VMs and an entry without a data folder.
