Make refusals at one place

Cause: read-through: four functions built the same refusal, two of them with the same outcome. Change: refuseUnknown and refuseNotRun differ in their outcome only; refuseUnready is gone. Result: vet and bfentry's tests pass; no change of behaviour.

--- a/internal/transport/bfentry/lookup.go
+++ b/internal/transport/bfentry/lookup.go
@@ -27,7 +27,7 @@
 	}
 	if e.Steering != nil {
 		if !e.Steering.Synced() {
-			bfapi.WriteError(w, "", refuseUnready("no placement from the leader yet"))
+			bfapi.WriteError(w, "", refuseUnknown("no placement from the leader yet"))
 			return
 		}
 		e.Steering.CountLookup(client)
--- a/internal/transport/bfentry/refusals.go
+++ b/internal/transport/bfentry/refusals.go
@@ -9,19 +9,7 @@
 
 const retrySoon = time.Second
 
-func refuseNoLease() error {
-	return &briarferry.Refusal{
-		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeUnknown,
-		Reason: "this entry holds no valid configuration lease", RetryAfter: retrySoon,
-	}
-}
-
-func refuseUnready(reason string) error {
-	return &briarferry.Refusal{
-		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeUnknown,
-		Reason: reason, RetryAfter: retrySoon,
-	}
-}
+func refuseNoLease() error { return refuseUnknown("this entry holds no valid configuration lease") }
 
 func refuseUnknownService(name string) error {
 	return &briarferry.Refusal{
@@ -30,17 +18,15 @@
 	}
 }
 
-func refuseUnknown(reason string) error {
-	return &briarferry.Refusal{
-		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeUnknown,
-		Reason: reason, RetryAfter: retrySoon,
-	}
-}
+// refuseUnknown says that the request may have run.
+func refuseUnknown(reason string) error { return refuseForNow(briarferry.OutcomeUnknown, reason) }
+
+// refuseNotRun says that the request certainly did not run.
+func refuseNotRun(reason string) error { return refuseForNow(briarferry.OutcomeNotRun, reason) }
 
-func refuseNotRun(reason string) error {
+func refuseForNow(outcome briarferry.Outcome, reason string) error {
 	return &briarferry.Refusal{
-		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun,
-		Reason: reason, RetryAfter: retrySoon,
+		Status: http.StatusServiceUnavailable, Outcome: outcome, Reason: reason, RetryAfter: retrySoon,
 	}
 }
 
--- a/internal/transport/bfentry/request.go
+++ b/internal/transport/bfentry/request.go
@@ -19,7 +19,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if reason := e.unready(); reason != "" {
-		refuseEarly(w, r, refuseUnready(reason))
+		refuseEarly(w, r, refuseUnknown(reason))
 		return
 	}
 	cfg, lease, ok := e.Config.Current()
