Compare the planner with the naive one at one place

Cause: read-through: two tests stepped both planners with the same lines. Change: the ledger steps and compares them; every check is kept. Result: go test ./internal/coordination/bfplacement passes.

--- a/internal/coordination/bfplacement/planner_test.go
+++ b/internal/coordination/bfplacement/planner_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// stepBoth takes one step with the planner and the naive one, and compares them.
+func (l *ledger) stepBoth(t rapid.TB, i int, now time.Time, net Network, n *naive) {
+	plan, err := l.p.Step(now, net)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.step(now, net)
+	for b := range n.site {
+		if n.site[b] != int(l.p.site[b]) || n.level[b] != int(l.p.level[b]) {
+			t.Fatalf("step %d, block %d: site %d with %d classes, naive %d with %d", i, b, l.p.site[b], l.p.level[b], n.site[b], n.level[b])
+		}
+	}
+	s := newStep(now, net, l.p.k)
+	l.p.observe(s)
+	l.check(t, now, net, plan, s)
+}
+
 // check fails on a shift beyond a cap, into a site that may not receive, or past
 // a limit, and on a move that gains less than the hysteresis.
 func (l *ledger) check(t rapid.TB, now time.Time, net Network, plan Plan, s *step) {
@@ -186,19 +203,7 @@
 				}
 			}
 			now = now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "seconds")) * time.Second)
-			plan, err := p.Step(now, w.net)
-			if err != nil {
-				t.Fatal(err)
-			}
-			n.step(now, w.net)
-			for b := range n.site {
-				if n.site[b] != int(p.site[b]) || n.level[b] != int(p.level[b]) {
-					t.Fatalf("step %d, block %d: site %d with %d classes, naive %d with %d", i, b, p.site[b], p.level[b], n.site[b], n.level[b])
-				}
-			}
-			s := newStep(now, w.net, p.k)
-			p.observe(s)
-			l.check(t, now, w.net, plan, s)
+			l.stepBoth(t, i, now, w.net, n)
 		}
 	})
 }
@@ -242,18 +247,6 @@
 		case 7:
 			w.net.Sites[7].State = SiteUp
 		}
-		plan, err := p.Step(now, w.net)
-		if err != nil {
-			t.Fatal(err)
-		}
-		n.step(now, w.net)
-		for b := range n.site {
-			if n.site[b] != int(p.site[b]) || n.level[b] != int(p.level[b]) {
-				t.Fatalf("step %d, block %d: site %d with %d classes, naive %d with %d", i, b, p.site[b], p.level[b], n.site[b], n.level[b])
-			}
-		}
-		s := newStep(now, w.net, p.k)
-		p.observe(s)
-		l.check(t, now, w.net, plan, s)
+		l.stepBoth(t, i, now, w.net, n)
 	}
 }
