--- a/backend.go
+++ b/backend.go
@@ -46,6 +46,8 @@
 	// Backend is a backend server as one entry knows it.
 	Backend struct {
 		Announcement
+		// InstanceID names the start of the server that is meant; empty means any.
+		InstanceID string
 		// HeardAt is when the entry that was told heard the announcement, by this
 		// entry's clock.
 		HeardAt time.Time
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,61 @@
+package briarferry
+
+import (
+	"net/netip"
+	"time"
+)
+
+const maxColdFor = 10 * time.Minute
+
+type (
+	// Instance is one start of a backend server, as the server itself reports it.
+	Instance struct {
+		// ID names the instance; a restarted server may report the ID that it had.
+		ID            string         `json:"id" cbor:"1,keyasint"`
+		Service       string         `json:"service" cbor:"2,keyasint"`
+		Address       netip.AddrPort `json:"address" cbor:"3,keyasint"`
+		FailureDomain string         `json:"failure_domain" cbor:"4,keyasint"`
+		Release       string         `json:"release,omitempty" cbor:"5,keyasint,omitempty"`
+		Slots         int            `json:"slots" cbor:"6,keyasint"`
+		Draining      bool           `json:"draining" cbor:"7,keyasint,omitempty"`
+		// ColdFor is how much longer the server stays cold.
+		ColdFor Duration `json:"cold_for" cbor:"8,keyasint,omitempty"`
+		// Started is the server's start in Unix milliseconds by its own clock; it
+		// orders the starts under one ID. Zero means that the server doesn't tell.
+		Started int64 `json:"started" cbor:"9,keyasint,omitempty"`
+		// Sequence orders the reports of one start.
+		Sequence uint64 `json:"sequence" cbor:"10,keyasint,omitempty"`
+	}
+)
+
+// Validate reports every field that is out of range.
+func (i *Instance) Validate() Findings {
+	var f Findings
+	if !ValidName(i.ID) {
+		f.Add("id", "must be a name: %q", i.ID)
+	}
+	if !ValidName(i.Service) {
+		f.Add("service", "must be a name: %q", i.Service)
+	}
+	if !i.Address.IsValid() || i.Address.Port() == 0 {
+		f.Add("address", "must be an IP address with a port")
+	}
+	if !ValidName(i.FailureDomain) {
+		f.Add("failure_domain", "must be a name: %q", i.FailureDomain)
+	}
+	if i.Slots < 1 || i.Slots > maxSlots {
+		f.Add("slots", "must be between 1 and %d", maxSlots)
+	}
+	if i.ColdFor < 0 || i.ColdFor.Std() > maxColdFor {
+		f.Add("cold_for", "must be between 0 and %v", maxColdFor)
+	}
+	if i.Started < 0 {
+		f.Add("started", "must not be negative")
+	}
+	return f
+}
+
+// SameStart tells whether two reports come from the same start of a server.
+func (i *Instance) SameStart(other *Instance) bool {
+	return i.ID == other.ID && i.Started == other.Started && i.Address == other.Address && i.Service == other.Service
+}
--- a/internal/coordination/bfraft/status.go
+++ b/internal/coordination/bfraft/status.go
@@ -44,6 +44,14 @@
 	return 0
 }
 
+// SinceLeader returns the ticks since this replica last heard a leader; 0 on the leader.
+func (r *Raft) SinceLeader() int {
+	if r.role == Leader {
+		return 0
+	}
+	return r.heard
+}
+
 // FirstVoters returns the voters of the group's first entry where the log still holds it.
 func (r *Raft) FirstVoters() []string {
 	if r.log.base > 0 || len(r.log.entries) == 0 {
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -15,18 +15,26 @@
 const (
 	formInterval = 300 * time.Millisecond
 	formTimeout  = 2 * time.Second
+	// silentElections is the number of election timeouts without a word after which
+	// an open group gives a member up. It outlasts restarts and short cuts.
+	silentElections = 8
 )
 
 // form makes an empty replica part of a group: of a new one where every control VM
-// is present and empty, or of the existing one as a learner.
+// is present and empty, or of the existing one as a learner. In an open group it also
+// brings back a replica that was removed while it was away.
 func (n *Node) form(ctx context.Context) {
 	ticker := time.NewTicker(formInterval)
 	defer ticker.Stop()
 	for {
-		if n.Info().LastIndex > 0 {
+		switch {
+		case n.Info().LastIndex == 0:
+			n.tryForm(ctx)
+		case !n.Open:
 			return
+		default:
+			n.tryRejoin(ctx)
 		}
-		n.tryForm(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -44,24 +52,56 @@
 			n.enter(ctx, vm, info)
 			return
 		}
-		if vmOf(info.ID) == vm {
+		if vmOf(info.ID) == vm && slices.Contains(n.Control, vm) {
 			ids = append(ids, info.ID)
 		}
 	}
 	// Only the first VM by name starts a group; the others take its voters over.
 	// Two starters could see different disk ids while one of the folders is replaced.
-	if len(ids) == len(n.Control) && n.VM == slices.Min(n.Control) {
+	if !n.NoForm && len(ids) == len(n.Control) && n.VM == slices.Min(n.Control) {
 		n.bootstrap(ctx, ids)
 	}
 }
 
+// tryRejoin asks the group to add this replica where it hears from no leader. The
+// leader ignores it for a member.
+func (n *Node) tryRejoin(ctx context.Context) {
+	if !n.orphaned.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, formTimeout)
+	defer cancel()
+	for vm, info := range n.askAll(ctx) {
+		if leader := vmOf(info.Leader); leader == vm && leader != n.VM {
+			_ = n.Discovery.Join(ctx, leader, n.Info().ID)
+			return
+		}
+	}
+}
+
+// known returns the VMs to ask: the named ones and those of the group's members.
+func (n *Node) known() []string {
+	vms := slices.Clone(n.Control)
+	if n.Seeds != nil {
+		vms = append(vms, n.Seeds()...)
+	}
+	if n.Open {
+		s := n.Status()
+		for _, id := range slices.Concat(s.Voters, s.Learners) {
+			vms = append(vms, vmOf(id))
+		}
+	}
+	slices.Sort(vms)
+	return slices.Compact(vms)
+}
+
 // askAll returns what the replicas on the other control VMs answer. It asks all at
 // once, so that a VM that is cut off delays no answer of another.
 func (n *Node) askAll(ctx context.Context) map[string]Info {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	answers := map[string]Info{}
-	for _, vm := range n.Control {
+	for _, vm := range n.known() {
 		if vm == n.VM {
 			continue
 		}
@@ -110,7 +150,7 @@
 
 // Join adds an empty replica as a learner where this replica leads.
 func (n *Node) Join(ctx context.Context, id string) error {
-	if !slices.Contains(n.Control, vmOf(id)) {
+	if !n.Open && !slices.Contains(n.Control, vmOf(id)) {
 		return eris.Errorf("bfreplica: %q is on no control VM", id)
 	}
 	var failed error
@@ -159,9 +199,33 @@
 			return bfraft.Change{Kind: bfraft.Remove, ID: id}, true
 		}
 	}
+	if id, ok := n.abandoned(m); ok {
+		return bfraft.Change{Kind: bfraft.Remove, ID: id}, true
+	}
 	return bfraft.Change{}, false
 }
 
+// abandoned returns a member of an open group that was silent for long. A voter is
+// given up only where the group has an even number of them: such a group bears no more
+// losses than one with a voter fewer, so nothing is lost, and after a replacement
+// under a new address the group has its old size again.
+func (n *Node) abandoned(m bfraft.Membership) (string, bool) {
+	if !n.Open {
+		return "", false
+	}
+	candidates := m.Learners
+	if len(m.Voters)%2 == 0 && len(m.Voters) > 2 {
+		candidates = slices.Concat(m.Voters, m.Learners)
+	}
+	limit := silentElections * n.ticks(n.ElectionTimeout)
+	for _, id := range candidates {
+		if id != n.core.ID() && n.core.Silent(id) >= limit {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // replaced tells whether a silent replica has a successor that answers on the same
 // VM. A voter is removed only for a voter, so that the group never gets smaller.
 func (n *Node) replaced(m bfraft.Membership, id string) bool {
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -82,6 +82,13 @@
 		// VM is the name of this VM; Control names the VMs with a replica, this one included.
 		VM      string
 		Control []string
+		// Open lets replicas on VMs that Control doesn't name join. Control then names
+		// the VMs to ask; the group learns of all others as they join.
+		Open bool
+		// Seeds returns further VMs to ask; nil stands for none.
+		Seeds func() []string
+		// NoForm keeps an empty replica from forming a new group; it can only join one.
+		NoForm bool
 		// Dir is the data folder.
 		Dir       string
 		FS        bfstorage.FS
@@ -126,6 +133,8 @@
 		housekeep   int
 		// joining belongs to the goroutine that forms or joins a group.
 		joining bool
+		// orphaned tells that no leader was heard for two election timeouts.
+		orphaned atomic.Bool
 
 		waits waitTable
 
@@ -186,7 +195,7 @@
 	forming, stopForming := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() { n.applier.run(work) })
-	if n.core.LastIndex() == 0 {
+	if n.core.LastIndex() == 0 || n.Open {
 		group.Go(func() { n.form(forming) })
 	}
 	defer group.Wait()
--- /dev/null
+++ b/internal/coordination/bfsteering/report.go
@@ -0,0 +1,193 @@
+package bfsteering
+
+import (
+	"time"
+
+	"briarferry"
+)
+
+const (
+	// Answered is a whole answer that is no failure of the server.
+	Answered Outcome = "answered"
+	// Failed is a whole answer that reports a failure of the server.
+	Failed Outcome = "failed"
+	// Shed is an answer that says that the server did not run the request for its load.
+	Shed Outcome = "shed"
+	// Misdirected is an answer of another instance at the server's address.
+	Misdirected Outcome = "misdirected"
+	// Refused is a connection that could not be made; nothing was sent.
+	Refused Outcome = "refused"
+	// Died is a connection that ended without a whole answer.
+	Died Outcome = "died"
+	// Silent is a try that got no answer in time.
+	Silent Outcome = "silent"
+	// Garbled is an answer that is not the server's, or not whole.
+	Garbled Outcome = "garbled"
+	// Cancelled is a try that this entry gave up for reasons of its own.
+	Cancelled Outcome = "cancelled"
+
+	// slowStep is by how many times an answer must exceed what was expected to count
+	// as slow.
+	slowStep = 1.5
+)
+
+type (
+	// Outcome tells how a try ended.
+	Outcome string
+
+	// Report is what a finished try has shown.
+	Report struct {
+		Outcome Outcome
+		// Gone tells that the server refused a new connection after this one died.
+		Gone bool
+		// HasLoad tells that the server reported its load.
+		HasLoad                 bool
+		Running, Waiting, Slots int
+	}
+)
+
+// Done takes what the try has shown about its server.
+func (t *Try) Done(now time.Time, r Report) {
+	v, srv := t.service, t.server
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	srv.inFlight--
+	if r.HasLoad {
+		srv.others, srv.othersAt = max(0, float64(r.Running+r.Waiting-srv.inFlight)), now
+	}
+	switch r.Outcome {
+	case Answered, Failed:
+		t.answered(now, r.Outcome == Failed)
+	case Shed:
+		srv.answered = now
+		srv.dead = 0
+		srv.errors.add(now, errorLife, 1)
+		if !r.HasLoad {
+			srv.others, srv.othersAt = max(srv.others, float64(srv.Slots)), now
+		}
+	case Misdirected:
+		// The registry names another instance soon; until then nothing is sent there.
+		t.lose(now, "another instance has the address")
+	case Refused:
+		srv.restarted = true
+		t.lose(now, "connection refused")
+	case Died:
+		srv.errors.add(now, errorLife, 1)
+		srv.dead++
+		if r.Gone || srv.dead >= deadTries {
+			srv.restarted = true
+			t.lose(now, "connections die")
+		}
+	case Silent:
+		srv.errors.add(now, errorLife, 1)
+		if srv.answered.Before(t.started) {
+			t.lose(now, "no answer")
+		}
+	case Garbled:
+		srv.errors.add(now, errorLife, 1)
+	case Cancelled:
+		t.cancelled(now)
+	}
+}
+
+// Overdue tells that the answer takes far longer than expected. A server that has not
+// answered anything since is left alone until a check.
+func (t *Try) Overdue(now time.Time) {
+	v := t.service
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if t.server.answered.Before(t.started) {
+		t.lose(now, "no answer")
+	}
+}
+
+// cancelled learns from a try that was given up: its server needs at least as long.
+func (t *Try) cancelled(now time.Time) {
+	if ratio := float64(now.Sub(t.started)) / float64(max(t.Expected, time.Millisecond)); ratio > slowStep {
+		t.server.slowness.add(now, slowLife, min(maxSlow, ratio-1))
+	}
+}
+
+// answered learns from a whole answer.
+func (t *Try) answered(now time.Time, failed bool) {
+	srv := t.server
+	srv.answered, srv.dead, srv.ejections, srv.ejectedUntil = now, 0, 0, time.Time{}
+	if failed {
+		srv.errors.add(now, errorLife, 1)
+		return
+	}
+	srv.errors.add(now, errorLife, 0)
+	took := now.Sub(t.started)
+	work := max(time.Millisecond, took-t.network)
+	cold := t.started.Before(srv.coldUntil)
+	expected := max(t.Expected, time.Millisecond)
+	slow := srv.slowness.get(now, slowLife)
+	ratio := float64(took)/float64(expected)*(1+slow) - 1
+	if ratio > slowStep*(1+slow)-1 || slow > 0.2 {
+		srv.slowness.add(now, slowLife, min(maxSlow, max(0, ratio)))
+	}
+	if t.key != "" {
+		if !t.waited && !cold && slow < 0.5 {
+			t.model.learn(t.Warm, work)
+		}
+		srv.warm.touch(t.key, int(t.model.keep))
+		return
+	}
+	if !t.waited && !cold && slow < 0.5 {
+		t.model.cold.add(work)
+		t.model.warm.add(work)
+	}
+}
+
+// lose leaves the server alone until a check finds it alive.
+func (t *Try) lose(now time.Time, why string) {
+	srv := t.server
+	if srv.ejected() && now.Before(srv.ejectedUntil) {
+		return
+	}
+	srv.eject(now)
+	t.steering.shift.disturb(now)
+	t.steering.Log.Warn().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Str("cause", why).
+		Int("in_flight", srv.inFlight).Dur("pause_ms", srv.ejectedUntil.Sub(now)).Msg("backend server left out")
+}
+
+// Due returns the servers that were left out and should be checked now.
+func (s *Steering) Due(now time.Time) []briarferry.Backend {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []briarferry.Backend
+	for _, v := range s.services {
+		v.mu.Lock()
+		for _, srv := range v.servers {
+			if srv.ejected() && !now.Before(srv.ejectedUntil) && !srv.Draining && !srv.evacuated {
+				srv.eject(now)
+				out = append(out, srv.backend(&v.config))
+			}
+		}
+		v.mu.Unlock()
+	}
+	return out
+}
+
+// Alive tells that the server accepted a connection again. A server that was restarted
+// counts as cold.
+func (s *Steering) Alive(now time.Time, b briarferry.Backend) {
+	v := s.service(b.Service)
+	if v == nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, srv := range v.servers {
+		if srv.ID != b.InstanceID || !srv.ejected() {
+			continue
+		}
+		srv.ejectedUntil = time.Time{}
+		srv.inFlight = max(0, srv.inFlight)
+		if srv.restarted {
+			srv.restarted = false
+			srv.chill(now.Add(v.config.ColdStart.Std()))
+		}
+		s.Log.Info().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Msg("backend server is back")
+	}
+}
--- /dev/null
+++ b/internal/coordination/bfsteering/shift.go
@@ -0,0 +1,150 @@
+package bfsteering
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// shiftWindow is the span over which the regions' shares are compared.
+	shiftWindow = 2 * time.Second
+	shiftBucket = 100 * time.Millisecond
+	shiftSlots  = int(2 * shiftWindow / shiftBucket)
+	// shiftShare is the part of the limit that an entry uses; the rest covers chance
+	// and the other entries of the region.
+	shiftShare = 0.5
+	// minShiftSample is the number of requests in the earlier window below which the
+	// shares say nothing.
+	minShiftSample = 20
+	// disturbedFor is how long a change of the servers suspends the limit, as their
+	// work must go elsewhere at once.
+	disturbedFor = 5 * time.Second
+	// unknownDelay is the round trip time that is assumed to a region until it is
+	// measured.
+	unknownDelay = 100 * time.Millisecond
+)
+
+type (
+	// shiftLimit keeps the shares of the regions in which requests run from changing
+	// faster than the limit allows.
+	shiftLimit struct {
+		mu        sync.Mutex
+		max       float64
+		base      time.Time
+		buckets   [shiftSlots]map[string]int
+		last      int64
+		disturbed time.Time
+	}
+
+	// delays are the round trip times to other regions.
+	delays struct {
+		mu  sync.RWMutex
+		rtt map[string]time.Duration
+	}
+)
+
+func (d *delays) set(region string, rtt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.rtt == nil {
+		d.rtt = map[string]time.Duration{}
+	}
+	old, ok := d.rtt[region]
+	if !ok || rtt < old {
+		d.rtt[region] = rtt
+		return
+	}
+	// The shortest time counts, but an old one is given up slowly.
+	d.rtt[region] = old + (rtt-old)/64
+}
+
+func (d *delays) to(region, own string) time.Duration {
+	if region == own {
+		return 0
+	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if rtt, ok := d.rtt[region]; ok {
+		return rtt
+	}
+	return unknownDelay
+}
+
+func (l *shiftLimit) configure(maxShift float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.max = maxShift
+}
+
+func (l *shiftLimit) disturb(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disturbed = now.Add(disturbedFor)
+}
+
+// advance empties the buckets that time has passed over.
+func (l *shiftLimit) advance(now time.Time) {
+	if l.base.IsZero() {
+		l.base = now
+	}
+	at := int64(now.Sub(l.base) / shiftBucket)
+	for step := max(l.last+1, at-int64(shiftSlots)+1); step <= at; step++ {
+		l.buckets[step%int64(shiftSlots)] = nil
+	}
+	l.last = max(l.last, at)
+}
+
+func (l *shiftLimit) count(now time.Time, region string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	b := &l.buckets[l.last%int64(shiftSlots)]
+	if *b == nil {
+		*b = map[string]int{}
+	}
+	(*b)[region]++
+}
+
+// sums returns the requests of each region in the latest window and in the one before.
+func (l *shiftLimit) sums() (latest, earlier map[string]int, latestAll, earlierAll int) {
+	latest, earlier = map[string]int{}, map[string]int{}
+	for i := range int64(shiftSlots) {
+		for region, n := range l.buckets[(l.last-i+2*int64(shiftSlots))%int64(shiftSlots)] {
+			if i < int64(shiftSlots/2) {
+				latest[region] += n
+				latestAll += n
+			} else {
+				earlier[region] += n
+				earlierAll += n
+			}
+		}
+	}
+	return latest, earlier, latestAll, earlierAll
+}
+
+// filter drops the servers of regions whose share would grow too fast, unless no others
+// are left.
+func (l *shiftLimit) filter(now time.Time, list []candidate) []candidate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.max <= 0 || now.Before(l.disturbed) {
+		return list
+	}
+	l.advance(now)
+	latest, earlier, all, before := l.sums()
+	if before < minShiftSample {
+		return list
+	}
+	kept := make([]candidate, 0, len(list))
+	for _, c := range list {
+		region := c.server.region
+		share := float64(latest[region]+1) / float64(all+1)
+		if share <= float64(earlier[region])/float64(before)+shiftShare*l.max {
+			kept = append(kept, c)
+		}
+	}
+	if len(kept) == 0 {
+		return list
+	}
+	return kept
+}
--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -38,6 +38,10 @@
 	KindSlotGrant
 	// KindChanges marks a *Changes.
 	KindChanges
+	// KindEntryBeat marks an *EntryBeat.
+	KindEntryBeat
+	// KindControlBeat marks a *ControlBeat.
+	KindControlBeat
 )
 
 var (
@@ -183,6 +187,10 @@
 		m = new(bfslot.Grant)
 	case KindChanges:
 		m = new(Changes)
+	case KindEntryBeat:
+		m = new(EntryBeat)
+	case KindControlBeat:
+		m = new(ControlBeat)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -206,6 +214,10 @@
 		return KindSlotGrant, nil
 	case *Changes:
 		return KindChanges, nil
+	case *EntryBeat:
+		return KindEntryBeat, nil
+	case *ControlBeat:
+		return KindControlBeat, nil
 	}
 	return 0, ErrUnknownKind
 }
--- /dev/null
+++ b/internal/state/bffleet/command.go
@@ -0,0 +1,140 @@
+package bffleet
+
+import (
+	"fmt"
+
+	"briarferry"
+	"briarferry/internal/state/bfcodec"
+)
+
+const (
+	// CodeOK says that the change is in the state, by this command or an equal earlier one.
+	CodeOK Code = "ok"
+	// CodeInvalid says that the command can't be decoded or is out of range.
+	CodeInvalid Code = "invalid"
+	// CodeConflict says that the route table is based on another version.
+	CodeConflict Code = "conflict"
+	// CodeFull says that there is no room for another instance.
+	CodeFull Code = "full"
+
+	// digestBytes is the size of a change's SHA-256 digest.
+	digestBytes = 32
+	// maxSourceBytes bounds the compressed document; it leaves room for the table in
+	// one command of the agreement log (1 MB).
+	maxSourceBytes = 512 << 10
+	// maxBatch bounds the instances of one command.
+	maxBatch = 256
+)
+
+type (
+	// Code tells how a command ended.
+	Code string
+
+	// Command is one change; exactly one field is set.
+	Command struct {
+		PutRoutes *PutRoutes `cbor:"1,keyasint,omitempty"`
+		Evacuate  *Evacuate  `cbor:"2,keyasint,omitempty"`
+		Register  *Register  `cbor:"3,keyasint,omitempty"`
+		Leave     *Leave     `cbor:"4,keyasint,omitempty"`
+	}
+
+	// PutRoutes replaces the route table if its version is still Base.
+	PutRoutes struct {
+		Base  uint64                `cbor:"1,keyasint"`
+		Table briarferry.RouteTable `cbor:"2,keyasint"`
+		// Source is the compressed document that the operator sent; reads return it.
+		Source []byte `cbor:"3,keyasint"`
+		// Digest identifies the change, so that a resend is recognized.
+		Digest []byte `cbor:"4,keyasint"`
+	}
+
+	// Evacuate sets or withdraws the evacuation of a failure domain.
+	Evacuate struct {
+		FailureDomain string `cbor:"1,keyasint"`
+		Withdraw      bool   `cbor:"2,keyasint,omitempty"`
+	}
+
+	// Register adds instances or changes what is known of them.
+	Register struct {
+		Instances []briarferry.Instance `cbor:"1,keyasint"`
+	}
+
+	// Leave removes an instance for good.
+	Leave struct {
+		ID string `cbor:"1,keyasint"`
+	}
+
+	// Result tells how a command ended, and the state's version and revision after it.
+	Result struct {
+		Code     Code   `cbor:"1,keyasint"`
+		Version  uint64 `cbor:"2,keyasint"`
+		Revision uint64 `cbor:"3,keyasint"`
+	}
+)
+
+// Encode returns the command as an entry of the agreement log.
+func (c *Command) Encode() ([]byte, error) { return bfcodec.Marshal(c) }
+
+// DecodeResult reads the result of a command.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	if err := bfcodec.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("bffleet: %w", err)
+	}
+	return r, nil
+}
+
+// Validate reports every field of the command that is out of range.
+func (c *Command) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	set := 0
+	if c.PutRoutes != nil {
+		set++
+		f.Merge("put_routes", c.PutRoutes.Validate())
+	}
+	if c.Evacuate != nil {
+		set++
+		if !briarferry.ValidName(c.Evacuate.FailureDomain) {
+			f.Add("evacuate.failure_domain", "must be a name: %q", c.Evacuate.FailureDomain)
+		}
+	}
+	if c.Register != nil {
+		set++
+		f.Merge("register", c.Register.Validate())
+	}
+	if c.Leave != nil {
+		set++
+		if !briarferry.ValidName(c.Leave.ID) {
+			f.Add("leave.id", "must be a name: %q", c.Leave.ID)
+		}
+	}
+	if set != 1 {
+		f.Add("command", "must have exactly one kind, not %d", set)
+	}
+	return f
+}
+
+// Validate reports every field that is out of range.
+func (p *PutRoutes) Validate() briarferry.Findings {
+	f := p.Table.Validate()
+	if len(p.Digest) != digestBytes {
+		f.Add("digest", "must have %d bytes", digestBytes)
+	}
+	if len(p.Source) > maxSourceBytes {
+		f.Add("source", "must have at most %d bytes", maxSourceBytes)
+	}
+	return f
+}
+
+// Validate reports every field that is out of range.
+func (r *Register) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if len(r.Instances) == 0 || len(r.Instances) > maxBatch {
+		f.Add("instances", "must have 1 to %d entries", maxBatch)
+		return f
+	}
+	for i := range r.Instances {
+		f.Merge(fmt.Sprintf("instances[%d]", i), r.Instances[i].Validate())
+	}
+	return f
+}
--- /dev/null
+++ b/internal/state/bffleet/machine.go
@@ -0,0 +1,176 @@
+// Package bffleet is the state machine of a routed deployment that the agreement log
+// replicates: the route table, evacuations and the registered backend servers.
+package bffleet
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"briarferry"
+	"briarferry/internal/state/bfcodec"
+)
+
+const (
+	// maxAccepted bounds the kept digests of accepted route tables.
+	maxAccepted = 4096
+	// maxDeparted bounds the kept records of instances that have left.
+	maxDeparted    = 8192
+	snapshotFormat = 1
+)
+
+type (
+	// Machine implements briarferry.StateMachine. All methods may be called at the
+	// same time.
+	Machine struct {
+		mu       sync.Mutex
+		source   []byte
+		accepted *bounded[uint64]
+		// departed maps the ID of an instance that has left to its last start.
+		departed *bounded[int64]
+		changed  chan struct{}
+		state    atomic.Pointer[State]
+	}
+
+	snapshot struct {
+		Format   int            `cbor:"1,keyasint"`
+		State    State          `cbor:"2,keyasint"`
+		Source   []byte         `cbor:"3,keyasint"`
+		Accepted []pair[uint64] `cbor:"4,keyasint"`
+		Departed []pair[int64]  `cbor:"5,keyasint"`
+	}
+)
+
+var _ briarferry.StateMachine = (*Machine)(nil)
+
+// New returns an empty state machine.
+func New() *Machine {
+	m := &Machine{
+		accepted: newBounded[uint64](maxAccepted), departed: newBounded[int64](maxDeparted),
+		changed: make(chan struct{}),
+	}
+	m.state.Store(&State{})
+	return m
+}
+
+// State returns the current state; it must not be changed.
+func (m *Machine) State() *State { return m.state.Load() }
+
+// Source returns the compressed document of the current route table with its version.
+func (m *Machine) Source() ([]byte, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.source, m.State().Version()
+}
+
+// Changed returns a channel that is closed when the state is replaced. Callers take
+// it before they read the state.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Apply runs a command. What can't be decoded gets an invalid result.
+func (m *Machine) Apply(index uint64, cmd []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var c Command
+	code := CodeInvalid
+	if err := bfcodec.Unmarshal(cmd, &c); err == nil {
+		code = m.run(index, &c)
+	}
+	s := m.State()
+	data, err := bfcodec.Marshal(Result{Code: code, Version: s.Version(), Revision: s.Revision})
+	if err != nil {
+		// Plain structs of numbers and texts always encode.
+		return nil
+	}
+	return data
+}
+
+func (m *Machine) run(index uint64, c *Command) Code {
+	switch {
+	case c.PutRoutes != nil:
+		return m.putRoutes(index, c.PutRoutes)
+	case c.Evacuate != nil:
+		return m.evacuate(index, c.Evacuate)
+	case c.Register != nil:
+		return m.register(index, c.Register)
+	}
+	return m.leave(index, c.Leave.ID)
+}
+
+func (m *Machine) putRoutes(index uint64, p *PutRoutes) Code {
+	if _, ok := m.accepted.get(string(p.Digest)); ok {
+		return CodeOK
+	}
+	old := m.State()
+	if p.Base != old.Version() || p.Table.Version <= old.Version() {
+		return CodeConflict
+	}
+	next := *old
+	next.Revision, next.RoutesRevision, next.Routes = index, index, &p.Table
+	m.source = p.Source
+	m.accepted.put(string(p.Digest), p.Table.Version)
+	m.publish(&next)
+	return CodeOK
+}
+
+func (m *Machine) evacuate(index uint64, e *Evacuate) Code {
+	old := m.State()
+	i, known := slices.BinarySearch(old.Evacuated, e.FailureDomain)
+	if known != e.Withdraw {
+		return CodeOK
+	}
+	next := *old
+	next.Revision, next.EvacuatedRevision = index, index
+	if e.Withdraw {
+		next.Evacuated = slices.Delete(slices.Clone(old.Evacuated), i, i+1)
+	} else {
+		next.Evacuated = slices.Insert(slices.Clone(old.Evacuated), i, e.FailureDomain)
+	}
+	m.publish(&next)
+	return CodeOK
+}
+
+// publish replaces the state that readers see.
+func (m *Machine) publish(s *State) {
+	m.state.Store(s)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot encodes the whole state; equal states have equal encodings.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, err := bfcodec.Marshal(snapshot{
+		Format: snapshotFormat, State: *m.State(), Source: m.source,
+		Accepted: m.accepted.list(), Departed: m.departed.list(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("bffleet: snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the whole state. On an error the old state stays.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := bfcodec.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("bffleet: restore: %w", err)
+	}
+	if s.Format != snapshotFormat {
+		return fmt.Errorf("bffleet: restore: unknown format %d", s.Format)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.source = s.Source
+	m.accepted, m.departed = newBounded[uint64](maxAccepted), newBounded[int64](maxDeparted)
+	m.accepted.fill(s.Accepted)
+	m.departed.fill(s.Departed)
+	m.publish(&s.State)
+	return nil
+}
--- /dev/null
+++ b/internal/state/bffleet/registry.go
@@ -0,0 +1,102 @@
+package bffleet
+
+import (
+	"slices"
+
+	"briarferry"
+)
+
+// register adds the instances that are news. Reports of an earlier start, of an
+// instance that has left, or of a start that another one has replaced at its address
+// change nothing: they were delayed on their way.
+func (m *Machine) register(index uint64, r *Register) Code {
+	old := m.State()
+	next := *old
+	next.Servers = slices.Clone(old.Servers)
+	changed := false
+	code := CodeOK
+	for i := range r.Instances {
+		in := &r.Instances[i]
+		if m.outdated(&next, in) {
+			continue
+		}
+		if _, ok := next.find(in.ID); !ok && len(next.Servers) >= maxServers {
+			code = CodeFull
+			continue
+		}
+		changed = m.admit(&next, index, in) || changed
+	}
+	if !changed {
+		return code
+	}
+	next.Revision, next.ServersRevision = index, index
+	m.publish(&next)
+	return code
+}
+
+// outdated tells whether the report comes from a start that is known to be over.
+func (m *Machine) outdated(s *State, in *briarferry.Instance) bool {
+	if last, left := m.departed.get(in.ID); left && in.Started <= last {
+		return true
+	}
+	if known, ok := s.Server(in.ID); ok {
+		if in.Started < known.Started {
+			return true
+		}
+		// One start has one address and service; a report that differs isn't the server's.
+		if in.Started > 0 && in.Started == known.Started && !known.SameStart(in) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.Servers, func(other Server) bool {
+		return other.Address == in.Address && other.ID != in.ID && other.Started > in.Started
+	})
+}
+
+// admit merges the report into the state and tells whether it changed anything.
+func (m *Machine) admit(s *State, index uint64, in *briarferry.Instance) bool {
+	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool {
+		if other.Address != in.Address || other.ID == in.ID {
+			return false
+		}
+		m.departed.put(other.ID, other.Started)
+		return true
+	})
+	srv := Server{Instance: *in}
+	if in.ColdFor > 0 {
+		srv.ColdMark = index
+	}
+	i, known := s.find(in.ID)
+	if !known {
+		s.Servers = slices.Insert(s.Servers, i, srv)
+		return true
+	}
+	old := s.Servers[i]
+	if old.Started == in.Started && old.Sequence >= in.Sequence {
+		return false
+	}
+	if old.SameStart(in) {
+		// A server that leaves doesn't come back under the same start.
+		srv.Draining = srv.Draining || old.Draining
+		if in.ColdFor == 0 {
+			srv.ColdFor, srv.ColdMark = old.ColdFor, old.ColdMark
+		}
+	}
+	s.Servers[i] = srv
+	return true
+}
+
+// leave removes an instance and remembers that it has left.
+func (m *Machine) leave(index uint64, id string) Code {
+	old := m.State()
+	i, ok := old.find(id)
+	if !ok {
+		return CodeOK
+	}
+	m.departed.put(id, old.Servers[i].Started)
+	next := *old
+	next.Revision, next.ServersRevision = index, index
+	next.Servers = slices.Delete(slices.Clone(old.Servers), i, i+1)
+	m.publish(&next)
+	return CodeOK
+}
--- a/internal/transport/bfcommand/values.go
+++ b/internal/transport/bfcommand/values.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,6 +41,14 @@
 	return out
 }
 
+func (v *values) port(flag, text string) uint16 {
+	n, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		v.findings.Add("--"+flag, "must be a port: %q", text)
+	}
+	return uint16(n)
+}
+
 // namedAddresses reads a list of NAME=ADDRESS.
 func (v *values) namedAddresses(flag, text string) map[string]netip.AddrPort {
 	out := map[string]netip.AddrPort{}
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -63,6 +63,8 @@
 	RaftClient struct {
 		// Peers gives the address of each control VM by name.
 		Peers map[string]netip.AddrPort
+		// Resolve gives the address of a VM that Peers doesn't name; nil knows none.
+		Resolve func(vm string) (netip.AddrPort, bool)
 		// Silent is the time without an acknowledgement after which a connection is
 		// replaced; zero means 1 s.
 		Silent time.Duration
@@ -74,8 +76,12 @@
 		Security *Security
 
 		init  sync.Once
-		peers map[string]*raftPeer
 		calls *http.Client
+
+		mu    sync.Mutex
+		peers map[string]*raftPeer
+		// start runs a peer's queue; it is nil while the client doesn't run.
+		start func(p *raftPeer)
 	}
 )
 
@@ -155,7 +161,7 @@
 		}
 		c.peers = map[string]*raftPeer{}
 		for vm, addr := range c.Peers {
-			c.peers[vm] = &raftPeer{client: c, base: c.Security.base(addr), queue: make(chan bfraft.Message, c.QueueMessages)}
+			c.peers[vm] = c.newPeer(addr)
 		}
 		// Formation calls are rare, so each uses its own connection and none goes silent.
 		c.calls = c.Security.NewClient(&http.Transport{DisableKeepAlives: true}, 0)
@@ -167,18 +173,48 @@
 func (c *RaftClient) Run(ctx context.Context) error {
 	c.setup()
 	var group sync.WaitGroup
+	c.mu.Lock()
+	c.start = func(p *raftPeer) { group.Go(func() { p.run(ctx) }) }
 	for _, p := range c.peers {
-		group.Go(func() { p.run(ctx) })
+		c.start(p)
 	}
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.mu.Lock()
+	c.start = nil
+	c.mu.Unlock()
 	group.Wait()
 	return nil
 }
 
+func (c *RaftClient) newPeer(addr netip.AddrPort) *raftPeer {
+	return &raftPeer{client: c, base: c.Security.base(addr), queue: make(chan bfraft.Message, c.QueueMessages)}
+}
+
+// peer returns the queue for a VM, or nil where its address isn't known.
+func (c *RaftClient) peer(vm string) *raftPeer {
+	c.setup()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[vm]; p != nil || c.Resolve == nil {
+		return p
+	}
+	addr, ok := c.Resolve(vm)
+	if !ok {
+		return nil
+	}
+	p := c.newPeer(addr)
+	c.peers[vm] = p
+	if c.start != nil {
+		c.start(p)
+	}
+	return p
+}
+
 // Send queues a message for the VM of the replica.
 func (c *RaftClient) Send(_ context.Context, to string, m bfraft.Message) error {
-	c.setup()
 	vm, _, _ := strings.Cut(to, "/")
-	p := c.peers[vm]
+	p := c.peer(vm)
 	if p == nil || !p.push(m) {
 		return ErrQueueFull
 	}
@@ -201,8 +237,7 @@
 }
 
 func raftCall[Req, Res any](ctx context.Context, c *RaftClient, vm, procedure string, req *Req) (*Res, error) {
-	c.setup()
-	p := c.peers[vm]
+	p := c.peer(vm)
 	if p == nil {
 		return nil, eris.Errorf("bfrpc: %q is no control VM", vm)
 	}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -24,6 +24,10 @@
 	// dialTimeout covers the round trip between the most distant regions twice.
 	dialTimeout = 250 * time.Millisecond
 	idleTimeout = 5 * time.Second
+	// keepMargin covers the way of a request to the server and late timers.
+	keepMargin = time.Second
+	// maxStrays bounds the answers to other requests that are passed over.
+	maxStrays = 4
 	// maxAnswerBytes bounds the head and the body of one answer.
 	maxAnswerBytes = 16 << 20
 )
@@ -36,6 +40,11 @@
 	ErrTruncated = errors.New("answer is not complete")
 	// ErrShed marks a request that the server refused for its own load.
 	ErrShed = errors.New("server shed the request")
+	// ErrMisdirected marks a request that met another instance than the one meant,
+	// which did not run it.
+	ErrMisdirected = errors.New("another instance has the server's address")
+	// ErrUnsigned marks an answer without the server's receipt.
+	ErrUnsigned = errors.New("answer does not carry the server's receipt")
 	// ErrConnectionLimit marks a try for which the server has no connection left.
 	ErrConnectionLimit = errors.New("connection limit of the server is reached")
 )
@@ -46,6 +55,8 @@
 	Client struct {
 		// Dial opens a connection; nil means TCP.
 		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+		// Dialect names the headers; nil means the project's own.
+		Dialect *bfapi.Dialect
 		// Entries returns the number of entries that share a server's connection
 		// limit; nil means one.
 		Entries func() int
@@ -60,6 +71,7 @@
 
 	// attempt is one try with its request as it is written.
 	attempt struct {
+		client  *Client
 		request *http.Request
 		id      string
 		backend briarferry.BackendID
@@ -70,9 +82,10 @@
 func New() *Client { return &Client{} }
 
 // Do sends the request once and reads the whole answer, or returns a
-// *briarferry.TryError.
+// *briarferry.TryError. The error of a server that says that it did not run the request
+// comes with the server's answer.
 func (c *Client) Do(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*briarferry.Answer, error) {
-	out, err := newRequest(ctx, b, r)
+	out, err := c.newRequest(ctx, b, r)
 	if err != nil {
 		return nil, &briarferry.TryError{Backend: b.ID(), Err: err}
 	}
@@ -84,22 +97,34 @@
 			Backend: b.ID(), ServerGone: isRefused(err), Silent: isTimeout(ctx, err), Err: err,
 		}
 	}
-	a, err := c.exchange(ctx, conn, attempt{request: out, id: r.ID, backend: b.ID()})
+	a, err := c.exchange(ctx, conn, attempt{client: c, request: out, id: r.ID, backend: b.ID()})
 	if err != nil {
 		c.inspect(ctx, p, b, err)
-		return nil, err
+		return a, err
 	}
 	return a, nil
 }
 
+// Probe opens a connection to the server and keeps it for the next request.
+func (c *Client) Probe(ctx context.Context, b briarferry.Backend) error {
+	p := c.pool(b.Address)
+	defer c.release(p)
+	conn, err := p.open(ctx, c.limit(b))
+	if err != nil {
+		return err
+	}
+	conn.keep(false)
+	return nil
+}
+
 // exchange writes the request and waits for its answer.
 func (c *Client) exchange(ctx context.Context, conn *conn, t attempt) (*briarferry.Answer, error) {
 	stop := context.AfterFunc(ctx, conn.close)
-	results, err := conn.send(t.request)
+	results, err := conn.send(t.request, t.id)
 	if err != nil {
 		stop()
 		conn.discard(ctx)
-		return nil, t.failure(ctx, conn, err)
+		return t.early(ctx, conn, results, err)
 	}
 	defer c.suspect(conn, t.backend.Service)()
 	got := <-results
@@ -114,6 +139,19 @@
 	return t.check(conn, got)
 }
 
+// early returns the answer of a server that answered and hung up before it had read the
+// whole request, or the failure to send.
+func (t attempt) early(ctx context.Context, conn *conn, results <-chan result, err error) (*briarferry.Answer, error) {
+	select {
+	case got := <-results:
+		if got.err == nil {
+			return t.check(conn, got)
+		}
+	default:
+	}
+	return nil, t.failure(ctx, conn, err)
+}
+
 // suspect takes the connection and older ones out of use if no answer comes before
 // the returned function is called.
 func (c *Client) suspect(conn *conn, service string) (stop func()) {
@@ -130,20 +168,30 @@
 
 // check accepts the answer only if it belongs to the request.
 func (t attempt) check(conn *conn, got result) (*briarferry.Answer, error) {
-	if got.response.Header.Get(bfapi.HeaderRequestID) != t.id {
+	d := t.client.dialect()
+	h, status := got.response.Header, got.response.StatusCode
+	notRun := d.IsNotRun(status, h)
+	// Where strays are told by their id, a server that didn't run the request may leave it out.
+	anonymous := d.SkipStrays && notRun && h.Get(d.RequestID) == ""
+	if t.id != "" && h.Get(d.RequestID) != t.id && !anonymous {
 		// The rest of what this connection delivers can't be trusted either.
 		conn.close()
 		return nil, &briarferry.TryError{Backend: t.backend, Dispatched: true, Err: ErrCrossed}
 	}
+	if notRun {
+		conn.keep(got.response.Close || t.request.Close)
+		err := ErrShed
+		if status == http.StatusMisdirectedRequest {
+			err = ErrMisdirected
+		}
+		return &briarferry.Answer{Status: status, Header: bfapi.ForwardHeader(h)}, &briarferry.TryError{Backend: t.backend, Err: err}
+	}
+	if d.Receipt != "" && (h.Get(d.Receipt) == "" || h.Get("Content-Encoding") != "") {
+		conn.close()
+		return nil, &briarferry.TryError{Backend: t.backend, Dispatched: true, Err: ErrUnsigned}
+	}
 	conn.keep(got.response.Close || t.request.Close)
-	if got.response.StatusCode == http.StatusServiceUnavailable && got.response.Header.Get(bfapi.HeaderShed) != "" {
-		return nil, &briarferry.TryError{Backend: t.backend, Err: ErrShed}
-	}
-	return &briarferry.Answer{
-		Status: got.response.StatusCode,
-		Header: bfapi.ForwardHeader(got.response.Header),
-		Body:   got.body,
-	}, nil
+	return &briarferry.Answer{Status: status, Header: bfapi.ForwardHeader(h), Body: got.body}, nil
 }
 
 // failure describes a try that ended without a whole answer.
@@ -218,7 +266,15 @@
 	return d.DialContext(ctx, "tcp", address.String())
 }
 
-func newRequest(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*http.Request, error) {
+func (c *Client) dialect() *bfapi.Dialect {
+	if c.Dialect != nil {
+		return c.Dialect
+	}
+	return &bfapi.OwnDialect
+}
+
+func (c *Client) newRequest(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*http.Request, error) {
+	dialect := c.dialect()
 	url := "http://" + b.Address.String() + r.Target
 	out, err := http.NewRequest(r.Method, url, bytes.NewReader(r.Body))
 	if err != nil {
@@ -229,12 +285,20 @@
 	}
 	// The body is sent at once; a server that answers 100 first only adds a wait.
 	out.Header.Del("Expect")
-	out.Header.Set(bfapi.HeaderRequestID, r.ID)
+	if r.Host != "" {
+		out.Host = r.Host
+	}
+	if r.ID != "" {
+		out.Header.Set(dialect.RequestID, r.ID)
+	}
+	if dialect.Expected != "" && b.InstanceID != "" {
+		out.Header.Set(dialect.Expected, b.InstanceID)
+	}
 	deadline := r.Deadline
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	out.Header.Set(bfapi.HeaderRequestTimeout, bfapi.FormatTimeout(time.Until(deadline)))
+	out.Header.Set(dialect.Remaining, dialect.FormatRemaining(time.Until(deadline)))
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
 	return out, nil
 }
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,12 +37,17 @@
 		// idle and stale belong to the pool's lock.
 		idle  *time.Timer
 		stale bool
+		// keepFor is how long the server keeps the connection idle, 0 if it doesn't tell.
+		keepFor time.Duration
 	}
 
 	// exchange is a request that waits for its answer.
 	exchange struct {
 		request *http.Request
+		id      string
 		results chan result
+		// written tells that the whole request was sent.
+		written atomic.Bool
 	}
 
 	// result is a whole answer or the reason why there is none.
@@ -58,9 +65,10 @@
 	return n, err
 }
 
-// send writes the request; its answer arrives on the returned channel.
-func (c *conn) send(r *http.Request) (<-chan result, error) {
-	e := &exchange{request: r, results: make(chan result, 1)}
+// send writes the request; its answer arrives on the returned channel, which may be
+// before all was written.
+func (c *conn) send(r *http.Request, id string) (<-chan result, error) {
+	e := &exchange{request: r, id: id, results: make(chan result, 1)}
 	c.written.Store(0)
 	c.mu.Lock()
 	if c.closed {
@@ -73,8 +81,9 @@
 	if err == nil {
 		err = c.writer.Flush()
 	}
+	e.written.Store(err == nil)
 	if err != nil {
-		return nil, fmt.Errorf("bfupstream: send: %w", err)
+		return e.results, fmt.Errorf("bfupstream: send: %w", err)
 	}
 	return e.results, nil
 }
@@ -96,22 +105,63 @@
 			e.results <- result{err: fmt.Errorf("%w: %w", errUnasked, err)}
 			return
 		}
-		got := readAnswer(br, e.request)
+		got := c.pool.client.readAnswer(br, e)
 		if got.err != nil && limited.N <= 0 {
 			got.err = errTooLarge
 		}
-		if got.err != nil || got.response.Close || br.Buffered() > 0 {
+		// A server that answers early may still take what it reads later for the rest
+		// of this request, so its connection isn't used again.
+		last := got.err != nil || got.response.Close || !e.written.Load()
+		if last || br.Buffered() > 0 {
 			c.shut()
 		}
+		if got.err == nil {
+			c.keepFor = keepAlive(got.response.Header)
+		}
 		e.results <- got
-		if got.err != nil || got.response.Close {
+		if last {
 			return
 		}
 	}
 }
 
-// readAnswer reads one answer with a whole body.
-func readAnswer(br *bufio.Reader, r *http.Request) result {
+// keepAlive returns the idle time that the server announces, or 0.
+func keepAlive(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if n, err := strconv.Atoi(text); err == nil && n > 0 {
+				return time.Duration(n) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
+// readAnswer reads the answer to the exchange with a whole body. Where the dialect asks
+// for it, answers to other requests are passed over.
+func (c *Client) readAnswer(br *bufio.Reader, e *exchange) result {
+	for range maxStrays {
+		got := readOne(br, e.request, c.dialect().OpenEnded)
+		if got.err != nil || !c.isStray(got, e.id) {
+			return got
+		}
+		if got.response.Close {
+			return result{err: fmt.Errorf("%w: only an answer to another request", ErrTruncated)}
+		}
+	}
+	return result{err: ErrCrossed}
+}
+
+func (c *Client) isStray(got result, id string) bool {
+	d := c.dialect()
+	if !d.SkipStrays {
+		return false
+	}
+	other := got.response.Header.Get(d.RequestID)
+	return other != "" && other != id
+}
+
+func readOne(br *bufio.Reader, r *http.Request, openEnded bool) result {
 	for {
 		resp, err := http.ReadResponse(br, r)
 		if err != nil {
@@ -120,7 +170,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
+		if !openEnded && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
 			return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
 		}
 		body, err := io.ReadAll(resp.Body)
--- a/internal/transport/bfupstream/pool.go
+++ b/internal/transport/bfupstream/pool.go
@@ -78,10 +78,19 @@
 		return false
 	}
 	p.idle = append(p.idle, c)
-	c.idle = time.AfterFunc(idleTimeout, func() { p.expire(c) })
+	c.idle = time.AfterFunc(c.idleFor(), func() { p.expire(c) })
 	return true
 }
 
+// idleFor returns how long the connection may stay idle: well below what the server
+// allows, so that a request doesn't meet its close.
+func (c *conn) idleFor() time.Duration {
+	if c.keepFor == 0 {
+		return idleTimeout
+	}
+	return max(c.keepFor/4, min(c.keepFor-keepMargin, c.keepFor*3/4))
+}
+
 // expire closes a connection that is still idle.
 func (p *pool) expire(c *conn) {
 	p.mu.Lock()
--- a/request.go
+++ b/request.go
@@ -33,6 +33,8 @@
 		ID      string
 		Service string
 		Method  string
+		// Host is the caller's Host header where backend servers get it unchanged.
+		Host string
 		// Target is the path and query for the backend server.
 		Target string
 		Header http.Header
--- /dev/null
+++ b/route.go
@@ -0,0 +1,222 @@
+package briarferry
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	maxRoutes      = 20_000
+	maxHostLength  = 253
+	maxPrefix      = 2048
+	maxWeight      = 1_000_000
+	maxSplitParts  = 64
+	maxAttempts    = 32
+	maxHomeRegions = maxRegions
+	// MaxRouteTimeout is the longest time that a route may keep a request waiting.
+	MaxRouteTimeout = 10 * time.Minute
+	// targetSlack is how far a route's target may lie above its timeout.
+	targetSlack = time.Minute
+)
+
+type (
+	// RouteTable is the configuration of a routed deployment: which requests go to
+	// which service, and how each may be handled.
+	RouteTable struct {
+		Version  uint64         `json:"version" cbor:"1,keyasint"`
+		Services []RouteService `json:"services" cbor:"2,keyasint"`
+		Routes   []Route        `json:"routes" cbor:"3,keyasint"`
+		Limits   EdgeLimits     `json:"limits" cbor:"4,keyasint"`
+	}
+
+	// RouteService is a group of backend servers that routes name.
+	RouteService struct {
+		Name       string `json:"name" cbor:"1,keyasint"`
+		HealthPath string `json:"health_path" cbor:"2,keyasint"`
+		// ConnectionLimit is the number of connections that one server accepts from
+		// all entries together.
+		ConnectionLimit int `json:"connection_limit" cbor:"3,keyasint"`
+		// ColdStart is how long a started server stays cold; ColdRate is the number of
+		// requests a second that it bears meanwhile.
+		ColdStart Duration `json:"cold_start" cbor:"4,keyasint"`
+		ColdRate  float64  `json:"cold_rate" cbor:"5,keyasint"`
+	}
+
+	// EdgeLimits bounds what callers may send and how long they may take or stay idle.
+	EdgeLimits struct {
+		MaxHeaderBytes int      `json:"max_header_bytes" cbor:"1,keyasint"`
+		MaxBodyBytes   int64    `json:"max_body_bytes" cbor:"2,keyasint"`
+		HeaderTimeout  Duration `json:"header_timeout" cbor:"3,keyasint"`
+		IdleTimeout    Duration `json:"idle_timeout" cbor:"4,keyasint"`
+	}
+
+	// Route says how requests of one host and path prefix are handled.
+	Route struct {
+		Name   string `json:"name" cbor:"1,keyasint"`
+		Host   string `json:"host" cbor:"2,keyasint"`
+		Prefix string `json:"prefix" cbor:"3,keyasint"`
+		// Idempotent requests may run more than once.
+		Idempotent bool `json:"idempotent" cbor:"4,keyasint"`
+		// Timeout is the longest time that a request is kept waiting; Target is the
+		// time within which an answer is of full use.
+		Timeout Duration `json:"timeout" cbor:"5,keyasint"`
+		Target  Duration `json:"target" cbor:"6,keyasint"`
+		// Urgency 0 is served first.
+		Urgency int         `json:"urgency" cbor:"7,keyasint"`
+		Split   []SplitPart `json:"split" cbor:"8,keyasint"`
+		// MaxAttempts is the number of servers that one request may be sent to.
+		MaxAttempts int `json:"max_attempts" cbor:"9,keyasint"`
+		// Affinity asks for the server that handled the same key last.
+		Affinity bool `json:"affinity" cbor:"10,keyasint"`
+		// HomeRegions are the only regions that may serve the route; empty means all.
+		HomeRegions []string `json:"home_regions" cbor:"11,keyasint"`
+	}
+
+	// SplitPart is a service with its share of a route's requests.
+	SplitPart struct {
+		Service string `json:"service" cbor:"1,keyasint"`
+		Weight  int    `json:"weight" cbor:"2,keyasint"`
+	}
+)
+
+// Validate reports every fault of the table.
+func (t *RouteTable) Validate() Findings {
+	var f Findings
+	if t.Version == 0 {
+		f.Add("version", "must be at least 1")
+	}
+	if len(t.Services) > maxServices {
+		f.Add("services", "must have at most %d entries", maxServices)
+	}
+	if len(t.Routes) > maxRoutes {
+		f.Add("routes", "must have at most %d entries", maxRoutes)
+	}
+	if len(f) > 0 {
+		return f
+	}
+	services := map[string]bool{}
+	for i := range t.Services {
+		place := fmt.Sprintf("services[%d]", i)
+		f.Merge(place, t.Services[i].Validate())
+		if services[t.Services[i].Name] {
+			f.Add(place+".name", "stands twice: %q", t.Services[i].Name)
+		}
+		services[t.Services[i].Name] = true
+	}
+	paths := map[string]bool{}
+	for i := range t.Routes {
+		place := fmt.Sprintf("routes[%d]", i)
+		r := &t.Routes[i]
+		f.Merge(place, r.Validate())
+		for j, part := range r.Split {
+			if !services[part.Service] {
+				f.Add(fmt.Sprintf("%s.split[%d].service", place, j), "is unknown: %q", part.Service)
+			}
+		}
+		if key := r.Host + r.Prefix; paths[key] {
+			f.Add(place+".prefix", "stands twice for the host: %q", r.Prefix)
+		} else {
+			paths[key] = true
+		}
+	}
+	f.Merge("limits", t.Limits.Validate())
+	return f
+}
+
+// Validate reports every fault of the service.
+func (s *RouteService) Validate() Findings {
+	var f Findings
+	if !ValidName(s.Name) {
+		f.Add("name", "must be a name: %q", s.Name)
+	}
+	if s.ConnectionLimit < 1 || s.ConnectionLimit > maxConnections {
+		f.Add("connection_limit", "must be between 1 and %d", maxConnections)
+	}
+	if s.ColdStart < 0 || !(s.ColdRate >= 0) {
+		f.Add("cold_rate", "cold start and cold rate must not be negative")
+	}
+	return f
+}
+
+// Validate reports every fault of the limits.
+func (l *EdgeLimits) Validate() Findings {
+	var f Findings
+	if l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		f.Add("max_header_bytes", "limits must not be negative")
+	}
+	return f
+}
+
+// Validate reports every fault of the route that shows without its table.
+func (r *Route) Validate() Findings {
+	var f Findings
+	if r.Host == "" || len(r.Host) > maxHostLength {
+		f.Add("host", "must have 1 to %d characters", maxHostLength)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") || len(r.Prefix) > maxPrefix {
+		f.Add("prefix", "must begin and end with a slash and have at most %d characters: %q", maxPrefix, r.Prefix)
+	}
+	if timeout := r.Timeout.Std(); timeout <= 0 || timeout > MaxRouteTimeout {
+		f.Add("timeout", "must be more than 0 and at most %v: %v", MaxRouteTimeout, timeout)
+	}
+	if r.Target < 0 || r.Target.Std() >= r.Timeout.Std()+targetSlack {
+		f.Add("target", "must be less than %v above the timeout: %v", targetSlack, r.Target.Std())
+	}
+	if r.Urgency < 0 {
+		f.Add("urgency", "must not be negative: %d", r.Urgency)
+	}
+	if r.MaxAttempts < 1 || r.MaxAttempts > maxAttempts {
+		f.Add("max_attempts", "must be between 1 and %d: %d", maxAttempts, r.MaxAttempts)
+	}
+	if len(r.HomeRegions) > maxHomeRegions {
+		f.Add("home_regions", "must have at most %d entries", maxHomeRegions)
+	}
+	f.Merge("split", r.validateSplit())
+	return f
+}
+
+func (r *Route) validateSplit() Findings {
+	var f Findings
+	if len(r.Split) == 0 || len(r.Split) > maxSplitParts {
+		f.Add("parts", "must have 1 to %d entries", maxSplitParts)
+	}
+	total := 0
+	for i, part := range r.Split {
+		if part.Weight < 0 || part.Weight > maxWeight {
+			f.Add(fmt.Sprintf("parts[%d].weight", i), "must be between 0 and %d", maxWeight)
+			continue
+		}
+		total += part.Weight
+	}
+	if total == 0 {
+		f.Add("parts", "must have a weight above 0")
+	}
+	return f
+}
+
+// ServesIn tells whether servers of the region may run the route's requests.
+func (r *Route) ServesIn(region string) bool {
+	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
+}
+
+// Service returns the service with the given name.
+func (t *RouteTable) Service(name string) (RouteService, bool) {
+	for _, s := range t.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return RouteService{}, false
+}
+
+// HostName returns the host of a request without its port, in lower case.
+func HostName(hostport string) string {
+	host := hostport
+	if h, _, err := net.SplitHostPort(hostport); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
