Send each key to one server of a region first, and check servers before leaving them out

Overdue answers also left servers out, which suspends the shift limit.

Ruled out: shared keys between regions (195 keys in all, 65 a region).

Change: rendezvous order inside the region, guesses for unknown routes, the spread of cold times, a connection check before a server is left out, costs by kilobyte.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -11,18 +11,26 @@
 )
 
 const (
-	// domainCost and regionCost are the delays that are accepted to stay in the own
-	// failure domain or region, as traffic between them is scarce.
-	domainCost = 40 * time.Millisecond
-	regionCost = 60 * time.Millisecond
+	// domainCost and regionCost, and the same for each kilobyte of a request with its
+	// answer, are the delays that are accepted to stay in the own failure domain or
+	// region, as traffic between them is scarce.
+	domainCost   = 20 * time.Millisecond
+	regionCost   = 20 * time.Millisecond
+	kilobyteCost = 15 * time.Millisecond
 	// onTime is the share of the target that an expected answer may take.
 	onTime = 0.95
 	// lateQueue is how many requests for each slot may be at a server where none can
 	// answer within its target.
 	lateQueue = 1.4
-	// rankShare is what the first server of a failure domain for a key gets off its
-	// expected time where none is known to have the key.
-	rankShare = 0.8
+	// presumedCold is how likely the first server of a region for a key lacks the key.
+	// All entries send a key there first, so that it mostly has it.
+	presumedCold = 0.33
+	// warmingShare is the part of the extra time of a cold server that counts where it
+	// still answers on time, since it has the key afterwards.
+	warmingShare = 0.2
+	// spreadMargin is how many mean distances from the average a cold server may need
+	// and still be counted as on time.
+	spreadMargin = 2
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -39,6 +47,8 @@
 		Warm    bool
 		Load    float64
 		LoadAge time.Duration
+		// Known tells whether Expected rests on earlier answers.
+		Known bool
 
 		steering *Steering
 		service  *service
@@ -107,21 +117,17 @@
 func (v *service) candidates(now time.Time, s *Steering, r *Request, m *model) ([]candidate, string) {
 	reason := "no backend server is registered for the service"
 	var list, ejected []candidate
-	hash := xxhash.Sum64String(r.Key)
 	entries := s.entries()
-	firsts := map[string]*server{}
+	firsts := v.firsts(r)
 	for _, srv := range v.servers {
 		if !srv.usable(r) || slices.Contains(r.Avoid, srv.ID) {
 			continue
 		}
-		if first := firsts[srv.FailureDomain]; first == nil || srv.rank(hash) > first.rank(hash) {
-			firsts[srv.FailureDomain] = srv
-		}
 		if srv.tooCold(now, &v.config, entries) {
 			reason = "the backend servers are cold"
 			continue
 		}
-		c := v.assess(now, s, r, m, srv)
+		c := v.assess(now, s, r, m, srv, firsts[srv.region] == srv)
 		if srv.ejected() {
 			ejected = append(ejected, c)
 			continue
@@ -131,31 +137,57 @@
 	if len(list) == 0 {
 		list = ejected
 	}
-	for i := range list {
-		if c := &list[i]; r.Key != "" && firsts[c.server.FailureDomain] == c.server && !c.warm {
-			c.cost -= time.Duration((1 - rankShare) * float64(m.expect(false, r.Route.Target.Std())))
+	return s.shift.filter(now, list), reason
+}
+
+// firsts returns the server of each region that all entries use first for the key.
+func (v *service) firsts(r *Request) map[string]*server {
+	if r.Key == "" || !r.Route.Affinity {
+		return nil
+	}
+	hash := xxhash.Sum64String(r.Route.Name + "\x00" + r.Key)
+	out := map[string]*server{}
+	for _, srv := range v.servers {
+		if !srv.usable(r) || srv.ejected() {
+			continue
+		}
+		if first := out[srv.region]; first == nil || srv.rank(hash) > first.rank(hash) {
+			out[srv.region] = srv
 		}
 	}
-	return s.shift.filter(now, list), reason
+	return out
 }
 
-// assess estimates the answer time of one server.
-func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server) candidate {
+// assess estimates the answer time of one server and what it costs to use it.
+func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, first bool) candidate {
 	target := r.Route.Target.Std()
+	there := min(target, r.Remaining)
 	c := candidate{server: srv, load: srv.load(now), network: s.delay.to(srv.region, s.Region)}
 	c.warm = r.Key != "" && r.Route.Affinity && srv.warm.has(r.Route.Name+"\x00"+r.Key)
 	slow := 1 + srv.slowness.get(now, slowLife)
-	work := float64(m.expect(c.warm, target))
+	warm, cold := m.expect(true, there), m.expect(false, there)
+	work := cold
+	switch {
+	case c.warm:
+		work = warm
+	case first:
+		work = warm + time.Duration(presumedCold*float64(cold-warm))
+	}
+	wait := time.Duration(0)
 	if excess := c.load + 1 - float64(srv.Slots); excess > 0 {
-		work += excess / float64(srv.Slots) * float64(m.mean(target))
+		wait = time.Duration(excess / float64(srv.Slots) * float64(m.mean(there)))
 	}
-	c.estimate = c.network + time.Duration(work*slow)
+	c.estimate = c.network + time.Duration(float64(work+wait)*slow)
 	c.cost = c.estimate
+	if c.estimate+time.Duration(spreadMargin*float64(m.cold.spread)) <= limitOf(r) {
+		c.cost -= time.Duration((1 - warmingShare) * float64(work-warm) * slow)
+	}
+	bytes := time.Duration(m.kilobytes.get() * float64(kilobyteCost))
 	if srv.FailureDomain != s.FailureDomain {
-		c.cost += domainCost
+		c.cost += domainCost + bytes
 	}
 	if srv.region != s.Region {
-		c.cost += regionCost
+		c.cost += regionCost + bytes
 	}
 	if failing := srv.errors.get(now, errorLife); failing > 0.05 {
 		c.cost += time.Duration(2 * failing * float64(target+c.estimate))
@@ -167,10 +199,15 @@
 	return c
 }
 
+// limitOf returns the time within which an answer is expected to be on time.
+func limitOf(r *Request) time.Duration {
+	return time.Duration(onTime * float64(min(r.Route.Target.Std(), r.Remaining)))
+}
+
 // pick returns the cheapest server that answers on time, or else the fastest one with
 // room. It returns false with the fastest where none has room.
 func pick(list []candidate, r *Request) (candidate, bool) {
-	limit := time.Duration(onTime * float64(min(r.Route.Target.Std(), r.Remaining)))
+	limit := limitOf(r)
 	var best, fastest *candidate
 	for i := range list {
 		c := &list[i]
@@ -209,6 +246,6 @@
 	return &Try{
 		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.othersAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
-		waited: c.load+1 > float64(srv.Slots),
+		waited: c.load+1 > float64(srv.Slots), Known: m.cold.samples >= minSamples,
 	}
 }
--- a/internal/coordination/bfsteering/model.go
+++ b/internal/coordination/bfsteering/model.go
@@ -10,6 +10,11 @@
 	// warmGuess is the share of a cold server time that a warm one is taken to need
 	// until both were seen.
 	warmGuess = 0.5
+	// coldGuess is the share of the time that there is that a cold server is taken to
+	// need until one was seen.
+	coldGuess = 0.8
+	// minSamples is the number of answers after which expectations count as known.
+	minSamples = 5
 )
 
 // model is what the answers to one route's requests at one service have shown. It
@@ -20,18 +25,42 @@
 	warm, cold average
 	// keep estimates how many keys a server keeps warm.
 	keep float64
+	// kilobytes is the size of a request with its answer.
+	kilobytes mean
 }
 
+// mean is an exponential moving average of plain numbers.
+type mean struct {
+	value float64
+	known bool
+}
+
+func (m *mean) add(v float64) {
+	if !m.known {
+		m.value, m.known = v, true
+		return
+	}
+	m.value += sampleShare / 4 * (v - m.value)
+}
+
+func (m *mean) get() float64 { return m.value }
+
 // average is an exponential moving average.
 type average struct {
 	value   time.Duration
 	samples int
+	// spread is the mean distance of the samples from the average.
+	spread time.Duration
 }
 
 func (a *average) add(d time.Duration) {
 	a.samples++
 	share := max(sampleShare/4, 1/float64(a.samples))
-	a.value += time.Duration(share * float64(d-a.value))
+	distance := d - a.value
+	if a.samples > 1 {
+		a.spread += time.Duration(share * float64(distance.Abs()-a.spread))
+	}
+	a.value += time.Duration(share * float64(distance))
 }
 
 func (v *service) model(route string) *model {
@@ -43,9 +72,9 @@
 	return m
 }
 
-// expect returns the time that a server is expected to need; target stands in until
-// the first answers.
-func (m *model) expect(warm bool, target time.Duration) time.Duration {
+// expect returns the time that a server is expected to need; a part of the time that
+// there is stands in until the first answers.
+func (m *model) expect(warm bool, there time.Duration) time.Duration {
 	switch {
 	case warm && m.warm.samples > 0:
 		return m.warm.value
@@ -53,15 +82,15 @@
 		return m.cold.value
 	case warm && m.cold.samples > 0:
 		return time.Duration(warmGuess * float64(m.cold.value))
-	case !warm && m.warm.samples > 0:
-		return max(m.warm.value, target)
+	case warm:
+		return time.Duration(warmGuess * coldGuess * float64(there))
 	}
-	return target / 2
+	return max(m.warm.value, time.Duration(coldGuess*float64(there)))
 }
 
 // mean returns the expected time of a request whose state is not known.
-func (m *model) mean(target time.Duration) time.Duration {
-	return (m.expect(true, target) + m.expect(false, target)) / 2
+func (m *model) mean(there time.Duration) time.Duration {
+	return (m.expect(true, there) + m.expect(false, there)) / 2
 }
 
 // learn takes the server time of an answer for a key that the server was expected to
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -29,6 +29,7 @@
 	// slowStep is by how many times an answer must exceed what was expected to count
 	// as slow.
 	slowStep = 1.5
+	kilobyte = 1024
 )
 
 type (
@@ -41,7 +42,10 @@
 		// Gone tells that the server refused a new connection after this one died.
 		Gone bool
 		// HasLoad tells that the server reported its load.
-		HasLoad                 bool
+		HasLoad bool
+		// Bytes is the size of the request with its answer.
+		Bytes int
+
 		Running, Waiting, Slots int
 	}
 )
@@ -57,7 +61,7 @@
 	}
 	switch r.Outcome {
 	case Answered, Failed:
-		t.answered(now, r.Outcome == Failed)
+		t.answered(now, r.Outcome == Failed, r.Bytes)
 	case Shed:
 		srv.answered = now
 		srv.dead = 0
@@ -79,10 +83,9 @@
 			t.lose(now, "connections die")
 		}
 	case Silent:
+		t.outlasted(now)
 		srv.errors.add(now, errorLife, 1)
-		if srv.answered.Before(t.started) {
-			t.lose(now, "no answer")
-		}
+		srv.suspect = srv.suspect || srv.answered.Before(t.started)
 	case Garbled:
 		srv.errors.add(now, errorLife, 1)
 	case Cancelled:
@@ -91,13 +94,18 @@
 }
 
 // Overdue tells that the answer takes far longer than expected. A server that has not
-// answered anything since is left alone until a check.
-func (t *Try) Overdue(now time.Time) {
+// answered anything since is checked.
+func (t *Try) Overdue() {
 	v := t.service
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if t.server.answered.Before(t.started) {
-		t.lose(now, "no answer")
+	t.server.suspect = t.server.suspect || t.server.answered.Before(t.started)
+}
+
+// outlasted learns from a try that ran out of time: its server needs at least as long.
+func (t *Try) outlasted(now time.Time) {
+	if t.key != "" && !t.Warm && !t.waited {
+		t.model.cold.add(now.Sub(t.started) - t.network)
 	}
 }
 
@@ -109,7 +117,7 @@
 }
 
 // answered learns from a whole answer.
-func (t *Try) answered(now time.Time, failed bool) {
+func (t *Try) answered(now time.Time, failed bool, bytes int) {
 	srv := t.server
 	srv.answered, srv.dead, srv.ejections, srv.ejectedUntil = now, 0, 0, time.Time{}
 	if failed {
@@ -117,6 +125,7 @@
 		return
 	}
 	srv.errors.add(now, errorLife, 0)
+	t.model.kilobytes.add(float64(bytes) / kilobyte)
 	took := now.Sub(t.started)
 	work := max(time.Millisecond, took-t.network)
 	cold := t.started.Before(srv.coldUntil)
@@ -141,17 +150,21 @@
 
 // lose leaves the server alone until a check finds it alive.
 func (t *Try) lose(now time.Time, why string) {
-	srv := t.server
+	t.steering.lose(now, t.server, why)
+}
+
+func (s *Steering) lose(now time.Time, srv *server, why string) {
 	if srv.ejected() && now.Before(srv.ejectedUntil) {
 		return
 	}
 	srv.eject(now)
-	t.steering.shift.disturb(now)
-	t.steering.Log.Warn().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Str("cause", why).
+	s.shift.disturb(now)
+	s.Log.Warn().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Str("cause", why).
 		Int("in_flight", srv.inFlight).Dur("pause_ms", srv.ejectedUntil.Sub(now)).Msg("backend server left out")
 }
 
-// Due returns the servers that were left out and should be checked now.
+// Due returns the servers that should be checked now: those that were left out, and
+// those that are suspected since an answer is overdue.
 func (s *Steering) Due(now time.Time) []briarferry.Backend {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -159,19 +172,23 @@
 	for _, v := range s.services {
 		v.mu.Lock()
 		for _, srv := range v.servers {
-			if srv.ejected() && !now.Before(srv.ejectedUntil) && !srv.Draining && !srv.evacuated {
+			if !srv.due(now) {
+				continue
+			}
+			if srv.ejected() {
 				srv.eject(now)
-				out = append(out, srv.backend(&v.config))
 			}
+			srv.suspect, srv.checked = false, now
+			out = append(out, srv.backend(&v.config))
 		}
 		v.mu.Unlock()
 	}
 	return out
 }
 
-// Alive tells that the server accepted a connection again. A server that was restarted
+// Checked tells whether the server accepted a connection. A server that was restarted
 // counts as cold.
-func (s *Steering) Alive(now time.Time, b briarferry.Backend) {
+func (s *Steering) Checked(now time.Time, b briarferry.Backend, alive bool) {
 	v := s.service(b.Service)
 	if v == nil {
 		return
@@ -179,15 +196,17 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, srv := range v.servers {
-		if srv.ID != b.InstanceID || !srv.ejected() {
-			continue
-		}
-		srv.ejectedUntil = time.Time{}
-		srv.inFlight = max(0, srv.inFlight)
-		if srv.restarted {
-			srv.restarted = false
-			srv.chill(now.Add(v.config.ColdStart.Std()))
+		switch {
+		case srv.ID != b.InstanceID:
+		case !alive && !srv.ejected():
+			s.lose(now, srv, "no connection")
+		case alive && srv.ejected():
+			srv.ejectedUntil = time.Time{}
+			if srv.restarted {
+				srv.restarted = false
+				srv.chill(now.Add(v.config.ColdStart.Std()))
+			}
+			s.Log.Info().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Msg("backend server is back")
 		}
-		s.Log.Info().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Msg("backend server is back")
 	}
 }
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -49,6 +49,11 @@
 		coldUntil time.Time
 		coldSent  time.Time
 
+		// suspect tells that an answer is overdue; checked is when a connection to the
+		// server was last tried.
+		suspect bool
+		checked time.Time
+
 		dead         int
 		ejectedUntil time.Time
 		ejections    int
@@ -161,6 +166,17 @@
 	s.dead = 0
 }
 
+// due tells whether the server should be checked now.
+func (s *server) due(now time.Time) bool {
+	if s.Draining || s.evacuated {
+		return false
+	}
+	if s.ejected() {
+		return !now.Before(s.ejectedUntil)
+	}
+	return s.suspect && now.Sub(s.checked) >= maxEject
+}
+
 func (s *server) ejected() bool { return !s.ejectedUntil.IsZero() }
 
 func (s *server) backend(c *briarferry.RouteService) briarferry.Backend {
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -118,6 +118,9 @@
 		return time.Hour
 	}
 	last := r.tries[len(r.tries)-1]
+	if !last.Known {
+		return time.Hour
+	}
 	wait := max(time.Duration(hedgeFactor*float64(last.Expected)), last.Expected+hedgeMargin)
 	return min(maxHedge, max(0, wait-time.Since(last.Started())))
 }
@@ -128,7 +131,7 @@
 }
 
 func (r *race) hedge() {
-	r.tries[len(r.tries)-1].Overdue(time.Now())
+	r.tries[len(r.tries)-1].Overdue()
 	if err := r.launch(true); err != nil {
 		// There is no room for a second try; the first one goes on alone.
 		r.sent = max(r.sent, r.call.route.MaxAttempts)
@@ -210,6 +213,9 @@
 	defer span.End()
 	answer, err := n.upstream.Do(ctx, t.Backend, c.request)
 	report := n.report(ctx, answer, err)
+	if answer != nil {
+		report.Bytes = len(c.request.Body) + len(answer.Body)
+	}
 	t.Done(time.Now(), report)
 	leave(runEnd(report))
 	n.record(c, t, report.Outcome)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -227,9 +227,8 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 				defer cancel()
-				if n.upstream.Probe(ctx, b) == nil {
-					n.steering.Alive(time.Now(), b)
-				}
+				err := n.upstream.Probe(ctx, b)
+				n.steering.Checked(time.Now(), b, err == nil)
 			}()
 		}
 	}
