Compare the first window of traffic as a whole in the shift limit

Until 2 s after the start there was no earlier window, and for some time after it held too few requests to limit anything.

Ruled out: servers left out (none before 5 s in the log), entries that are cut off.

Change: the first whole window stays the earlier one until another has passed, and the latest window starts from the earlier shares.

--- a/internal/coordination/bfsteering/shift.go
+++ b/internal/coordination/bfsteering/shift.go
@@ -12,7 +12,10 @@
 	shiftSlots  = int(2 * shiftWindow / shiftBucket)
 	// shiftShare is the part of the limit that an entry uses; the rest covers chance
 	// and the other entries of the region.
-	shiftShare = 0.5
+	shiftShare = 0.4
+	// shiftPrior is the number of requests with the earlier shares that are added to
+	// the latest window, so that its first requests don't decide alone.
+	shiftPrior = 10
 	// minShiftSample is the number of requests in the earlier window below which the
 	// shares say nothing.
 	minShiftSample = 20
@@ -28,9 +31,11 @@
 	// shiftLimit keeps the shares of the regions in which requests run from changing
 	// faster than the limit allows.
 	shiftLimit struct {
-		mu        sync.Mutex
-		max       float64
-		base      time.Time
+		mu   sync.Mutex
+		max  float64
+		base time.Time
+		// started is the bucket of the first request after a silence of two windows.
+		started   int64
 		buckets   [shiftSlots]map[string]int
 		last      int64
 		disturbed time.Time
@@ -98,6 +103,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
+	if _, _, all, before := l.sums(); all+before == 0 {
+		l.started = l.last
+	}
 	b := &l.buckets[l.last%int64(shiftSlots)]
 	if *b == nil {
 		*b = map[string]int{}
@@ -106,11 +114,15 @@
 }
 
 // sums returns the requests of each region in the latest window and in the one before.
+// After the start of traffic the first window stays the earlier one until another has
+// passed: while servers fill up its shares change, and only its whole says something.
 func (l *shiftLimit) sums() (latest, earlier map[string]int, latestAll, earlierAll int) {
 	latest, earlier = map[string]int{}, map[string]int{}
-	for i := range int64(shiftSlots) {
-		for region, n := range l.buckets[(l.last-i+2*int64(shiftSlots))%int64(shiftSlots)] {
-			if i < int64(shiftSlots/2) {
+	half := int64(shiftSlots / 2)
+	boundary := max(l.last-half, min(l.started+half-1, l.last)) + 1
+	for step := max(0, l.last-int64(shiftSlots)+1); step <= l.last; step++ {
+		for region, n := range l.buckets[step%int64(shiftSlots)] {
+			if step >= boundary {
 				latest[region] += n
 				latestAll += n
 			} else {
@@ -132,14 +144,15 @@
 	}
 	l.advance(now)
 	latest, earlier, all, before := l.sums()
-	if before < minShiftSample {
+	if before < minShiftSample || l.last-l.started < int64(shiftSlots/2) {
 		return list
 	}
 	kept := make([]candidate, 0, len(list))
 	for _, c := range list {
 		region := c.server.region
-		share := float64(latest[region]+1) / float64(all+1)
-		if share <= float64(earlier[region])/float64(before)+shiftShare*l.max {
+		old := float64(earlier[region]) / float64(before)
+		share := (float64(latest[region]) + shiftPrior*old + 1) / float64(all+shiftPrior+1)
+		if share <= old+shiftShare*l.max {
 			kept = append(kept, c)
 		}
 	}
