Run requests cold only where their key belongs

Change: a first and a second server of each region for a key; late requests only there; a cold run elsewhere costs what it drives out.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -21,10 +21,14 @@
 	onTime = 0.95
 	// lateQueue is how many requests for each slot may be at a server where none can
 	// answer within its target.
-	lateQueue = 1.4
+	lateQueue = 1.0
+	// secondShare is the same for the second server of a key.
+	secondShare = 0.5
 	// presumedCold is how likely the first server of a region for a key lacks the key.
-	// All entries send a key there first, so that it mostly has it.
-	presumedCold = 0.33
+	// All entries send a key there first, so that it mostly has it. The second one gets
+	// what the first can't take.
+	presumedCold       = 0.33
+	presumedColdSecond = 0.75
 	// warmingShare is the part of the extra time of a cold server that counts where it
 	// still answers on time, since it has the key afterwards.
 	warmingShare = 0.2
@@ -67,6 +71,9 @@
 		network  time.Duration
 		load     float64
 		warm     bool
+		// place is 0 for the first server of a key in its region, 1 for the second and
+		// 2 for all others.
+		place int
 	}
 )
 
@@ -96,6 +103,14 @@
 	return v.begin(now, s, &r, m, best), nil
 }
 
+// key returns the name under which servers keep the request's object, or "".
+func (r *Request) key() string {
+	if r.Key == "" || !r.Route.Affinity {
+		return ""
+	}
+	return r.Route.Name + "\x00" + r.Key
+}
+
 func refuse(reason string, after time.Duration) error {
 	return &briarferry.Refusal{
 		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: reason, RetryAfter: after,
@@ -127,7 +142,7 @@
 			reason = "the backend servers are cold"
 			continue
 		}
-		c := v.assess(now, s, r, m, srv, firsts[srv.region] == srv)
+		c := v.assess(now, s, r, m, srv, firsts[srv.region].place(srv))
 		if srv.ejected() {
 			ejected = append(ejected, c)
 			continue
@@ -140,38 +155,59 @@
 	return s.shift.filter(now, list), reason
 }
 
-// firsts returns the server of each region that all entries use first for the key.
-func (v *service) firsts(r *Request) map[string]*server {
-	if r.Key == "" || !r.Route.Affinity {
+// preferred are the servers of a region that all entries use first and second for a key.
+type preferred [2]*server
+
+// place returns 0 or 1 for the preferred servers, and 2 for all others.
+func (p preferred) place(srv *server) int {
+	switch srv {
+	case p[0]:
+		return 0
+	case p[1]:
+		return 1
+	}
+	return 2
+}
+
+func (v *service) firsts(r *Request) map[string]preferred {
+	key := r.key()
+	if key == "" {
 		return nil
 	}
-	hash := xxhash.Sum64String(r.Route.Name + "\x00" + r.Key)
-	out := map[string]*server{}
+	hash := xxhash.Sum64String(key)
+	out := map[string]preferred{}
 	for _, srv := range v.servers {
 		if !srv.usable(r) || srv.ejected() {
 			continue
 		}
-		if first := out[srv.region]; first == nil || srv.rank(hash) > first.rank(hash) {
-			out[srv.region] = srv
+		p := out[srv.region]
+		switch {
+		case p[0] == nil || srv.rank(hash) > p[0].rank(hash):
+			p[0], p[1] = srv, p[0]
+		case p[1] == nil || srv.rank(hash) > p[1].rank(hash):
+			p[1] = srv
 		}
+		out[srv.region] = p
 	}
 	return out
 }
 
 // assess estimates the answer time of one server and what it costs to use it.
-func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, first bool) candidate {
+func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, place int) candidate {
 	target := r.Route.Target.Std()
 	there := min(target, r.Remaining)
-	c := candidate{server: srv, load: srv.load(now), network: s.delay.to(srv.region, s.Region)}
-	c.warm = r.Key != "" && r.Route.Affinity && srv.warm.has(r.Route.Name+"\x00"+r.Key)
+	c := candidate{server: srv, place: place, load: srv.load(now), network: s.delay.to(srv.region, s.Region)}
+	c.warm = r.key() != "" && srv.warm.has(r.key())
 	slow := 1 + srv.slowness.get(now, slowLife)
 	warm, cold := m.expect(true, there), m.expect(false, there)
 	work := cold
 	switch {
 	case c.warm:
 		work = warm
-	case first:
+	case place == 0:
 		work = warm + time.Duration(presumedCold*float64(cold-warm))
+	case place == 1:
+		work = warm + time.Duration(presumedColdSecond*float64(cold-warm))
 	}
 	wait := time.Duration(0)
 	if excess := c.load + 1 - float64(srv.Slots); excess > 0 {
@@ -182,6 +218,10 @@
 	if c.estimate+time.Duration(spreadMargin*float64(m.cold.spread)) <= limitOf(r) {
 		c.cost -= time.Duration((1 - warmingShare) * float64(work-warm) * slow)
 	}
+	if r.key() != "" && !c.warm {
+		// Elsewhere the key drives out another one.
+		c.cost += time.Duration(float64(place) / 2 * float64(cold-warm))
+	}
 	bytes := time.Duration(m.kilobytes.get() * float64(kilobyteCost))
 	if srv.FailureDomain != s.FailureDomain {
 		c.cost += domainCost + bytes
@@ -204,28 +244,45 @@
 	return time.Duration(onTime * float64(min(r.Route.Target.Std(), r.Remaining)))
 }
 
-// pick returns the cheapest server that answers on time, or else the fastest one with
-// room. It returns false with the fastest where none has room.
+// pick returns the cheapest server that answers on time, or else the cheapest one with
+// room that answers before the request's time is over. It returns false with the
+// fastest where there is none.
 func pick(list []candidate, r *Request) (candidate, bool) {
 	limit := limitOf(r)
-	var best, fastest *candidate
+	var best, late, fastest *candidate
 	for i := range list {
 		c := &list[i]
 		if c.estimate <= limit && (best == nil || c.cost < best.cost) {
 			best = c
 		}
-		if fastest == nil || c.cost < fastest.cost {
+		if c.roomForLate(r) && (late == nil || c.cost < late.cost) {
+			late = c
+		}
+		if fastest == nil || c.estimate < fastest.estimate {
 			fastest = c
 		}
 	}
-	if best != nil {
+	switch {
+	case best != nil:
 		return *best, true
+	case late != nil && !r.OnTimeOnly:
+		return *late, true
 	}
-	if r.OnTimeOnly {
-		return *fastest, false
+	return *fastest, false
+}
+
+// roomForLate tells whether the server may get a request that will be late. Such a
+// request goes only where its key is or belongs: run cold elsewhere it would drive
+// other keys out, and under load every server would end up cold for most requests.
+func (c *candidate) roomForLate(r *Request) bool {
+	share := lateQueue
+	if r.key() != "" && !c.warm && c.place > 0 {
+		if c.place > 1 {
+			return false
+		}
+		share = secondShare
 	}
-	room := fastest.load+1 <= lateQueue*float64(fastest.server.Slots)
-	return *fastest, room && fastest.estimate < r.Remaining
+	return c.load+1 <= share*float64(c.server.Slots) && c.estimate < r.Remaining
 }
 
 func (v *service) begin(now time.Time, s *Steering, r *Request, m *model, c candidate) *Try {
@@ -239,10 +296,7 @@
 		v.budget.spend()
 	}
 	s.shift.count(now, srv.region)
-	key := r.Route.Name + "\x00" + r.Key
-	if r.Key == "" || !r.Route.Affinity {
-		key = ""
-	}
+	key := r.key()
 	return &Try{
 		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.othersAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
