Estimate other entries' load, and take unknown cold servers for slow

Ruled out: a slow recovery of the control VMs (leader 1.56 s after the start, state at all entries 0.5 s later).

Change: where a server has not told its load lately, the region's other entries count as sending alike; guesses for unknown cold servers miss the target; reports without news no longer change the registry after a restart.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -74,6 +74,8 @@
 		// place is 0 for the first server of a key in its region, 1 for the second and
 		// 2 for all others.
 		place int
+		// guessed tells that no answer has shown yet how long the route's requests take.
+		guessed bool
 	}
 )
 
@@ -196,13 +198,14 @@
 func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, place int) candidate {
 	target := r.Route.Target.Std()
 	there := min(target, r.Remaining)
-	c := candidate{server: srv, place: place, load: srv.load(now), network: s.delay.to(srv.region, s.Region)}
+	c := candidate{server: srv, place: place, load: srv.load(now, s.neighbours()), network: s.delay.to(srv.region, s.Region)}
 	c.warm = r.key() != "" && srv.warm.has(r.key())
 	slow := 1 + srv.slowness.get(now, slowLife)
 	warm, cold := m.expect(true, there), m.expect(false, there)
 	work := cold
+	c.guessed = m.cold.samples == 0
 	switch {
-	case c.warm:
+	case c.warm, c.guessed && r.key() == "":
 		work = warm
 	case place == 0:
 		work = warm + time.Duration(presumedCold*float64(cold-warm))
@@ -282,7 +285,7 @@
 		}
 		share = secondShare
 	}
-	return c.load+1 <= share*float64(c.server.Slots) && c.estimate < r.Remaining
+	return c.load+1 <= share*float64(c.server.Slots) && (c.guessed || c.estimate < r.Remaining)
 }
 
 func (v *service) begin(now time.Time, s *Steering, r *Request, m *model, c candidate) *Try {
--- a/internal/coordination/bfsteering/model.go
+++ b/internal/coordination/bfsteering/model.go
@@ -7,12 +7,12 @@
 	minKeep     = 8
 	maxKeep     = 512
 	initialKeep = 32
-	// warmGuess is the share of a cold server time that a warm one is taken to need
+	// warmGuess is the share of a cold server's time that a warm one is taken to need
 	// until both were seen.
-	warmGuess = 0.5
-	// coldGuess is the share of the time that there is that a cold server is taken to
-	// need until one was seen.
-	coldGuess = 0.8
+	warmGuess = 0.4
+	// coldGuess is the same for a cold server, as a share of the time that there is: it
+	// is taken to be too slow, so that keys go to the servers where they belong.
+	coldGuess = 1.2
 	// minSamples is the number of answers after which expectations count as known.
 	minSamples = 5
 )
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -135,13 +135,16 @@
 	}
 }
 
-// load estimates the running and waiting requests at the server.
-func (s *server) load(now time.Time) float64 {
+// load estimates the running and waiting requests at the server. Where it has not told
+// lately, the other entries of the region are taken to send as much as this one.
+func (s *server) load(now time.Time, neighbours int) float64 {
+	alike := float64(s.inFlight * neighbours)
 	age := now.Sub(s.othersAt)
 	if s.othersAt.IsZero() || age >= loadLife {
-		return float64(s.inFlight)
+		return float64(s.inFlight) + alike
 	}
-	return float64(s.inFlight) + s.others*(1-float64(age)/float64(loadLife))
+	told := 1 - float64(age)/float64(loadLife)
+	return float64(s.inFlight) + s.others*told + alike*(1-told)
 }
 
 // usable tells whether the server may get the request at all.
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -25,8 +25,10 @@
 		// Entries returns the number of live entries, which share cold servers, connections
 		// and retries.
 		Entries func() int
-		Limits  Limits
-		Log     zerolog.Logger
+		// Neighbours returns the number of other live entries in this region.
+		Neighbours func() int
+		Limits     Limits
+		Log        zerolog.Logger
 
 		shift shiftLimit
 		delay delays
@@ -150,6 +152,13 @@
 	return s.services[name]
 }
 
+func (s *Steering) neighbours() int {
+	if s.Neighbours == nil {
+		return 0
+	}
+	return s.Neighbours()
+}
+
 func (s *Steering) entries() int {
 	if s.Entries == nil {
 		return 1
--- a/internal/state/bffleet/registry.go
+++ b/internal/state/bffleet/registry.go
@@ -81,6 +81,9 @@
 		if in.ColdFor == 0 {
 			srv.ColdFor, srv.ColdMark = old.ColdFor, old.ColdMark
 		}
+		if srv.Draining == old.Draining && srv.Slots == old.Slots && srv.ColdMark == old.ColdMark {
+			return false
+		}
 	}
 	s.Servers[i] = srv
 	return true
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -23,8 +23,9 @@
 const (
 	// defaultMaxBody bounds bodies where the route table sets no limit.
 	defaultMaxBody = 64 << 20
-	// startRetryAfter is what callers are told until the first route table is known.
-	startRetryAfter = 300 * time.Millisecond
+	// startRetryAfter is what callers are told until the first route table is known: an
+	// election and a fetch later there is one.
+	startRetryAfter = 1500 * time.Millisecond
 	// stopRetryAfter is what callers are told while the entry stops: at once, at another.
 	stopRetryAfter = 100 * time.Millisecond
 	// retryShare is the part of the remaining time that callers wait before they try again.
--- a/internal/transport/bfgateway/sync.go
+++ b/internal/transport/bfgateway/sync.go
@@ -289,6 +289,17 @@
 // Live returns the live entries, this one included.
 func (f *fleetSync) Live() []briarferry.VM { return *f.live.Load() }
 
+// neighbours returns the number of other live entries in this region.
+func (f *fleetSync) neighbours() int {
+	count := 0
+	for _, vm := range f.Live() {
+		if vm.Region == f.self.Region && vm.Name != f.self.Name {
+			count++
+		}
+	}
+	return count
+}
+
 // Connected is false while no control VM is heard.
 func (f *fleetSync) Connected() bool {
 	now := time.Now()
