Bound shifts between regions over half a second, and test the routed deployment's state

Cause: a new test of the shift limit showed far shares of 0.59 and 0.44 in two windows after each other: the latest window of 2 s still held the requests of a busy time, so that the few after it could all change region.

Ruled out: servers left out, refusals (the far ones were free).

--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -92,15 +93,19 @@
 	return slices.Clone(l.cmds)
 }
 
-var vms = []string{"a", "b", "c"}
+var (
+	vms = []string{"a", "b", "c"}
+	// allVMs adds those that an open group may grow by.
+	allVMs = []string{"a", "b", "c", "d", "e"}
+)
 
 // newCluster starts replicas on the VMs "a", "b" and "c".
 func newCluster(t testing.TB, seed uint64, delay time.Duration, fs func(vm string) bfstorage.FS, adjust func(*Node)) *cluster {
 	c := &cluster{t: t, delay: delay, r: rand.New(rand.NewPCG(seed, 3)), members: map[string]*member{},
 		links: map[[2]string]chan parcel{}, cut: map[[2]string]bool{}, adjust: adjust}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	for _, from := range vms {
-		for _, to := range vms {
+	for _, from := range allVMs {
+		for _, to := range allVMs {
 			link := make(chan parcel, 8192)
 			c.links[[2]string{from, to}] = link
 			c.group.Go(func() { c.carry(link) })
@@ -139,8 +144,15 @@
 	}()
 }
 
+// names returns the VMs that were started, sorted.
+func (c *cluster) names() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.members))
+}
+
 func (c *cluster) close() {
-	for _, vm := range vms {
+	for _, vm := range c.names() {
 		m := c.member(vm)
 		m.stop()
 		<-m.ended
@@ -219,7 +231,7 @@
 
 func (c *cluster) leader() *member {
 	var best *member
-	for _, vm := range vms {
+	for _, vm := range c.names() {
 		m := c.member(vm)
 		if s := m.node.Status(); m.running() && s.IsLeader && (best == nil || s.Term > best.node.Status().Term) {
 			best = m
@@ -232,7 +244,7 @@
 func (c *cluster) propose(cmd string, without ...string) {
 	c.t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		for _, vm := range vms {
+		for _, vm := range c.names() {
 			m := c.member(vm)
 			if slices.Contains(without, vm) || !m.running() || !m.node.Status().IsLeader {
 				continue
@@ -260,7 +272,7 @@
 func (c *cluster) isolate(vm string, cut bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, other := range vms {
+	for _, other := range allVMs {
 		c.cut[[2]string{vm, other}], c.cut[[2]string{other, vm}] = cut, cut
 	}
 }
--- a/internal/coordination/bfsteering/shift.go
+++ b/internal/coordination/bfsteering/shift.go
@@ -6,13 +6,16 @@
 )
 
 const (
-	// shiftWindow is the span over which the regions' shares are compared.
-	shiftWindow = 2 * time.Second
-	shiftBucket = 100 * time.Millisecond
-	shiftSlots  = int(2 * shiftWindow / shiftBucket)
+	// shiftWindow is the span over which the regions' shares are compared. The latest
+	// one is kept much shorter: in a window as long, the requests of a busy second would
+	// hide that the few of the next one all go elsewhere.
+	shiftWindow  = 2 * time.Second
+	latestWindow = 500 * time.Millisecond
+	shiftBucket  = 100 * time.Millisecond
+	shiftSlots   = int((shiftWindow + latestWindow) / shiftBucket)
 	// shiftShare is the part of the limit that an entry uses; the rest covers chance
 	// and the other entries of the region.
-	shiftShare = 0.4
+	shiftShare = 0.3
 	// shiftPrior is the number of requests with the earlier shares that are added to
 	// the latest window, so that its first requests don't decide alone.
 	shiftPrior = 10
@@ -118,8 +121,8 @@
 // passed: while servers fill up its shares change, and only its whole says something.
 func (l *shiftLimit) sums() (latest, earlier map[string]int, latestAll, earlierAll int) {
 	latest, earlier = map[string]int{}, map[string]int{}
-	half := int64(shiftSlots / 2)
-	boundary := max(l.last-half, min(l.started+half-1, l.last)) + 1
+	window, short := int64(shiftWindow/shiftBucket), int64(latestWindow/shiftBucket)
+	boundary := max(l.last-short, min(l.started+window-1, l.last)) + 1
 	for step := max(0, l.last-int64(shiftSlots)+1); step <= l.last; step++ {
 		for region, n := range l.buckets[step%int64(shiftSlots)] {
 			if step >= boundary {
@@ -144,7 +147,7 @@
 	}
 	l.advance(now)
 	latest, earlier, all, before := l.sums()
-	if before < minShiftSample || l.last-l.started < int64(shiftSlots/2) {
+	if before < minShiftSample || l.last-l.started < int64(shiftWindow/shiftBucket) {
 		return list
 	}
 	kept := make([]candidate, 0, len(list))
--- /dev/null
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -0,0 +1,427 @@
+package bfsteering
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry"
+	"briarferry/internal/state/bffleet"
+)
+
+const (
+	warmTime = 250 * time.Millisecond
+	coldTime = 900 * time.Millisecond
+)
+
+// fleet is a set of backend servers that keep keys warm, with a clock of its own.
+type fleet struct {
+	t        testing.TB
+	now      time.Time
+	state    *bffleet.State
+	steering []*Steering
+	caches   map[string]*lru
+	keep     int
+	inFlight []inFlight
+	rand     *rand.Rand
+}
+
+// inFlight is a try that its server has not finished.
+type inFlight struct {
+	try     *Try
+	ends    time.Time
+	arrived time.Time
+}
+
+func newFleet(t testing.TB, entries int, domains map[string]int, slots int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), caches: map[string]*lru{}, keep: 20, rand: rand.New(rand.NewPCG(7, 7))}
+	f.state = &bffleet.State{Revision: 1, Routes: &briarferry.RouteTable{Version: 1, Services: []briarferry.RouteService{
+		{Name: "prices", ConnectionLimit: 100, ColdStart: briarferry.Duration(3 * time.Second), ColdRate: 8},
+	}}}
+	n := 0
+	for _, domain := range []string{"r1-a", "r1-b", "r2-a"} {
+		for range domains[domain] {
+			n++
+			f.state.Servers = append(f.state.Servers, bffleet.Server{Instance: briarferry.Instance{
+				ID: fmt.Sprintf("i-%02d", n), Service: "prices", FailureDomain: domain, Slots: slots, Started: 1,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+			}})
+		}
+	}
+	for i := range entries {
+		s := &Steering{
+			Region: "r1", FailureDomain: []string{"r1-a", "r1-b"}[i%2], Log: zerolog.Nop(),
+			Regions: map[string]string{"r1-a": "r1", "r1-b": "r1", "r2-a": "r2"},
+			Entries: func() int { return entries }, Neighbours: func() int { return entries - 1 },
+			Limits: Limits{RetryShare: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second},
+		}
+		s.SetDelay("r2", 110*time.Millisecond)
+		f.steering = append(f.steering, s)
+	}
+	f.update()
+	return f
+}
+
+func (f *fleet) update() {
+	for _, s := range f.steering {
+		s.Update(f.now, f.state)
+	}
+}
+
+func readRoute() *briarferry.Route {
+	return &briarferry.Route{
+		Name: "read", Idempotent: true, Affinity: true, MaxAttempts: 2,
+		Timeout: briarferry.Duration(3 * time.Second), Target: briarferry.Duration(600 * time.Millisecond),
+	}
+}
+
+func request(key string) Request {
+	return Request{Route: readRoute(), Service: "prices", Key: key, Remaining: 3 * time.Second}
+}
+
+// finish ends a try as its server would, whose cache then has the key.
+func (f *fleet) serviceTime(t *Try) time.Duration {
+	c := f.caches[t.Backend.InstanceID]
+	if c == nil {
+		c = &lru{}
+		f.caches[t.Backend.InstanceID] = c
+	}
+	took := coldTime
+	if c.has(t.key) {
+		took = warmTime
+	}
+	return took + t.network
+}
+
+func (f *fleet) done(t *Try) {
+	f.caches[t.Backend.InstanceID].touch(t.key, f.keep)
+	t.Done(f.now, Report{Outcome: Answered, HasLoad: true, Running: t.server.inFlight, Slots: t.Backend.Slots, Bytes: 1000})
+}
+
+// serve runs a load for the given time and returns the share answered on time.
+func (f *fleet) serve(rate float64, keys int, length time.Duration, choose func(s *Steering, r Request) (*Try, error)) (onTime float64, cold int) {
+	total, good := 0, 0
+	step := time.Duration(float64(time.Second) / rate)
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
+		kept := f.inFlight[:0]
+		for _, x := range f.inFlight {
+			if x.ends.After(f.now) {
+				kept = append(kept, x)
+				continue
+			}
+			f.done(x.try)
+			if x.ends.Sub(x.arrived) <= 600*time.Millisecond {
+				good++
+			}
+		}
+		f.inFlight = kept
+		total++
+		try, err := choose(f.steering[f.rand.IntN(len(f.steering))], request(fmt.Sprint("k", f.rand.IntN(keys))))
+		if err != nil {
+			continue
+		}
+		took := f.serviceTime(try)
+		if took > coldTime {
+			cold++
+		}
+		busy := 0
+		for _, x := range f.inFlight {
+			if x.try.Backend.InstanceID == try.Backend.InstanceID {
+				busy++
+			}
+		}
+		// A server with all slots busy runs the request later.
+		if over := busy + 1 - try.Backend.Slots; over > 0 {
+			took += time.Duration(float64(over) / float64(try.Backend.Slots) * float64(took))
+		}
+		f.inFlight = append(f.inFlight, inFlight{try: try, ends: f.now.Add(took), arrived: f.now})
+	}
+	return float64(good) / float64(total), cold
+}
+
+func (f *fleet) steer(s *Steering, r Request) (*Try, error) { return s.Choose(f.now, r) }
+
+// naive takes the server with the fewest own requests, as a balancer without affinity.
+func (f *fleet) naive(s *Steering, r Request) (*Try, error) {
+	v := s.service(r.Service)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	best := v.servers[0]
+	for _, srv := range v.servers {
+		if srv.inFlight < best.inFlight {
+			best = srv
+		}
+	}
+	m := v.model(r.Route.Name)
+	return v.begin(f.now, s, &r, m, v.assess(f.now, s, &r, m, best, 2)), nil
+}
+
+// TestAffinityBeatsLeastLoaded guards against the collapse in which requests spread over
+// all servers, run cold everywhere and drive each other's keys out.
+func TestAffinityBeatsLeastLoaded(t *testing.T) {
+	domains := map[string]int{"r1-a": 3, "r1-b": 3}
+	a := newFleet(t, 3, domains, 8)
+	steered, _ := a.serve(90, 60, 20*time.Second, a.steer)
+	b := newFleet(t, 3, domains, 8)
+	naive, _ := b.serve(90, 60, 20*time.Second, b.naive)
+	t.Logf("on time: %.2f with affinity, %.2f with the least loaded server", steered, naive)
+	if steered < 0.8 || steered < naive+0.2 {
+		t.Errorf("on time: %.2f with affinity, %.2f with the least loaded server", steered, naive)
+	}
+}
+
+// TestOverloadStaysWarm guards against an overload from which the servers do not
+// recover, since late requests run cold where their keys do not belong.
+func TestOverloadStaysWarm(t *testing.T) {
+	f := newFleet(t, 3, map[string]int{"r1-a": 3, "r1-b": 3}, 8)
+	f.serve(90, 60, 10*time.Second, f.steer)
+	f.serve(350, 60, 5*time.Second, f.steer)
+	after, _ := f.serve(90, 60, 5*time.Second, f.steer)
+	if after < 0.8 {
+		t.Errorf("%.2f on time after the overload", after)
+	}
+}
+
+// TestEntriesAgreeOnFirstServer guards against keys that every entry warms elsewhere.
+func TestEntriesAgreeOnFirstServer(t *testing.T) {
+	f := newFleet(t, 3, map[string]int{"r1-a": 4, "r1-b": 4}, 8)
+	for k := range 30 {
+		key, seen := fmt.Sprint("key", k), map[string]bool{}
+		for _, s := range f.steering {
+			try, err := s.Choose(f.now, request(key))
+			if err != nil {
+				t.Fatal(err)
+			}
+			seen[try.Backend.InstanceID] = true
+			try.Done(f.now, Report{Outcome: Cancelled})
+		}
+		// The first request to a new server goes there once to try it.
+		if k > 10 && len(seen) != 1 {
+			t.Errorf("%s starts at %d servers", key, len(seen))
+		}
+	}
+}
+
+// TestUnknownRouteIsServed guards against refusals on a route that has just been added,
+// whose times nobody knows yet.
+func TestUnknownRouteIsServed(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"r1-a": 1}, 8)
+	for _, key := range []string{"", "k"} {
+		r := request(key)
+		r.Remaining = 300 * time.Millisecond
+		if _, err := f.steering[0].Choose(f.now, r); err != nil {
+			t.Errorf("key %q: %v", key, err)
+		}
+	}
+}
+
+// TestColdServerRate guards against a cold server that all entries together send more
+// than it bears.
+func TestColdServerRate(t *testing.T) {
+	const entries = 7
+	f := newFleet(t, entries, map[string]int{"r1-a": 1}, 50)
+	f.now = f.now.Add(time.Second)
+	srv := &f.state.Servers[0]
+	srv.ColdFor, srv.ColdMark = briarferry.Duration(3*time.Second), 2
+	f.update()
+	var sent []time.Time
+	for range 3000 {
+		for _, s := range f.steering {
+			if try, err := s.Choose(f.now, request("")); err == nil {
+				sent = append(sent, f.now)
+				try.Done(f.now, Report{Outcome: Cancelled})
+			}
+		}
+		f.now = f.now.Add(time.Millisecond)
+	}
+	for i := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(sent[i]) < time.Second {
+				n++
+			}
+		}
+		// The users' bound is 1.5 times the rate and 5 more.
+		if n > int(8*1.5+5) {
+			t.Fatalf("%d requests in a second", n)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("a cold server got nothing")
+	}
+}
+
+// TestShiftIsLimited guards against requests that change regions faster than the limit
+// allows, from the first window of traffic on: a hunted day moved 36 of 100 requests
+// between the first two windows.
+func TestShiftIsLimited(t *testing.T) {
+	for seed := range uint64(12) {
+		checkShift(t, seed)
+	}
+}
+
+func checkShift(t *testing.T, seed uint64) {
+	const allowed = 0.15
+	f := newFleet(t, 2, map[string]int{"r1-a": 1, "r1-b": 1, "r2-a": 6}, 8)
+	f.rand = rand.New(rand.NewPCG(seed, 7))
+	f.now = f.now.Add(10 * time.Second)
+	for _, s := range f.steering {
+		s.Limits.MaxShift = allowed
+	}
+	f.update()
+	f.now = f.now.Add(10 * time.Second)
+	start := f.now
+	type run struct {
+		at     time.Duration
+		region string
+	}
+	var runs []run
+	choose := func(s *Steering, r Request) (*Try, error) {
+		try, err := s.Choose(f.now, r)
+		if err == nil {
+			runs = append(runs, run{f.now.Sub(start), try.Backend.Region})
+		}
+		return try, err
+	}
+	for _, phase := range []struct {
+		rate   float64
+		length time.Duration
+	}{{30, time.Second}, {220, 3 * time.Second}, {60, 4 * time.Second}, {150, 4 * time.Second}, {40, 4 * time.Second}} {
+		f.serve(phase.rate, 40, phase.length, choose)
+	}
+	share := func(from time.Duration) (float64, int) {
+		far, all := 0, 0
+		for _, r := range runs {
+			if r.at >= from && r.at < from+shiftWindow {
+				all++
+				if r.region == "r2" {
+					far++
+				}
+			}
+		}
+		return float64(far) / math.Max(1, float64(all)), all
+	}
+	for from := time.Duration(0); from <= 12*time.Second; from += 500 * time.Millisecond {
+		a, n := share(from)
+		b, m := share(from + shiftWindow)
+		if n >= 30 && m >= 30 && math.Abs(a-b) > allowed {
+			t.Errorf("seed %d: far share %.2f at %v and %.2f a window later", seed, a, from, b)
+		}
+	}
+}
+
+// TestLeftOutServers guards against requests to a server that is gone, and against one
+// that stays left out after it is back.
+func TestLeftOutServers(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"r1-a": 2}, 8)
+	s := f.steering[0]
+	try, err := s.Choose(f.now, request("k"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := try.Backend
+	try.Done(f.now, Report{Outcome: Refused})
+	for range 20 {
+		try, err := s.Choose(f.now, request("k"))
+		if err != nil || try.Backend.InstanceID == gone.InstanceID {
+			t.Fatalf("chose %v, %v", try, err)
+		}
+		try.Done(f.now, Report{Outcome: Cancelled})
+	}
+	f.now = f.now.Add(minEject)
+	due := s.Due(f.now)
+	if len(due) != 1 || due[0].InstanceID != gone.InstanceID {
+		t.Fatalf("due %v", due)
+	}
+	s.Checked(f.now, due[0], false)
+	if len(s.Due(f.now)) != 0 {
+		t.Error("checked again at once")
+	}
+	s.Checked(f.now, due[0], true)
+	f.now = f.now.Add(4 * time.Second)
+	seen := false
+	for k := range 40 {
+		try, err := s.Choose(f.now, request(fmt.Sprint(k)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen = seen || try.Backend.InstanceID == gone.InstanceID
+		try.Done(f.now, Report{Outcome: Cancelled})
+	}
+	if !seen {
+		t.Error("the server that is back gets nothing")
+	}
+}
+
+// TestOverdueAnswerIsNoLoss guards against servers that are left out only since they
+// are slow: an overdue answer leads to a check.
+func TestOverdueAnswerIsNoLoss(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"r1-a": 1}, 8)
+	s := f.steering[0]
+	try, err := s.Choose(f.now, request("k"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.now = f.now.Add(maxEject)
+	try.Overdue()
+	if due := s.Due(f.now); len(due) != 1 {
+		t.Fatalf("due %v", due)
+	}
+	if _, err := s.Choose(f.now, request("j")); err != nil {
+		t.Errorf("left out before the check: %v", err)
+	}
+}
+
+// TestNoWorkWhereNotAllowed guards against requests to evacuated failure domains,
+// draining servers and regions that are no homes of the route.
+func TestNoWorkWhereNotAllowed(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"r1-a": 2, "r1-b": 1, "r2-a": 2}, 8)
+	f.state.Evacuated = []string{"r1-a"}
+	f.state.Servers[2].Draining = true
+	f.update()
+	r := request("k")
+	try, err := f.steering[0].Choose(f.now, r)
+	if err != nil || try.Backend.FailureDomain != "r2-a" {
+		t.Fatalf("chose %v, %v", try, err)
+	}
+	r.Route.HomeRegions = []string{"r1"}
+	var refusal *briarferry.Refusal
+	if _, err := f.steering[0].Choose(f.now, r); !errors.As(err, &refusal) || refusal.Outcome != briarferry.OutcomeNotRun {
+		t.Errorf("got %v, want a refusal that says not run", err)
+	}
+}
+
+// TestRetryBudget guards against more second tries than all entries may make together.
+func TestRetryBudget(t *testing.T) {
+	const entries, requests = 7, 700
+	f := newFleet(t, entries, map[string]int{"r1-a": 5, "r1-b": 5}, 100)
+	retries := 0
+	for n := range requests {
+		s := f.steering[n%entries]
+		for _, retry := range []bool{false, true} {
+			r := request("")
+			r.Retry = retry
+			try, err := s.Choose(f.now, r)
+			if err != nil {
+				continue
+			}
+			if retry {
+				retries++
+			}
+			try.Done(f.now, Report{Outcome: Failed})
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	if limit := 0.2*requests + 64; float64(retries) > limit {
+		t.Errorf("%d second tries, at most %.0f are allowed", retries, limit)
+	}
+	if retries == 0 {
+		t.Error("no second try was allowed")
+	}
+}
--- /dev/null
+++ b/internal/state/bffleet/machine_test.go
@@ -0,0 +1,234 @@
+package bffleet
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarferry"
+)
+
+func table(version uint64) briarferry.RouteTable {
+	return briarferry.RouteTable{
+		Version:  version,
+		Services: []briarferry.RouteService{{Name: "prices", ConnectionLimit: 4}},
+		Routes: []briarferry.Route{{
+			Name: "read", Host: "shop.example", Prefix: "/", Timeout: briarferry.Duration(time.Second), MaxAttempts: 1,
+			Split: []briarferry.SplitPart{{Service: "prices", Weight: 1}},
+		}},
+	}
+}
+
+func put(base, version uint64, text string) Command {
+	digest := sha256.Sum256(fmt.Appendf(nil, "%d %s", base, text))
+	return Command{PutRoutes: &PutRoutes{Base: base, Table: table(version), Source: []byte(text), Digest: digest[:]}}
+}
+
+func instance(id, address string, started int64, sequence uint64) briarferry.Instance {
+	return briarferry.Instance{
+		ID: id, Service: "prices", Address: netip.MustParseAddrPort(address), FailureDomain: "a", Slots: 2,
+		Started: started, Sequence: sequence,
+	}
+}
+
+func register(in ...briarferry.Instance) Command { return Command{Register: &Register{Instances: in}} }
+
+// apply runs commands one after the other and returns the last result.
+func apply(t testing.TB, m *Machine, index *uint64, commands ...Command) Result {
+	t.Helper()
+	var r Result
+	for _, c := range commands {
+		data, err := c.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		*index++
+		if r, err = DecodeResult(m.Apply(*index, data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+// TestRouteChanges guards against a resend that is refused, two changes on one base
+// that are both accepted, and a version that goes back.
+func TestRouteChanges(t *testing.T) {
+	m, index := New(), uint64(0)
+	steps := []struct {
+		name    string
+		command Command
+		code    Code
+		version uint64
+	}{
+		{"first", put(0, 2, "a"), CodeOK, 2},
+		{"resend", put(0, 2, "a"), CodeOK, 2},
+		{"other change on the same base", put(0, 3, "b"), CodeConflict, 2},
+		{"same version, other text", put(2, 2, "c"), CodeConflict, 2},
+		{"older version", put(2, 1, "d"), CodeConflict, 2},
+		{"second", put(2, 7, "e"), CodeOK, 7},
+		{"resend of the first after the second", put(0, 2, "a"), CodeOK, 7},
+		{"refused change again", put(0, 3, "b"), CodeConflict, 7},
+	}
+	for _, s := range steps {
+		if r := apply(t, m, &index, s.command); r.Code != s.code || r.Version != s.version {
+			t.Errorf("%s: %s at version %d, want %s at %d", s.name, r.Code, r.Version, s.code, s.version)
+		}
+	}
+	if source, version := m.Source(); string(source) != "e" || version != 7 {
+		t.Errorf("source %q of version %d", source, version)
+	}
+}
+
+// TestRegistry guards against late reports that bring back a server that has left, was
+// replaced at its address or drains, and against a restart that is taken for one.
+func TestRegistry(t *testing.T) {
+	draining := instance("a", "10.0.0.1:80", 100, 5)
+	draining.Draining = true
+	moved := instance("a", "10.0.0.9:80", 100, 9)
+	cases := map[string]struct {
+		commands []Command
+		want     string
+	}{
+		"registered":                      {[]Command{register(instance("a", "10.0.0.1:80", 100, 1))}, "a@10.0.0.1:80 100"},
+		"drains":                          {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), register(draining)}, "a@10.0.0.1:80 100 draining"},
+		"late report while draining":      {[]Command{register(draining), register(instance("a", "10.0.0.1:80", 100, 4))}, "a@10.0.0.1:80 100 draining"},
+		"newer report while draining":     {[]Command{register(draining), register(instance("a", "10.0.0.1:80", 100, 6))}, "a@10.0.0.1:80 100 draining"},
+		"restart after draining":          {[]Command{register(draining), register(instance("a", "10.0.0.1:80", 200, 1))}, "a@10.0.0.1:80 200"},
+		"late report of the start before": {[]Command{register(instance("a", "10.0.0.1:80", 200, 1)), register(instance("a", "10.0.0.1:80", 100, 50))}, "a@10.0.0.1:80 200"},
+		"left":                            {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), {Leave: &Leave{ID: "a"}}}, ""},
+		"late report after leaving":       {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), {Leave: &Leave{ID: "a"}}, register(instance("a", "10.0.0.1:80", 100, 2))}, ""},
+		"restart after leaving":           {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), {Leave: &Leave{ID: "a"}}, register(instance("a", "10.0.0.1:80", 300, 1))}, "a@10.0.0.1:80 300"},
+		"address used again":              {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), register(instance("b", "10.0.0.1:80", 200, 1))}, "b@10.0.0.1:80 200"},
+		"late report of the replaced":     {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), register(instance("b", "10.0.0.1:80", 200, 1)), register(instance("a", "10.0.0.1:80", 100, 9))}, "b@10.0.0.1:80 200"},
+		"late report at a new address":    {[]Command{register(instance("b", "10.0.0.1:80", 200, 1)), register(instance("a", "10.0.0.1:80", 100, 9))}, "b@10.0.0.1:80 200"},
+		"one start at two addresses":      {[]Command{register(instance("a", "10.0.0.1:80", 100, 1)), register(moved)}, "a@10.0.0.1:80 100"},
+	}
+	for name, c := range cases {
+		m, index := New(), uint64(0)
+		apply(t, m, &index, c.commands...)
+		got := ""
+		for _, s := range m.State().Servers {
+			got += fmt.Sprintf("%s@%s %d", s.ID, s.Address, s.Started)
+			if s.Draining {
+				got += " draining"
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// TestReportsWithoutNews guards against revisions that entries fetch for nothing, such
+// as when all servers report again to restarted control VMs.
+func TestReportsWithoutNews(t *testing.T) {
+	m, index := New(), uint64(0)
+	cold := instance("a", "10.0.0.1:80", 100, 1)
+	cold.ColdFor = briarferry.Duration(time.Second)
+	before := apply(t, m, &index, register(cold)).Revision
+	if r := apply(t, m, &index, register(instance("a", "10.0.0.1:80", 100, 8))); r.Revision != before {
+		t.Errorf("revision %d after a report without news, was %d", r.Revision, before)
+	}
+	cold.Sequence = 9
+	if r := apply(t, m, &index, register(cold)); r.Revision == before {
+		t.Error("a server that is cold again made no revision")
+	}
+}
+
+// TestEvacuation guards against an order that is lost or applied twice.
+func TestEvacuation(t *testing.T) {
+	m, index := New(), uint64(0)
+	set, withdraw := Command{Evacuate: &Evacuate{FailureDomain: "a"}}, Command{Evacuate: &Evacuate{FailureDomain: "a", Withdraw: true}}
+	first := apply(t, m, &index, set)
+	if again := apply(t, m, &index, set); again.Code != CodeOK || again.Revision != first.Revision {
+		t.Errorf("resend: %+v, first %+v", again, first)
+	}
+	apply(t, m, &index, Command{Evacuate: &Evacuate{FailureDomain: "0"}}, withdraw, withdraw)
+	if got := m.State().Evacuated; len(got) != 1 || got[0] != "0" {
+		t.Errorf("evacuated %v", got)
+	}
+}
+
+// TestSnapshotKeepsAll guards against a restored replica that answers resends, late
+// reports or reads otherwise than the others.
+func TestSnapshotKeepsAll(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		one, index := New(), uint64(0)
+		commands := rapid.SliceOfN(rapid.Custom(drawCommand), 1, 40).Draw(r, "commands")
+		half := rapid.IntRange(0, len(commands)).Draw(r, "half")
+		apply(t, one, &index, commands[:half]...)
+		data, err := one.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := New()
+		if err := other.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		second := index
+		apply(t, one, &index, commands[half:]...)
+		apply(t, other, &second, commands[half:]...)
+		a, _ := one.Snapshot()
+		b, _ := other.Snapshot()
+		if !bytes.Equal(a, b) {
+			r.Fatalf("states differ after %d commands and a snapshot at %d", len(commands), half)
+		}
+	})
+}
+
+func drawCommand(r *rapid.T) Command {
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "id")
+	switch rapid.IntRange(0, 4).Draw(r, "kind") {
+	case 0:
+		base := rapid.Uint64Range(0, 4).Draw(r, "base")
+		return put(base, base+rapid.Uint64Range(1, 3).Draw(r, "step"), id)
+	case 1:
+		return Command{Evacuate: &Evacuate{FailureDomain: id, Withdraw: rapid.Bool().Draw(r, "withdraw")}}
+	case 2:
+		return Command{Leave: &Leave{ID: id}}
+	}
+	in := instance(id, fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 3).Draw(r, "address")),
+		rapid.Int64Range(0, 3).Draw(r, "started"), rapid.Uint64Range(0, 9).Draw(r, "sequence"))
+	in.Draining = rapid.Bool().Draw(r, "draining")
+	in.ColdFor = briarferry.Duration(rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(r, "cold"))
+	return register(in)
+}
+
+// TestUpdates guards against an entry that misses a part of the state or goes back.
+func TestUpdates(t *testing.T) {
+	m, index := New(), uint64(0)
+	entry := &State{}
+	for _, c := range []Command{put(0, 1, "a"), register(instance("a", "10.0.0.1:80", 1, 1)), {Evacuate: &Evacuate{FailureDomain: "a"}}} {
+		old := entry
+		apply(t, m, &index, c)
+		entry, _ = entry.Apply(m.State().Since(entry.Revision))
+		if back, newer := entry.Apply(old.Since(0)); newer || back.Revision != entry.Revision {
+			t.Fatal("an older update was applied")
+		}
+	}
+	if entry.Version() != 1 || len(entry.Servers) != 1 || len(entry.Evacuated) != 1 || entry.Revision != index {
+		t.Errorf("entry has version %d, %d servers, evacuated %v at revision %d", entry.Version(), len(entry.Servers), entry.Evacuated, entry.Revision)
+	}
+}
+
+// FuzzApply guards against a command from the log that ends the process.
+func FuzzApply(f *testing.F) {
+	for _, c := range []Command{put(0, 1, "a"), register(instance("a", "10.0.0.1:80", 1, 1)), {Leave: &Leave{ID: "a"}}} {
+		data, err := c.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New()
+		if _, err := DecodeResult(m.Apply(1, data)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
