--- /dev/null
+++ b/internal/transport/bfcontrol/node_test.go
@@ -0,0 +1,202 @@
+package bfcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/transport/bfloopback"
+)
+
+type testNode struct {
+	*Node
+	stop  context.CancelFunc
+	ended chan error
+}
+
+// startGroup runs three control VMs on loopback addresses with the same ports.
+func startGroup(t *testing.T) []*testNode {
+	t.Helper()
+	seeds := []netip.Addr{netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2"), netip.MustParseAddr("127.0.0.3")}
+	ports, err := bfloopback.Free(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var nodes []*testNode
+	for _, a := range seeds {
+		n := &testNode{ended: make(chan error, 1), Node: &Node{
+			Address: a, RPC: netip.AddrPortFrom(a, ports[0].Port()), Gossip: netip.AddrPortFrom(a, ports[1].Port()), Bootstrap: true,
+			Seeds: func() []netip.Addr { return seeds }, Data: t.TempDir(), Regions: map[string]string{"a": "r"}, Log: zerolog.Nop(),
+		}}
+		n.Setup()
+		var ctx context.Context
+		ctx, n.stop = context.WithCancel(context.Background())
+		go func() { n.ended <- n.Run(ctx) }()
+		nodes = append(nodes, n)
+	}
+	t.Cleanup(func() {
+		for _, n := range nodes {
+			n.stop()
+		}
+		for _, n := range nodes {
+			if err := <-n.ended; err != nil {
+				t.Errorf("%s: %v", n.Address, err)
+			}
+		}
+	})
+	return nodes
+}
+
+// eventually repeats the order until it is confirmed, as operators do.
+func eventually(t *testing.T, order func(ctx context.Context) error) error {
+	t.Helper()
+	var err error
+	for range 30 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		err = order(ctx)
+		cancel()
+		if !errors.Is(err, ErrUnavailable) {
+			return err
+		}
+	}
+	return err
+}
+
+func testTable(version uint64) *briarferry.RouteTable {
+	return &briarferry.RouteTable{Version: version, Services: []briarferry.RouteService{{Name: "s", ConnectionLimit: 1}}}
+}
+
+// TestOrders guards against orders that only the leader takes, resends that are refused,
+// races that both win, reads of an older table, and orders that a leader's stop loses.
+func TestOrders(t *testing.T) {
+	nodes := startGroup(t)
+	put := func(n *testNode, base, version uint64, text string) error {
+		return eventually(t, func(ctx context.Context) error { return n.PutRoutes(ctx, base, testTable(version), []byte(text)) })
+	}
+	read := func(n *testNode) (string, uint64) {
+		var source []byte
+		var version uint64
+		err := eventually(t, func(ctx context.Context) (err error) {
+			source, version, err = n.Routes(ctx)
+			return err
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		return string(source), version
+	}
+	for i, n := range nodes {
+		version := uint64(i + 1)
+		text := fmt.Sprint("table ", version)
+		if err := put(n, version-1, version, text); err != nil {
+			t.Fatal(err)
+		}
+		for _, other := range nodes {
+			if err := put(other, version-1, version, text); err != nil {
+				t.Errorf("resend: %v", err)
+			}
+			if err := put(other, version-1, version, "another"); !errors.Is(err, ErrConflict) {
+				t.Errorf("race: %v", err)
+			}
+			if got, v := read(other); got != text || v != version {
+				t.Errorf("read %q at %d after %q was confirmed", got, v, text)
+			}
+		}
+	}
+	in := briarferry.Instance{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), FailureDomain: "a", Slots: 1, Started: 5, Sequence: 1}
+	if err := eventually(t, func(ctx context.Context) error { return nodes[1].Report(ctx, in) }); err != nil {
+		t.Error(err)
+	}
+	if err := eventually(t, func(ctx context.Context) error { return nodes[2].Evacuate(ctx, "a", false) }); err != nil {
+		t.Error(err)
+	}
+	if err := nodes[2].Evacuate(context.Background(), "none", false); !errors.Is(err, ErrInvalid) {
+		t.Errorf("evacuation of an unknown failure domain: %v", err)
+	}
+	leader := slices.IndexFunc(nodes, func(n *testNode) bool { return n.replica.Status().IsLeader })
+	if leader < 0 {
+		t.Fatal("nobody leads")
+	}
+	nodes[leader].stop()
+	nodes[leader].ended <- <-nodes[leader].ended
+	rest := nodes[(leader+1)%3]
+	if err := put(rest, 3, 9, "after"); err != nil {
+		t.Errorf("after the leader has stopped: %v", err)
+	}
+	if got, _ := read(nodes[(leader+2)%3]); got != "after" {
+		t.Errorf("read %q", got)
+	}
+	s := rest.machine.State()
+	if _, ok := s.Server("i-1"); !ok || len(s.Evacuated) != 1 {
+		t.Errorf("registered %d, evacuated %v", len(s.Servers), s.Evacuated)
+	}
+}
+
+func beat(name, region, domain string, sequence uint64, ready bool) *bfwire.EntryBeat {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	if name != "one" {
+		address = netip.MustParseAddrPort("10.0.0.2:80")
+	}
+	return &bfwire.EntryBeat{Sequence: sequence, Ready: ready, Entry: bfwire.EntryInfo{
+		Name: name, Region: region, FailureDomain: domain, HTTP: address, Gossip: address, Incarnation: 1,
+	}}
+}
+
+// TestLookup guards against answers that name entries that are gone, not ready or
+// farther than others.
+func TestLookup(t *testing.T) {
+	now := time.Now()
+	table := &entryTable{regions: map[string]string{"a": "r", "b": "r", "c": "q"}, log: zerolog.Nop()}
+	table.hear(now, beat("one", "r", "a", 1, true))
+	table.hear(now, beat("two", "r", "b", 1, true))
+	check := func(what, region, domain string, at time.Time, want ...string) {
+		t.Helper()
+		var got []string
+		for _, a := range table.lookup(at, region, domain) {
+			got = append(got, a.String())
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	one, two := "10.0.0.1:80", "10.0.0.2:80"
+	check("own failure domain", "r", "a", now, one)
+	check("own region", "r", "none", now, one, two)
+	check("region of the failure domain", "", "b", now, two)
+	check("all", "q", "c", now, one, two)
+	table.hear(now, beat("one", "r", "a", 2, false))
+	check("not ready", "r", "a", now, two)
+	table.hear(now, beat("one", "r", "a", 1, true))
+	check("beat that was overtaken", "r", "a", now, two)
+	later := now.Add(entryExpiry + time.Millisecond)
+	check("gone", "r", "a", later)
+	table.hear(later, beat("one", "r", "a", 3, true))
+	check("back", "r", "b", later, one)
+}
+
+// TestColdAgain guards against a server that goes cold again unnoticed, and against
+// reports of the same cold time that count as news.
+func TestColdAgain(t *testing.T) {
+	var r registry
+	now := time.Now()
+	in := briarferry.Instance{ID: "i", ColdFor: briarferry.Duration(3 * time.Second)}
+	steps := []struct {
+		after time.Duration
+		cold  time.Duration
+		want  bool
+	}{{0, 3 * time.Second, true}, {time.Second, 2 * time.Second, false}, {2 * time.Second, 1200 * time.Millisecond, false}, {4 * time.Second, 0, false}, {6 * time.Second, 3 * time.Second, true}}
+	for _, s := range steps {
+		in.ColdFor = briarferry.Duration(s.cold)
+		if got := r.coldAgain(now.Add(s.after), in); got != s.want {
+			t.Errorf("%v cold after %v: %v", s.cold, s.after, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/bfupstream/dialect_test.go
@@ -0,0 +1,99 @@
+package bfupstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"briarferry"
+	"briarferry/internal/protocol/bfapi"
+)
+
+var testDialect = &bfapi.Dialect{
+	RequestID: "X-Id", Remaining: "X-Left", FormatRemaining: func(d time.Duration) string { return fmt.Sprint(d.Milliseconds()) },
+	Expected: "X-Expected", NotRun: "X-Not-Run", Receipt: "X-Receipt", OpenEnded: true, SkipStrays: true,
+}
+
+// doDialect sends a request to a server that gives the replies one after the other.
+func doDialect(f *fakeServer, c *Client, body string) (*briarferry.Answer, *briarferry.TryError) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	b := testBackend
+	b.InstanceID = "i-1"
+	a, err := c.Do(ctx, b, &briarferry.Request{ID: "a", Method: "POST", Host: "shop.example", Target: "/x", Body: []byte(body), Deadline: time.Now().Add(time.Second)})
+	var tryErr *briarferry.TryError
+	errors.As(err, &tryErr)
+	return a, tryErr
+}
+
+// TestDialectAnswers guards against answers that are taken for the request's own though
+// they are not, and against "not run" for a request that may have run.
+func TestDialectAnswers(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Receipt: r\r\nContent-Length: 2\r\n\r\nok"
+	cases := []struct {
+		name       string
+		reply      reply
+		status     int
+		dispatched bool
+		err        error
+	}{
+		{"own answer", reply{text: ok}, 200, false, nil},
+		{"stray before the own one", reply{text: strings.ReplaceAll(ok, "X-Id: a", "X-Id: z") + ok}, 200, false, nil},
+		{"stray alone", reply{text: strings.ReplaceAll(ok, "X-Id: a", "X-Id: z"), hangUp: true}, 0, true, ErrTruncated},
+		{"no id", reply{text: strings.ReplaceAll(ok, "X-Id: a\r\n", "")}, 0, true, ErrCrossed},
+		{"no receipt", reply{text: strings.ReplaceAll(ok, "X-Receipt: r\r\n", "")}, 0, true, ErrUnsigned},
+		{"encoded", reply{text: strings.ReplaceAll(ok, "X-Receipt", "Content-Encoding: gzip\r\nX-Receipt")}, 0, true, ErrUnsigned},
+		{"failure with receipt", reply{text: strings.ReplaceAll(ok, "200 OK", "500 Oops")}, 500, false, nil},
+		{"shed without id", reply{text: "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}, 503, false, ErrShed},
+		{"shed for another request", reply{text: "HTTP/1.1 503 No\r\nX-Id: z\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", hangUp: true}, 0, true, ErrTruncated},
+		{"another instance", reply{text: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"}, 421, false, ErrMisdirected},
+		{"503 that doesn't say so", reply{text: "HTTP/1.1 503 No\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"}, 0, true, ErrUnsigned},
+		{"cut short", reply{text: ok[:len(ok)-1], hangUp: true}, 0, true, ErrTruncated},
+		{"ends with the connection", reply{text: strings.ReplaceAll(ok, "Content-Length: 2\r\n", ""), hangUp: true}, 200, false, nil},
+		{"no HTTP", reply{text: "garbage\r\n\r\n", hangUp: true}, 0, true, ErrTruncated},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeServer{answers: func(_ int, r *http.Request) reply {
+				if r.Header.Get("X-Expected") != "i-1" || r.Host != "shop.example" || r.Header.Get("X-Left") == "" {
+					t.Errorf("%s: request to %q with headers %v", c.name, r.Host, r.Header)
+				}
+				return c.reply
+			}}
+			a, err := doDialect(f, &Client{Dial: f.dial, Dialect: testDialect}, "body")
+			status, dispatched := 0, false
+			if a != nil {
+				status = a.Status
+			}
+			var cause error
+			if err != nil {
+				dispatched, cause = err.Dispatched, err.Err
+			}
+			if status != c.status || dispatched != c.dispatched || !errors.Is(cause, c.err) || (c.err == nil) != (cause == nil) {
+				t.Errorf("%s: status %d, dispatched %v, %v; want %d, %v, %v", c.name, status, dispatched, cause, c.status, c.dispatched, c.err)
+			}
+			time.Sleep(idleTimeout)
+		})
+	}
+}
+
+// TestKeepAlive guards against a request on a connection that the server is about to
+// close.
+func TestKeepAlive(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "timeout=10": 10 * time.Second, "max=5, timeout=3": 3 * time.Second, "timeout=x": 0, "timeout=-1": 0} {
+		if got := keepAlive(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q gives %v, want %v", text, got, want)
+		}
+	}
+	for keep, want := range map[time.Duration]time.Duration{0: idleTimeout, 10 * time.Second: 7500 * time.Millisecond, 2 * time.Second: time.Second, time.Second: 250 * time.Millisecond} {
+		c := &conn{keepFor: keep}
+		if got := c.idleFor(); got != want {
+			t.Errorf("a connection kept for %v stays idle for %v, want %v", keep, got, want)
+		}
+	}
+}
