Make servers warm in the own failure domain in spare time

Change: the first server of the own failure domain counts as a place of the key while it has slots to spare.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -16,7 +16,7 @@
 	// region, as traffic between them is scarce.
 	domainCost   = 20 * time.Millisecond
 	regionCost   = 20 * time.Millisecond
-	kilobyteCost = 15 * time.Millisecond
+	kilobyteCost = 45 * time.Millisecond
 	// onTime is the share of the target that an expected answer may take.
 	onTime = 0.95
 	// lateQueue is how many requests for each slot may be at a server where none can
@@ -24,6 +24,8 @@
 	lateQueue = 1.0
 	// secondShare is the same for the second server of a key.
 	secondShare = 0.5
+	// spareShare is the load for each slot up to which a server has time to spare.
+	spareShare = 0.5
 	// presumedCold is how likely the first server of a region for a key lacks the key.
 	// All entries send a key there first, so that it mostly has it. The second one gets
 	// what the first can't take.
@@ -34,7 +36,7 @@
 	warmingShare = 0.2
 	// spreadMargin is how many mean distances from the average a cold server may need
 	// and still be counted as on time.
-	spreadMargin = 2
+	spreadMargin = 1.5
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -135,7 +137,7 @@
 	reason := "no backend server is registered for the service"
 	var list, ejected []candidate
 	entries := s.entries()
-	firsts := v.firsts(r)
+	firsts, nearest := v.firsts(r, s.FailureDomain)
 	for _, srv := range v.servers {
 		if !srv.usable(r) || slices.Contains(r.Avoid, srv.ID) {
 			continue
@@ -144,7 +146,7 @@
 			reason = "the backend servers are cold"
 			continue
 		}
-		c := v.assess(now, s, r, m, srv, firsts[srv.region].place(srv))
+		c := v.assess(now, s, r, m, srv, firsts[srv.region].place(srv), srv == nearest)
 		if srv.ejected() {
 			ejected = append(ejected, c)
 			continue
@@ -171,17 +173,23 @@
 	return 2
 }
 
-func (v *service) firsts(r *Request) map[string]preferred {
+// firsts returns the preferred servers of each region for the request's key, and the
+// first one in the own failure domain.
+func (v *service) firsts(r *Request, domain string) (map[string]preferred, *server) {
 	key := r.key()
 	if key == "" {
-		return nil
+		return nil, nil
 	}
+	var nearest *server
 	hash := xxhash.Sum64String(key)
 	out := map[string]preferred{}
 	for _, srv := range v.servers {
 		if !srv.usable(r) || srv.ejected() {
 			continue
 		}
+		if srv.FailureDomain == domain && (nearest == nil || srv.rank(hash) > nearest.rank(hash)) {
+			nearest = srv
+		}
 		p := out[srv.region]
 		switch {
 		case p[0] == nil || srv.rank(hash) > p[0].rank(hash):
@@ -191,11 +199,11 @@
 		}
 		out[srv.region] = p
 	}
-	return out
+	return out, nearest
 }
 
 // assess estimates the answer time of one server and what it costs to use it.
-func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, place int) candidate {
+func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, place int, nearest bool) candidate {
 	target := r.Route.Target.Std()
 	there := min(target, r.Remaining)
 	c := candidate{server: srv, place: place, load: srv.load(now, s.neighbours()), network: s.delay.to(srv.region, s.Region)}
@@ -218,10 +226,12 @@
 	}
 	c.estimate = c.network + time.Duration(float64(work+wait)*slow)
 	c.cost = c.estimate
-	if c.estimate+time.Duration(spreadMargin*float64(m.cold.spread)) <= limitOf(r) {
+	// Making a server warm pays later, so it must not take what others need now.
+	spare := c.load+1 <= spareShare*float64(srv.Slots)
+	if spare && c.estimate+time.Duration(spreadMargin*float64(m.cold.spread)) <= limitOf(r) {
 		c.cost -= time.Duration((1 - warmingShare) * float64(work-warm) * slow)
 	}
-	if r.key() != "" && !c.warm {
+	if r.key() != "" && !c.warm && !(nearest && spare) {
 		// Elsewhere the key drives out another one.
 		c.cost += time.Duration(float64(place) / 2 * float64(cold-warm))
 	}
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -159,7 +159,7 @@
 		}
 	}
 	m := v.model(r.Route.Name)
-	return v.begin(f.now, s, &r, m, v.assess(f.now, s, &r, m, best, 2)), nil
+	return v.begin(f.now, s, &r, m, v.assess(f.now, s, &r, m, best, 2, false)), nil
 }
 
 // TestAffinityBeatsLeastLoaded guards against the collapse in which requests spread over
