--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -132,7 +132,7 @@
 	for _, target := range targets {
 		if target != n.VM && n.Discovery.Join(ctx, target, n.Info().ID) == nil {
 			if !n.joining {
-				n.Log.Info().Str("vm", target).Msg("replica joins")
+				n.Log.Info().Str("donor", target).Msg("replica joins")
 			}
 			n.joining = true
 			return
--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -66,6 +66,18 @@
 		waited   bool
 	}
 
+	// NoServer is the refusal of a request for which no server was chosen, with what
+	// decided it: the fastest server and the time within which it had to answer.
+	NoServer struct {
+		briarferry.Refusal
+		Instance        string
+		Estimate, Limit time.Duration
+		Load            float64
+		LoadAge         time.Duration
+		// Candidates is the number of servers that were compared.
+		Candidates int
+	}
+
 	candidate struct {
 		server   *server
 		estimate time.Duration
@@ -102,7 +114,14 @@
 	}
 	best, ok := pick(list, &r)
 	if !ok {
-		return nil, refuse("no backend server can answer in time", retryAfter(best.estimate-r.Route.Target.Std()))
+		return nil, &NoServer{
+			Refusal: briarferry.Refusal{
+				Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun,
+				Reason: "no backend server can answer in time", RetryAfter: retryAfter(best.estimate - r.Route.Target.Std()),
+			},
+			Instance: best.server.ID, Estimate: best.estimate, Limit: limitOf(&r), Load: best.load,
+			LoadAge: now.Sub(best.server.othersAt), Candidates: len(list),
+		}
 	}
 	return v.begin(now, s, &r, m, best), nil
 }
@@ -115,6 +134,9 @@
 	return r.Route.Name + "\x00" + r.Key
 }
 
+// Unwrap returns the refusal itself.
+func (n *NoServer) Unwrap() error { return &n.Refusal }
+
 func refuse(reason string, after time.Duration) error {
 	return &briarferry.Refusal{
 		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: reason, RetryAfter: after,
--- a/internal/transport/bfcommand/command.go
+++ b/internal/transport/bfcommand/command.go
@@ -39,7 +39,7 @@
 	fs := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	c := subcommands.NewCommander(fs, args[0])
 	c.Register(c.HelpCommand(), "")
-	for _, cmd := range []*command{serveCommand(), entryCommand(), controlCommand(), standinCommand(), loadCommand(), lookupCommand(),
+	for _, cmd := range []*command{serveCommand(), entryCommand(), controlCommand(), explainCommand(), standinCommand(), loadCommand(), lookupCommand(),
 		answersCommand(), generateCommand(), checkCommand(), applyCommand(), drainCommand(), statusCommand(),
 		certificatesCommand(),
 	} {
--- a/internal/transport/bfcommand/values.go
+++ b/internal/transport/bfcommand/values.go
@@ -41,6 +41,14 @@
 	return out
 }
 
+func (v *values) time(flag, text string) time.Time {
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		v.findings.Add("--"+flag, "must be a time such as 2026-12-04T09:30:00Z where --request is not given: %q", text)
+	}
+	return t
+}
+
 func (v *values) port(flag, text string) uint16 {
 	n, err := strconv.ParseUint(text, 10, 16)
 	if err != nil {
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -17,6 +17,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfroute"
+	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/protocol/bfapi"
 )
 
@@ -42,6 +43,8 @@
 	received time.Time
 	version  uint64
 	attempts []attemptRecord
+	// noServer is why no server was chosen; it may be nil.
+	noServer *bfsteering.NoServer
 }
 
 // ServeHTTP answers one request of a caller.
@@ -69,6 +72,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if answer == nil {
+		errors.As(err, &c.noServer)
 		n.refuse(w, c, refusalOf(err))
 		return
 	}
@@ -89,12 +93,13 @@
 	}
 	target := requestTarget(r)
 	path, _, _ := strings.Cut(target, "?")
+	c.request.Host, c.request.Target = r.Host, target
 	c.route = table.Find(r.Host, path)
 	if c.route == nil {
 		return c, &briarferry.Refusal{Status: http.StatusNotFound, Outcome: briarferry.OutcomeNotRun, Reason: "no route matches the request"}
 	}
 	c.service = c.route.Next()
-	c.request.Service, c.request.Method, c.request.Host, c.request.Target = c.service, r.Method, r.Host, target
+	c.request.Service, c.request.Method = c.service, r.Method
 	c.request.Header = bfapi.ForwardHeader(r.Header)
 	c.request.Caller = bfapi.CallerAddr(r)
 	c.request.Deadline = received.Add(n.remaining(r, c.route))
--- a/internal/transport/bfgateway/note.go
+++ b/internal/transport/bfgateway/note.go
@@ -17,6 +17,8 @@
 	// maxLines bounds the lines about requests in one interval.
 	maxLines      = 60
 	linesInterval = time.Second
+	// maxAge stands for a report that never came.
+	maxAge = time.Hour
 )
 
 // sampler bounds the lines about requests and counts what was left out.
@@ -101,10 +103,17 @@
 	if r != nil {
 		line = line.Str("reason", r.Reason).Str("claim", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter)
 	}
+	if c.route == nil {
+		line = line.Str("host", c.request.Host).Str("target", c.request.Target)
+	}
+	if s := c.noServer; s != nil {
+		line = line.Str("fastest", s.Instance).Dur("estimate_ms", s.Estimate).Dur("limit_ms", s.Limit).Float64("load", s.Load).
+			Dur("load_age_ms", min(s.LoadAge, maxAge)).Int("candidates", s.Candidates)
+	}
 	tries := zerolog.Arr()
 	for _, a := range attempts {
 		tries = tries.Dict(zerolog.Dict().Str("instance", a.instance).Str("outcome", string(a.outcome)).Dur("took_ms", a.took).
-			Dur("expected_ms", a.expected).Float64("load", a.load).Dur("load_age_ms", a.loadAge).Bool("warm", a.warm))
+			Dur("expected_ms", a.expected).Float64("load", a.load).Dur("load_age_ms", min(a.loadAge, maxAge)).Bool("warm", a.warm))
 	}
 	line.Array("tries", tries).Msg("request")
 }
