Note the commit index on disk, so that restarted control VMs serve their state at once

Cause: after all processes were killed, entries had no route table until a leader was elected (1.0 to 1.5 s) although every control VM had the state on its disk: a restarted replica doesn't know how far its log is committed.

Ruled out: a shorter election timeout (slow disks and lossy links would cause elections); the index in the log's own records (an unsynced frame that is torn before one that is whole counts as corruption there).

Change: a file of checksummed notes, synced beside the loop; bfraft hands out what was noted; reads still ask a quorum. The simulation of bfraft now restarts replicas with notes that lag.

--- a/internal/coordination/bfraft/network_test.go
+++ b/internal/coordination/bfraft/network_test.go
@@ -15,6 +15,8 @@
 		hard     HardState
 		snapshot *Snapshot
 		entries  []Entry
+		// commit is what a replica noted of its commit index.
+		commit uint64
 	}
 
 	simNode struct {
@@ -96,7 +98,7 @@
 }
 
 func (n *network) restart(s *simNode) {
-	r, err := New(n.config(s.id), Recovered{HardState: s.disk.hard, Snapshot: s.disk.snapshot, Entries: slices.Clone(s.disk.entries)})
+	r, err := New(n.config(s.id), Recovered{HardState: s.disk.hard, Snapshot: s.disk.snapshot, Entries: slices.Clone(s.disk.entries), Commit: s.disk.commit})
 	if err != nil {
 		n.fail("restart of %s: %v", s.id, err)
 	}
@@ -238,6 +240,10 @@
 		}
 		d.entries = append(slices.Clip(d.entries), e)
 	}
+	// The note isn't synced, so that a crash may lose the last ones.
+	if s.raft.Committed()%3 == 0 {
+		d.commit = max(d.commit, s.raft.Committed())
+	}
 }
 
 func (n *network) apply(s *simNode, e Entry) {
--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -56,6 +56,7 @@
 	}
 	r := &Raft{cfg: cfg, log: log, term: rec.HardState.Term, vote: rec.HardState.Vote,
 		persisted: rec.HardState, snapshot: rec.Snapshot}
+	log.committed = max(log.committed, min(rec.Commit, log.last()))
 	r.resetTimer()
 	return r, nil
 }
--- a/internal/coordination/bfraft/types.go
+++ b/internal/coordination/bfraft/types.go
@@ -198,6 +198,9 @@
 		HardState HardState
 		Snapshot  *Snapshot
 		Entries   []Entry
+		// Commit is an index up to which the log was known to be committed; the entries
+		// up to there are handed out again at once.
+		Commit uint64
 	}
 )
 
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -27,6 +27,10 @@
 	defaultSnapshotEntries = 20_000
 	defaultSnapshotBytes   = 32 << 20
 	defaultMaxPending      = 4096
+	// commitInterval is the shortest time between two notes of the commit index, and
+	// commitSyncInterval between two syncs of them.
+	commitInterval     = 100 * time.Millisecond
+	commitSyncInterval = 500 * time.Millisecond
 
 	// maxMessageBytes bounds the entries of one message and a snapshot chunk.
 	maxMessageBytes = 1 << 20
@@ -89,6 +93,10 @@
 		Seeds func() []string
 		// NoForm keeps an empty replica from forming a new group; it can only join one.
 		NoForm bool
+		// KeepCommit notes on disk how far the log is committed, so that a restarted
+		// replica has its state before it hears a leader. What it has may be older than
+		// the newest; reads by ReadIndex are not affected.
+		KeepCommit bool
 		// Dir is the data folder.
 		Dir       string
 		FS        bfstorage.FS
@@ -133,6 +141,10 @@
 		housekeep   int
 		// joining belongs to the goroutine that forms or joins a group.
 		joining bool
+		// noted is the commit index on disk, and notedAt when it was written.
+		noted   uint64
+		notedAt time.Time
+		notes   chan struct{}
 		// orphaned tells that no leader was heard for two election timeouts.
 		orphaned atomic.Bool
 
@@ -169,6 +181,7 @@
 		n.reads = make(chan *read, n.MaxPending)
 		n.calls = make(chan func(), 16)
 		n.saved = make(chan bfraft.Snapshot, 1)
+		n.notes = make(chan struct{}, 1)
 		n.readWaits = map[uint64]*read{}
 		n.waits.pending = map[uint64]*proposal{}
 		n.waits.limit, n.waits.room = n.MaxPending, make(chan struct{}, 1)
@@ -195,6 +208,9 @@
 	forming, stopForming := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() { n.applier.run(work) })
+	if n.KeepCommit {
+		group.Go(func() { n.syncCommits(work) })
+	}
 	if n.core.LastIndex() == 0 || n.Open {
 		group.Go(func() { n.form(forming) })
 	}
@@ -214,6 +230,9 @@
 	}
 	n.storage = storage
 	recovered := bfraft.Recovered{HardState: bfraft.HardState(rec.HardState)}
+	if n.KeepCommit {
+		recovered.Commit = rec.Commit
+	}
 	for _, e := range rec.Entries {
 		recovered.Entries = append(recovered.Entries, bfraft.Entry{Index: e.Index, Term: e.Term, Kind: bfraft.EntryKind(e.Kind), Data: e.Data})
 	}
@@ -283,6 +302,7 @@
 		if err := n.process(work, started); err != nil {
 			return err
 		}
+		n.saveCommit(started)
 		if stop.finished(n) {
 			return nil
 		}
--- a/internal/coordination/bfreplica/open_test.go
+++ b/internal/coordination/bfreplica/open_test.go
@@ -138,3 +138,25 @@
 		})
 	}
 }
+
+// TestRestartedReplicaKnowsItsState guards against restarted replicas that have nothing
+// to serve until a leader is elected, and against a noted commit that shows what was
+// never committed.
+func TestRestartedReplicaKnowsItsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 31, farDelay, memoryFS(31), func(n *Node) { n.KeepCommit = true })
+		defer c.close()
+		for i := range 30 {
+			c.propose(fmt.Sprint(i))
+		}
+		c.converge()
+		time.Sleep(time.Second)
+		fs := c.member("a").fs
+		c.stopAll("a", "b", "c")
+		c.start("a", fs)
+		time.Sleep(200 * time.Millisecond)
+		if got := len(c.member("a").machine.list()); got < 30 {
+			t.Errorf("%d of 30 commands before a leader was heard", got)
+		}
+	})
+}
--- a/internal/coordination/bfreplica/process.go
+++ b/internal/coordination/bfreplica/process.go
@@ -66,6 +66,43 @@
 	return eris.Wrap(n.storage.Save(hard, entries), "bfreplica: persist")
 }
 
+// saveCommit notes how far the log is committed, at most once in commitInterval.
+func (n *Node) saveCommit(now time.Time) {
+	index := n.core.Committed()
+	if !n.KeepCommit || index <= n.noted || now.Sub(n.notedAt) < commitInterval {
+		return
+	}
+	n.noted, n.notedAt = index, now
+	if err := n.storage.SaveCommit(index); err != nil {
+		n.Log.Warn().Err(err).Uint64("index", index).Msg("commit not noted")
+		return
+	}
+	select {
+	case n.notes <- struct{}{}:
+	default:
+	}
+}
+
+// syncCommits makes the notes durable, away from the loop, whose heartbeats must not
+// wait for the disk.
+func (n *Node) syncCommits(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.notes:
+		}
+		if err := n.storage.SyncCommit(); err != nil {
+			n.Log.Warn().Err(err).Msg("commit not synced")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(commitSyncInterval):
+		}
+	}
+}
+
 // compact drops the log that a durable snapshot covers.
 func (n *Node) compact(s bfraft.Snapshot) error {
 	base := n.core.Compact(&s)
--- a/internal/state/bfstorage/storage.go
+++ b/internal/state/bfstorage/storage.go
@@ -29,6 +29,8 @@
 		fs  FS
 		dir string
 		wal *wal
+		// commits belongs to the goroutine that saves.
+		commits commits
 		// lock keeps other processes out; it is nil where the file system has no locks.
 		lock io.Closer
 		// failed is the first write error. A file's content is unknown after a
@@ -44,8 +46,10 @@
 		// DiskID identifies the data folder; it is made at the first use.
 		DiskID    string
 		HardState HardState
-		Snapshot  *Snapshot
-		Entries   []Entry
+		// Commit is how far the log is known to be committed.
+		Commit   uint64
+		Snapshot *Snapshot
+		Entries  []Entry
 	}
 )
 
@@ -61,7 +65,7 @@
 	if err := fsys.SyncDir(filepath.Dir(dir)); err != nil {
 		return nil, nil, eris.Wrap(err, "bfstorage: sync parent folder")
 	}
-	s := &Storage{fs: fsys, dir: dir}
+	s := &Storage{fs: fsys, dir: dir, commits: commits{fs: fsys, path: filepath.Join(dir, commitFile)}}
 	if l, ok := fsys.(Locker); ok {
 		lock, err := l.Lock(filepath.Join(dir, lockFile))
 		if err != nil {
@@ -94,7 +98,7 @@
 		return nil, err
 	}
 	s.wal = w
-	rec.HardState = p.hard
+	rec.HardState, rec.Commit = p.hard, readCommit(s.fs, s.dir)
 	if rec.Entries, err = p.after(rec.Snapshot); err != nil {
 		return nil, errors.Join(err, w.file.Close())
 	}
@@ -238,6 +242,7 @@
 // Close closes the current segment and gives the folder's lock back.
 func (s *Storage) Close() error {
 	defer s.unlock()
+	_ = s.commits.close()
 	return s.wal.file.Close()
 }
 
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -73,7 +73,7 @@
 	n.leaders.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
 	n.replica = &bfreplica.Node{
-		VM: n.Address.String(), Control: names(n.Seeds()), Open: true, NoForm: !n.Bootstrap,
+		VM: n.Address.String(), Control: names(n.Seeds()), Open: true, NoForm: !n.Bootstrap, KeepCommit: true,
 		Seeds: func() []string { return names(n.Seeds()) },
 		Dir:   n.Data, Machine: n.machine, Transport: network, Discovery: network, Log: n.Log,
 	}
