Presume that servers of other regions lack a key

Ruled out: evictions (25 keys a region, 26 kept). Change: 0.7 instead of 0.33 for the likelihood that it is cold.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -31,6 +31,9 @@
 	// what the first can't take.
 	presumedCold       = 0.33
 	presumedColdSecond = 0.75
+	// presumedColdFar is the same for the first server of another region, which only
+	// gets what the own region can't take.
+	presumedColdFar = 0.7
 	// warmingShare is the part of the extra time of a cold server that counts where it
 	// still answers on time, since it has the key afterwards.
 	warmingShare = 0.2
@@ -237,6 +240,8 @@
 	switch {
 	case c.warm, c.guessed && r.key() == "":
 		work = warm
+	case place == 0 && srv.region != s.Region:
+		work = warm + time.Duration(presumedColdFar*float64(cold-warm))
 	case place == 0:
 		work = warm + time.Duration(presumedCold*float64(cold-warm))
 	case place == 1:
