--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -27,6 +27,8 @@
 	// memoryShare is the part of the memory limit that the runtime may fill; the rest
 	// holds stacks, the program and unread bytes of connections.
 	memoryShare = 0.7
+	// bodyShare is the part of the memory limit that callers' bodies may fill.
+	bodyShare = 0.25
 	// drainShare is the part of the grace time in which a stopping entry still takes
 	// requests.
 	drainShare = 0.5
@@ -176,6 +178,7 @@
 			RetryShare: p.Bounds.RetryShare, RetrySlack: p.Bounds.RetrySlack, RetryWindow: p.Bounds.RetryWindow, MaxShift: p.Bounds.MaxShift,
 		},
 		Grace: p.Bounds.Grace, DrainFor: min(maxDrain, time.Duration(drainShare*float64(p.Bounds.Grace))), Log: s.log,
+		BodyRoom: int64(bodyShare * float64(p.MemoryMB) * megabyte),
 	}
 }
 
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,6 +44,8 @@
 	attempts []attemptRecord
 	// noServer is why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServer
+	// release gives the room of the body back.
+	release func()
 }
 
 // ServeHTTP answers one request of a caller.
@@ -59,6 +60,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := n.read(w, r, received)
+	defer c.release()
 	if refusal != nil {
 		n.refuse(w, c, refusal)
 		return
@@ -82,7 +84,7 @@
 
 // read takes a request in and finds its route.
 func (n *Node) read(w http.ResponseWriter, r *http.Request, received time.Time) (*call, *briarferry.Refusal) {
-	c := &call{received: received, request: &briarferry.Request{ID: r.Header.Get(n.Dialect.RequestID)}}
+	c := &call{received: received, release: func() {}, request: &briarferry.Request{ID: r.Header.Get(n.Dialect.RequestID)}}
 	table := n.routes.Load()
 	if table == nil {
 		return c, &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "no route table is known yet", RetryAfter: startRetryAfter}
@@ -110,13 +112,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return c, &briarferry.Refusal{Status: http.StatusRequestEntityTooLarge, Outcome: briarferry.OutcomeNotRun, Reason: "the body is too large"}
-	case err != nil:
-		return c, &briarferry.Refusal{Status: http.StatusBadRequest, Outcome: briarferry.OutcomeNotRun, Reason: "the body could not be read"}
+	body, release, refusal := n.readBody(w, r, limit)
+	c.release = release
+	if refusal != nil {
+		return c, refusal
 	}
 	c.request.Body = body
 	c.request.Fingerprint = fingerprint(c.request)
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -232,6 +232,40 @@
 	}
 }
 
+// TestBodyRoom guards against bodies that together fill the memory, bodies that are cut,
+// and room that is never given back.
+func TestBodyRoom(t *testing.T) {
+	r := newRig(t, answer(200, "X-Receipt"))
+	r.node.room.limit = 600
+	for _, size := range []int{0, 1, 599, 600} {
+		reply, err := r.send(t.Context(), "/order/1", strings.Repeat("x", size))
+		if err != nil || reply.status != 200 {
+			t.Errorf("%d bytes: status %d, %v", size, reply.status, err)
+		}
+	}
+	if reply, err := r.send(t.Context(), "/order/1", strings.Repeat("x", 601)); err != nil || reply.status != 503 || reply.problem.Outcome != briarferry.OutcomeNotRun {
+		t.Errorf("beyond the room: status %d, %v", reply.status, err)
+	}
+	if used := r.node.room.used.Load(); used != 0 {
+		t.Errorf("%d bytes are still held", used)
+	}
+}
+
+// TestChunkedBody guards against bytes of a body without a length that don't arrive.
+func TestChunkedBody(t *testing.T) {
+	body := strings.Repeat("0123456789", 20_000)
+	n := &Node{}
+	for _, length := range []int64{-1, int64(len(body))} {
+		req := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+		req.ContentLength = length
+		got, release, refusal := n.readBody(httptest.NewRecorder(), req, 1<<20)
+		release()
+		if refusal != nil || string(got) != body {
+			t.Errorf("length %d: %d of %d bytes, %v", length, len(got), len(body), refusal)
+		}
+	}
+}
+
 // TestStop guards against a stopping entry that keeps callers, refuses them too early or
 // takes new work at the end.
 func TestStop(t *testing.T) {
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -58,8 +58,12 @@
 		// DrainFor the time in which new requests are still taken.
 		Grace    time.Duration
 		DrainFor time.Duration
+		// BodyRoom bounds the bytes of callers' bodies that are held at the same time;
+		// zero sets no bound.
+		BodyRoom int64
 		Log      zerolog.Logger
 
+		room       bodyRoom
 		sync       *fleetSync
 		steering   *bfsteering.Steering
 		quarantine *bfquarantine.Quarantine
@@ -94,6 +98,7 @@
 		regions: n.Regions, seeds: n.Seeds, port: n.ControlGossip, ready: n.isReady, changed: n.update, log: n.Log,
 	}
 	n.sync.setup()
+	n.room.limit = n.BodyRoom
 	n.steering = &bfsteering.Steering{
 		Region: n.VM.Region, FailureDomain: n.VM.FailureDomain, Regions: n.Regions, Limits: n.Limits, Log: n.Log,
 		Entries: func() int { return len(n.sync.Live()) }, Neighbours: n.sync.neighbours,
