Keep the calls of a routed deployment at one place

Cause: names, clients and handlers of the same calls stood in bfcontrol and bfgateway, and the VM of a replica's id was cut out at four places. Ruled out: nothing.

--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -176,7 +176,7 @@
 			if wait := time.Until(p.due); wait > 0 {
 				time.Sleep(wait)
 			}
-			if m := c.member(vmOf(p.m.To)); m != nil {
+			if m := c.member(VMOf(p.m.To)); m != nil {
 				m.node.Deliver(p.m)
 			}
 		}
@@ -184,7 +184,7 @@
 }
 
 func (p *port) Send(_ context.Context, to string, m bfraft.Message) error {
-	c, key := p.c, [2]string{p.vm, vmOf(to)}
+	c, key := p.c, [2]string{p.vm, VMOf(to)}
 	c.mu.Lock()
 	lost := c.cut[key] || c.drop > 0 && c.r.Float64() < c.drop
 	c.mu.Unlock()
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -52,7 +52,7 @@
 			n.enter(ctx, vm, info)
 			return
 		}
-		if vmOf(info.ID) == vm && slices.Contains(n.Control, vm) {
+		if VMOf(info.ID) == vm && slices.Contains(n.Control, vm) {
 			ids = append(ids, info.ID)
 		}
 	}
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, formTimeout)
 	defer cancel()
 	for vm, info := range n.askAll(ctx) {
-		if leader := vmOf(info.Leader); leader == vm && leader != n.VM {
+		if leader := VMOf(info.Leader); leader == vm && leader != n.VM {
 			_ = n.Discovery.Join(ctx, leader, n.Info().ID)
 			return
 		}
@@ -88,7 +88,7 @@
 	if n.Open {
 		s := n.Status()
 		for _, id := range slices.Concat(s.Voters, s.Learners) {
-			vms = append(vms, vmOf(id))
+			vms = append(vms, VMOf(id))
 		}
 	}
 	slices.Sort(vms)
@@ -126,7 +126,7 @@
 		return
 	}
 	targets := []string{vm}
-	if leader := vmOf(info.Leader); leader != "" && leader != vm {
+	if leader := VMOf(info.Leader); leader != "" && leader != vm {
 		targets = append(targets, leader)
 	}
 	for _, target := range targets {
@@ -150,7 +150,7 @@
 
 // Join adds an empty replica as a learner where this replica leads.
 func (n *Node) Join(ctx context.Context, id string) error {
-	if !n.Open && !slices.Contains(n.Control, vmOf(id)) {
+	if !n.Open && !slices.Contains(n.Control, VMOf(id)) {
 		return eris.Errorf("bfreplica: %q is on no control VM", id)
 	}
 	var failed error
@@ -238,7 +238,7 @@
 		successors = slices.Concat(m.Voters, m.Learners)
 	}
 	for _, other := range successors {
-		if other != id && vmOf(other) == vmOf(id) && n.core.Silent(other) < limit {
+		if other != id && VMOf(other) == VMOf(id) && n.core.Silent(other) < limit {
 			return true
 		}
 	}
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -354,8 +354,8 @@
 	}
 }
 
-// vmOf returns the VM name of a replica id.
-func vmOf(id string) string {
+// VMOf returns the VM name of a replica id, which has the form vm/disk.
+func VMOf(id string) string {
 	vm, _, _ := strings.Cut(id, "/")
 	return vm
 }
--- a/internal/coordination/bfreplica/open_test.go
+++ b/internal/coordination/bfreplica/open_test.go
@@ -18,7 +18,7 @@
 	}
 	var out []string
 	for _, id := range l.node.Status().Voters {
-		out = append(out, vmOf(id))
+		out = append(out, VMOf(id))
 	}
 	slices.Sort(out)
 	return out
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -131,7 +131,7 @@
 func (n *Node) listen(group *errgroup.Group) ([]*http.Server, error) {
 	mux := http.NewServeMux()
 	bfrpc.HandleRaft(mux, n.replica)
-	n.handleCalls(mux)
+	bfrpc.HandleFleet(mux, n)
 	rpc := bfrpc.NewServer(mux)
 	servers := []*http.Server{rpc}
 	if err := serve(group, rpc, n.RPC); err != nil {
@@ -206,7 +206,7 @@
 	s := n.replica.Status()
 	var out []netip.Addr
 	for _, id := range append(s.Voters, s.Learners...) {
-		if a, ok := n.resolve(vmOf(id)); ok {
+		if a, ok := n.resolve(bfreplica.VMOf(id)); ok {
 			out = append(out, a.Addr())
 		}
 	}
--- a/internal/transport/bfcontrol/propose.go
+++ b/internal/transport/bfcontrol/propose.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,15 +18,11 @@
 )
 
 const (
-	fleetQuery  = "/briarferry.Fleet/Query"
-	fleetChange = "/briarferry.Fleet/Change"
-
 	// proposePause is the wait before another try where no leader is known.
 	proposePause = 40 * time.Millisecond
 	// callTimeout bounds one call of the leader: four round trips between the most
 	// distant regions, and a sync.
 	callTimeout = 600 * time.Millisecond
-	dialTimeout = 300 * time.Millisecond
 )
 
 var (
@@ -56,7 +50,7 @@
 	defer l.mu.Unlock()
 	c := l.clients[to]
 	if c == nil {
-		c = newCallClient()
+		c = bfrpc.NewFleetClient()
 		l.clients[to] = c
 	}
 	return c
@@ -72,11 +66,6 @@
 	c.CloseIdleConnections()
 }
 
-func newCallClient() *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
-}
-
 // propose has the leader run a command and returns its result. Commands give the same
 // result when they are run again, so a try whose fate is unknown is repeated until the
 // context ends.
@@ -107,14 +96,14 @@
 	if s.IsLeader {
 		return n.commit(ctx, cmd)
 	}
-	to, ok := n.resolve(vmOf(s.Leader))
+	to, ok := n.resolve(bfreplica.VMOf(s.Leader))
 	if !ok {
 		return bffleet.Result{}, ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := n.leaders.client(to)
-	reply, err := bfrpc.NewCall[bfwire.FleetChange, bfwire.FleetResult](client, "http://"+to.String(), fleetChange)(ctx, &bfwire.FleetChange{Command: cmd})
+	reply, err := bfrpc.ChangeFleet(ctx, client, to, &bfwire.FleetChange{Command: cmd})
 	if err != nil {
 		n.leaders.drop(to, client)
 		return bffleet.Result{}, err
@@ -134,31 +123,25 @@
 	return bffleet.DecodeResult(data)
 }
 
-// handleCalls serves the calls of other VMs.
-func (n *Node) handleCalls(mux *http.ServeMux) {
-	bfrpc.Handle(mux, fleetChange, func(ctx context.Context, r *bfwire.FleetChange) (*bfwire.FleetResult, error) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		result, err := n.commit(ctx, r.Command)
-		if errors.Is(err, briarferry.ErrNotLeader) {
-			return &bfwire.FleetResult{NotLeader: true}, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		return &bfwire.FleetResult{Result: result}, nil
-	})
-	bfrpc.Handle(mux, fleetQuery, func(_ context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
-		reply := &bfwire.FleetReply{Update: *n.machine.State().Since(q.Revision)}
-		if q.Entries {
-			reply.Entries = n.entries.live(time.Now())
-		}
-		return reply, nil
-	})
+// Change runs the command of another VM where this one leads.
+func (n *Node) Change(ctx context.Context, c *bfwire.FleetChange) (*bfwire.FleetResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := n.commit(ctx, c.Command)
+	if errors.Is(err, briarferry.ErrNotLeader) {
+		return &bfwire.FleetResult{NotLeader: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &bfwire.FleetResult{Result: result}, nil
 }
 
-// vmOf returns the VM of a replica's ID.
-func vmOf(id string) string {
-	vm, _, _ := strings.Cut(id, "/")
-	return vm
+// Query returns what an entry lacks.
+func (n *Node) Query(_ context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
+	reply := &bfwire.FleetReply{Update: *n.machine.State().Since(q.Revision)}
+	if q.Entries {
+		reply.Entries = n.entries.live(time.Now())
+	}
+	return reply, nil
 }
--- a/internal/transport/bfgateway/sync.go
+++ b/internal/transport/bfgateway/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -20,12 +19,9 @@
 )
 
 const (
-	fleetQuery = "/briarferry.Fleet/Query"
-
 	beatInterval = 500 * time.Millisecond
 	// queryTimeout bounds one fetch; a large route table needs some of it on a slow link.
 	queryTimeout = 800 * time.Millisecond
-	dialTimeout  = 300 * time.Millisecond
 	// controlExpiry is the time without a beat after which a control VM counts as lost.
 	controlExpiry = 1800 * time.Millisecond
 	// wakeQueue bounds the notices that wait; each one covers all earlier ones.
@@ -82,12 +78,7 @@
 	f.wake, f.beats = make(chan struct{}, wakeQueue), make(chan struct{}, wakeQueue)
 	f.sent = map[uint64]time.Time{}
 	f.controls = map[netip.AddrPort]*controlState{}
-	f.client = newFetchClient()
-}
-
-func newFetchClient() *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: 20 * time.Second}}
+	f.client = bfrpc.NewFleetClient()
 }
 
 // run beats and fetches until the context ends.
@@ -208,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	started := time.Now()
-	reply, err := bfrpc.NewCall[bfwire.FleetQuery, bfwire.FleetReply](f.client, "http://"+from.String(), fleetQuery)(ctx, &bfwire.FleetQuery{Revision: have.Revision, Entries: true})
+	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: have.Revision, Entries: true})
 	if err != nil {
 		f.failed(from, err)
 		return true
--- a/internal/transport/bfnode/control.go
+++ b/internal/transport/bfnode/control.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strings"
 
 	"golang.org/x/sync/errgroup"
 
@@ -120,8 +119,7 @@
 
 // controlAddress returns the RPC address of a replica, whose id is "vm/disk".
 func (n *Node) controlAddress(id string) (netip.AddrPort, bool) {
-	vm, _, _ := strings.Cut(id, "/")
-	address, ok := n.Control[vm]
+	address, ok := n.Control[bfreplica.VMOf(id)]
 	return address, ok
 }
 
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -213,8 +213,7 @@
 
 // Send queues a message for the VM of the replica.
 func (c *RaftClient) Send(_ context.Context, to string, m bfraft.Message) error {
-	vm, _, _ := strings.Cut(to, "/")
-	p := c.peer(vm)
+	p := c.peer(bfreplica.VMOf(to))
 	if p == nil || !p.push(m) {
 		return ErrQueueFull
 	}
