Let late requests wait at servers that have their key

Cause: a late request only went to a free slot, so that with a busy first server it ran cold in another region although its own server would have answered sooner. Change: up to 1.34 requests a slot at servers that have the key or are its first ones.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -22,6 +22,8 @@
 	// lateQueue is how many requests for each slot may be at a server where none can
 	// answer within its target.
 	lateQueue = 1.0
+	// ownQueue is the same for servers that have the key or are its first ones.
+	ownQueue = 1.34
 	// secondShare is the same for the second server of a key.
 	secondShare = 0.5
 	// spareShare is the load for each slot up to which a server has time to spare.
@@ -316,6 +318,9 @@
 // other keys out, and under load every server would end up cold for most requests.
 func (c *candidate) roomForLate(r *Request) bool {
 	share := lateQueue
+	if c.warm || c.place == 0 && c.network == 0 {
+		share = ownQueue
+	}
 	if r.key() != "" && !c.warm && c.place > 0 {
 		if c.place > 1 {
 			return false
