--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -23,7 +23,7 @@
 	// answer within its target.
 	lateQueue = 1.0
 	// ownQueue is the same for servers that have the key or are its first ones.
-	ownQueue = 2
+	ownQueue = 3
 	// secondShare is the same for the second server of a key.
 	secondShare = 0.5
 	// spareShare is the load for each slot up to which a server has time to spare.
