Bound cold servers, shifts and queues also with many entries and after an overload

Ruled out: colder servers (they stayed warm in the overload); more shift disturbances.

Change: each entry starts at a cold server after its own part of the interval; a wait teaches no slowness; waits are counted by the real time of a slot; late requests queue only up to 1.6 times the target; the first window counts whole until the second is over.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -22,8 +22,11 @@
 	// lateQueue is how many requests for each slot may be at a server where none can
 	// answer within its target.
 	lateQueue = 1.0
-	// ownQueue is the same for servers that have the key or are its first ones.
-	ownQueue = 3
+	// ownQueue is the same for servers that have the key or are its first ones, where
+	// the answer is expected within hopeShare of the time for answers on time. A longer
+	// queue would make the requests after it late too.
+	ownQueue  = 3
+	hopeShare = 1.6
 	// secondShare is the same for the second server of a key.
 	secondShare = 0.5
 	// spareShare is the load for each slot up to which a server has time to spare.
@@ -93,6 +96,8 @@
 		// place is 0 for the first server of a key in its region, 1 for the second and
 		// 2 for all others.
 		place int
+		// hopeful tells that the answer is soon after the target if the server has the key.
+		hopeful bool
 		// guessed tells that no answer has shown yet how long the route's requests take.
 		guessed bool
 	}
@@ -251,9 +256,10 @@
 	}
 	wait := time.Duration(0)
 	if excess := c.load + 1 - float64(srv.Slots); excess > 0 {
-		wait = time.Duration(excess / float64(srv.Slots) * float64(m.mean(there)))
+		wait = time.Duration(excess / float64(srv.Slots) * float64(m.slot(there)))
 	}
 	c.estimate = c.network + time.Duration(float64(work+wait)*slow)
+	c.hopeful = c.network+time.Duration(float64(warm+wait)*slow) <= time.Duration(hopeShare*float64(limitOf(r)))
 	c.cost = c.estimate
 	// Making a server warm pays later, so it must not take what others need now.
 	spare := c.load+1 <= spareShare*float64(srv.Slots)
@@ -318,7 +324,7 @@
 // other keys out, and under load every server would end up cold for most requests.
 func (c *candidate) roomForLate(r *Request) bool {
 	share := lateQueue
-	if c.warm || c.place == 0 && c.network == 0 {
+	if c.hopeful && (c.warm || c.place == 0 && c.network == 0) {
 		share = ownQueue
 	}
 	if r.key() != "" && !c.warm && c.place > 0 {
--- a/internal/coordination/bfsteering/model.go
+++ b/internal/coordination/bfsteering/model.go
@@ -23,6 +23,8 @@
 	// warm and cold are the times of servers that did or didn't have the key, without
 	// the network and without waiting.
 	warm, cold average
+	// all is the time of all servers.
+	all average
 	// keep estimates how many keys a server keeps warm.
 	keep float64
 	// kilobytes is the size of a request with its answer.
@@ -88,14 +90,18 @@
 	return max(m.warm.value, time.Duration(coldGuess*float64(there)))
 }
 
-// mean returns the expected time of a request whose state is not known.
-func (m *model) mean(there time.Duration) time.Duration {
-	return (m.expect(true, there) + m.expect(false, there)) / 2
+// slot returns how long a request is expected to hold a slot.
+func (m *model) slot(there time.Duration) time.Duration {
+	if m.all.samples < minSamples {
+		return m.expect(false, there)
+	}
+	return m.all.value
 }
 
 // learn takes the server time of an answer for a key that the server was expected to
 // have or not. Surprises move the estimate of how many keys servers keep.
 func (m *model) learn(expectedWarm bool, d time.Duration) {
+	m.all.add(d)
 	fast := m.warm.samples > 0 && m.cold.samples > 0 && d < (m.warm.value+m.cold.value)/2
 	slow := m.warm.samples > 0 && m.cold.samples > 0 && !fast
 	switch {
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -132,7 +132,8 @@
 	expected := max(t.Expected, time.Millisecond)
 	slow := srv.slowness.get(now, slowLife)
 	ratio := float64(took)/float64(expected)*(1+slow) - 1
-	if ratio > slowStep*(1+slow)-1 || slow > 0.2 {
+	// A wait behind other requests says little about the server's own speed.
+	if !t.waited && ratio > slowStep*(1+slow)-1 || slow > 0.2 && ratio < slow {
 		srv.slowness.add(now, slowLife, min(maxSlow, max(0, ratio)))
 	}
 	if t.key != "" {
@@ -143,6 +144,7 @@
 		return
 	}
 	if !t.waited && !cold && slow < 0.5 {
+		t.model.all.add(work)
 		t.model.cold.add(work)
 		t.model.warm.add(work)
 	}
@@ -204,7 +206,7 @@
 			srv.ejectedUntil = time.Time{}
 			if srv.restarted {
 				srv.restarted = false
-				srv.chill(now.Add(v.config.ColdStart.Std()))
+				srv.chill(now, now.Add(v.config.ColdStart.Std()))
 			}
 			s.Log.Info().Str("instance", srv.ID).Str("backend", srv.Address.String()).Str("service", srv.Service).Msg("backend server is back")
 		}
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -46,8 +46,13 @@
 		othersAt time.Time
 		answered time.Time
 
+		// coldUntil is the end of the time in which the server bears few requests. This
+		// entry sends its first one when a part of its interval has passed that differs
+		// from entry to entry, as all of them at once would be too many.
 		coldUntil time.Time
+		coldSince time.Time
 		coldSent  time.Time
+		coldPhase float64
 
 		// suspect tells that an answer is overdue; checked is when a connection to the
 		// server was last tried.
@@ -128,8 +133,11 @@
 }
 
 // chill treats the server as cold until the given time.
-func (s *server) chill(until time.Time) {
+func (s *server) chill(now, until time.Time) {
 	if until.After(s.coldUntil) {
+		if !now.Before(s.coldUntil) {
+			s.coldSince = now
+		}
 		s.coldUntil = until
 		s.warm.clear()
 	}
@@ -159,7 +167,13 @@
 		return false
 	}
 	gap := time.Duration(float64(entries) / c.ColdRate * float64(time.Second))
-	return now.Sub(s.coldSent) < gap
+	first := s.coldSince.Add(time.Duration(s.coldPhase * float64(gap)))
+	return now.Before(first) || now.Sub(s.coldSent) < gap
+}
+
+// phaseOf returns a number from 0 to 1 that differs from entry to entry.
+func phaseOf(entry, instance string) float64 {
+	return float64(xxhash.Sum64String(entry+"\x00"+instance)>>11) / (1 << 53)
 }
 
 func (s *server) eject(now time.Time) {
--- a/internal/coordination/bfsteering/shift.go
+++ b/internal/coordination/bfsteering/shift.go
@@ -12,10 +12,10 @@
 	shiftWindow  = 2 * time.Second
 	latestWindow = 500 * time.Millisecond
 	shiftBucket  = 100 * time.Millisecond
-	shiftSlots   = int((shiftWindow + latestWindow) / shiftBucket)
+	shiftSlots   = int(2 * shiftWindow / shiftBucket)
 	// shiftShare is the part of the limit that an entry uses; the rest covers chance
 	// and the other entries of the region.
-	shiftShare = 0.3
+	shiftShare = 0.25
 	// shiftPrior is the number of requests with the earlier shares that are added to
 	// the latest window, so that its first requests don't decide alone.
 	shiftPrior = 10
@@ -117,13 +117,17 @@
 }
 
 // sums returns the requests of each region in the latest window and in the one before.
-// After the start of traffic the first window stays the earlier one until another has
-// passed: while servers fill up its shares change, and only its whole says something.
+// After the start of traffic the first window stays the earlier one until another whole
+// one has passed: while servers fill up its shares change, and only its whole says
+// something.
 func (l *shiftLimit) sums() (latest, earlier map[string]int, latestAll, earlierAll int) {
 	latest, earlier = map[string]int{}, map[string]int{}
 	window, short := int64(shiftWindow/shiftBucket), int64(latestWindow/shiftBucket)
-	boundary := max(l.last-short, min(l.started+window-1, l.last)) + 1
-	for step := max(0, l.last-int64(shiftSlots)+1); step <= l.last; step++ {
+	boundary := l.last - short + 1
+	if l.last-l.started < 2*window {
+		boundary = l.started + window
+	}
+	for step := max(0, min(boundary, l.last+1)-window); step <= l.last; step++ {
 		for region, n := range l.buckets[step%int64(shiftSlots)] {
 			if step >= boundary {
 				latest[region] += n
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -17,7 +17,8 @@
 	// Steering chooses backend servers. Its exported fields are set before use; its
 	// methods may be called at the same time.
 	Steering struct {
-		// Region and FailureDomain are where this entry is.
+		// Name is this entry's name; Region and FailureDomain are where it is.
+		Name          string
 		Region        string
 		FailureDomain string
 		// Regions gives the region of each failure domain.
@@ -122,16 +123,16 @@
 	for _, reported := range list {
 		srv := known[reported.ID]
 		if srv == nil || !srv.SameStart(&reported.Instance) {
-			srv = &server{firstSeen: now, region: s.Regions[reported.FailureDomain], score: scoreSeed(reported.ID)}
+			srv = &server{firstSeen: now, region: s.Regions[reported.FailureDomain], score: scoreSeed(reported.ID), coldPhase: phaseOf(s.Name, reported.ID)}
 			changed = true
 		}
 		if reported.ColdMark > srv.ColdMark {
-			srv.chill(now.Add(reported.ColdFor.Std()))
+			srv.chill(now, now.Add(reported.ColdFor.Std()))
 		}
 		shut := slices.Contains(evacuated, reported.FailureDomain)
 		if srv.evacuated && !shut {
 			// Servers of an evacuated domain may have lost their caches meanwhile.
-			srv.chill(now.Add(config.ColdStart.Std()))
+			srv.chill(now, now.Add(config.ColdStart.Std()))
 		}
 		if srv.evacuated != shut || srv.Draining != reported.Draining {
 			changed = true
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -56,7 +56,7 @@
 	}
 	for i := range entries {
 		s := &Steering{
-			Region: "r1", FailureDomain: []string{"r1-a", "r1-b"}[i%2], Log: zerolog.Nop(),
+			Name: fmt.Sprint("entry-", i), Region: "r1", FailureDomain: []string{"r1-a", "r1-b"}[i%2], Log: zerolog.Nop(),
 			Regions: map[string]string{"r1-a": "r1", "r1-b": "r1", "r2-a": "r2"},
 			Entries: func() int { return entries }, Neighbours: func() int { return entries - 1 },
 			Limits: Limits{RetryShare: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second},
@@ -224,44 +224,50 @@
 // TestColdServerRate guards against a cold server that all entries together send more
 // than it bears.
 func TestColdServerRate(t *testing.T) {
-	const entries = 7
-	f := newFleet(t, entries, map[string]int{"r1-a": 1}, 50)
-	f.now = f.now.Add(time.Second)
-	srv := &f.state.Servers[0]
-	srv.ColdFor, srv.ColdMark = briarferry.Duration(3*time.Second), 2
-	f.update()
-	var sent []time.Time
-	for range 3000 {
-		for _, s := range f.steering {
-			if try, err := s.Choose(f.now, request("")); err == nil {
-				sent = append(sent, f.now)
-				try.Done(f.now, Report{Outcome: Cancelled})
+	// The users' bound is 1.5 times the rate and 5 or 8 more. With many entries, one
+	// request of each at the same moment was too much (mantas-ne-grown, trouble-1).
+	for _, c := range []struct {
+		entries int
+		rate    float64
+		most    int
+	}{{1, 8, 17}, {7, 8, 17}, {31, 4.7, 15}, {200, 4.7, 15}} {
+		f := newFleet(t, c.entries, map[string]int{"r1-a": 1}, 50)
+		f.state.Routes.Services[0].ColdRate = c.rate
+		f.now = f.now.Add(time.Second)
+		srv := &f.state.Servers[0]
+		srv.ColdFor, srv.ColdMark = briarferry.Duration(3*time.Second), 2
+		f.update()
+		var sent []time.Time
+		for range 3000 {
+			for _, s := range f.steering {
+				if try, err := s.Choose(f.now, request("")); err == nil {
+					sent = append(sent, f.now)
+					try.Done(f.now, Report{Outcome: Cancelled})
+				}
 			}
+			f.now = f.now.Add(time.Millisecond)
 		}
-		f.now = f.now.Add(time.Millisecond)
-	}
-	for i := range sent {
-		n := 0
-		for _, at := range sent[i:] {
-			if at.Sub(sent[i]) < time.Second {
-				n++
+		most := 0
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					n++
+				}
 			}
+			most = max(most, n)
 		}
-		// The users' bound is 1.5 times the rate and 5 more.
-		if n > int(8*1.5+5) {
-			t.Fatalf("%d requests in a second", n)
+		if most > c.most || len(sent) == 0 {
+			t.Errorf("%d entries: %d requests, %d in a second; at most %d", c.entries, len(sent), most, c.most)
 		}
 	}
-	if len(sent) == 0 {
-		t.Error("a cold server got nothing")
-	}
 }
 
 // TestShiftIsLimited guards against requests that change regions faster than the limit
 // allows, from the first window of traffic on: a hunted day moved 36 of 100 requests
 // between the first two windows.
 func TestShiftIsLimited(t *testing.T) {
-	for seed := range uint64(12) {
+	for seed := range uint64(40) {
 		checkShift(t, seed)
 	}
 }
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -100,7 +100,7 @@
 	n.sync.setup()
 	n.room.limit = n.BodyRoom
 	n.steering = &bfsteering.Steering{
-		Region: n.VM.Region, FailureDomain: n.VM.FailureDomain, Regions: n.Regions, Limits: n.Limits, Log: n.Log,
+		Name: n.VM.Name, Region: n.VM.Region, FailureDomain: n.VM.FailureDomain, Regions: n.Regions, Limits: n.Limits, Log: n.Log,
 		Entries: func() int { return len(n.sync.Live()) }, Neighbours: n.sync.neighbours,
 	}
 	n.sync.delay = n.steering.SetDelay
