Read through the routed deployment

A field that nothing read, a look-up's time to live that ignored the settings, and tries guarded by the lock of the log's sampler. Ruled out: nothing.

--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -36,7 +36,6 @@
 		bffleet.Server
 		region    string
 		score     uint64
-		firstSeen time.Time
 		evacuated bool
 
 		inFlight int
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -123,7 +123,7 @@
 	for _, reported := range list {
 		srv := known[reported.ID]
 		if srv == nil || !srv.SameStart(&reported.Instance) {
-			srv = &server{firstSeen: now, region: s.Regions[reported.FailureDomain], score: scoreSeed(reported.ID), coldPhase: phaseOf(s.Name, reported.ID)}
+			srv = &server{region: s.Regions[reported.FailureDomain], score: scoreSeed(reported.ID), coldPhase: phaseOf(s.Name, reported.ID)}
 			changed = true
 		}
 		if reported.ColdMark > srv.ColdMark {
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -186,7 +186,7 @@
 	p := s.platform
 	n := &bfcontrol.Node{
 		Address: p.Address, FailureDomain: p.FailureDomain, RPC: s.port(controlRPCPort), Gossip: s.port(controlGossipPort),
-		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, Data: p.DataDir, Regions: p.Regions, Log: s.log,
+		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, Data: p.DataDir, Regions: p.Regions, LookupTTL: p.Bounds.LookupTTL, Log: s.log,
 	}
 	n.Setup()
 	api := &platform.API{Control: n, Status: bfcontrol.Status, Log: s.log}
--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -17,9 +17,10 @@
 	// entryExpiry is the time without a beat after which an entry isn't named any
 	// more: three beats at 500 ms may be lost.
 	entryExpiry = 1800 * time.Millisecond
-	// lookupTTL is how long callers may use the answer of a look-up.
-	lookupTTL  = 2 * time.Second
-	maxEntries = 4096
+	// maxLookupTTL is how long callers may use the answer of a look-up at most: a dead
+	// entry is in use for this time and entryExpiry.
+	maxLookupTTL = 2 * time.Second
+	maxEntries   = 4096
 	// maxNamed bounds the entries of one answer.
 	maxNamed = 64
 )
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -49,6 +49,9 @@
 		Data string
 		// Regions gives the region of each failure domain.
 		Regions map[string]string
+		// LookupTTL bounds how long callers may use the answer of a look-up; zero sets
+		// no bound of its own.
+		LookupTTL time.Duration
 		// HTTP serves the given handlers.
 		HTTP map[netip.AddrPort]http.Handler
 		Log  zerolog.Logger
--- a/internal/transport/bfcontrol/orders.go
+++ b/internal/transport/bfcontrol/orders.go
@@ -79,7 +79,11 @@
 // the answer may be used.
 func (n *Node) Lookup(region, domain string) ([]netip.AddrPort, time.Duration) {
 	counters.lookups.Add(1)
-	return n.entries.lookup(time.Now(), region, domain), lookupTTL
+	ttl := maxLookupTTL
+	if n.LookupTTL > 0 {
+		ttl = min(ttl, n.LookupTTL)
+	}
+	return n.entries.lookup(time.Now(), region, domain), ttl
 }
 
 // Status returns the HTTP status for an error of this package.
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,8 @@
 	key      string
 	received time.Time
 	version  uint64
+	// mu guards attempts, since a try that lost may end after the answer was given.
+	mu       sync.Mutex
 	attempts []attemptRecord
 	// noServer is why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServer
--- a/internal/transport/bfgateway/note.go
+++ b/internal/transport/bfgateway/note.go
@@ -73,12 +73,12 @@
 func (n *Node) record(c *call, t *bfsteering.Try, o bfsteering.Outcome) {
 	counters.tries.Add(string(o), 1)
 	took := time.Since(t.Started())
-	n.sampler.mu.Lock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, attemptRecord{
 		instance: t.Backend.InstanceID, outcome: o, took: took, expected: t.Expected,
 		load: t.Load, loadAge: t.LoadAge, warm: t.Warm,
 	})
-	n.sampler.mu.Unlock()
 }
 
 // note counts the end of a request and writes its line.
@@ -91,9 +91,9 @@
 		late = took > c.route.Target.Std()
 	}
 	latencies.record(route, how, status, took)
-	n.sampler.mu.Lock()
+	c.mu.Lock()
 	attempts := c.attempts
-	n.sampler.mu.Unlock()
+	c.mu.Unlock()
 	ordinary := r == nil && status < 300 && !late && len(attempts) == 1 && how == "answered"
 	if !n.sampler.allow(ordinary) {
 		return
