--- a/internal/coordination/bfsteering/shift.go
+++ b/internal/coordination/bfsteering/shift.go
@@ -25,9 +25,6 @@
 	// disturbedFor is how long a change of the servers suspends the limit, as their
 	// work must go elsewhere at once.
 	disturbedFor = 5 * time.Second
-	// unknownDelay is the round trip time that is assumed to a region until it is
-	// measured.
-	unknownDelay = 100 * time.Millisecond
 )
 
 type (
@@ -43,41 +40,8 @@
 		last      int64
 		disturbed time.Time
 	}
-
-	// delays are the round trip times to other regions.
-	delays struct {
-		mu  sync.RWMutex
-		rtt map[string]time.Duration
-	}
 )
 
-func (d *delays) set(region string, rtt time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.rtt == nil {
-		d.rtt = map[string]time.Duration{}
-	}
-	old, ok := d.rtt[region]
-	if !ok || rtt < old {
-		d.rtt[region] = rtt
-		return
-	}
-	// The shortest time counts, but an old one is given up slowly.
-	d.rtt[region] = old + (rtt-old)/64
-}
-
-func (d *delays) to(region, own string) time.Duration {
-	if region == own {
-		return 0
-	}
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	if rtt, ok := d.rtt[region]; ok {
-		return rtt
-	}
-	return unknownDelay
-}
-
 func (l *shiftLimit) configure(maxShift float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -46,7 +46,7 @@
 		RetrySlack  float64
 		RetryWindow time.Duration
 		// MaxShift is the share of a region's requests that may move to another region
-		// from one ShiftWindow to the next; 0 sets no limit.
+		// from one window of 2 s to the next; 0 sets no limit.
 		MaxShift float64
 	}
 
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -24,6 +24,8 @@
 	hedgeMargin = 200 * time.Millisecond
 	// maxHedge is the longest wait for a second server.
 	maxHedge = 5 * time.Second
+	// shedRetryAfter is what callers are told where servers shed load.
+	shedRetryAfter = 250 * time.Millisecond
 )
 
 type (
@@ -175,9 +177,6 @@
 	return &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: reason, RetryAfter: shedRetryAfter}
 }
 
-// shedRetryAfter is what callers are told where servers shed load.
-const shedRetryAfter = 250 * time.Millisecond
-
 // giveUp ends a request without an answer of a server that ran it well. Only where no
 // server may have run it is it said to be not run.
 func (r *race) giveUp(err error) (*briarferry.Answer, error) {
