Send entries the servers that changed instead of all

Ruled out: compression alone, as ids and addresses hardly compress. Change: servers carry the log index of their last change, the state keeps the last 1,024 removals, and an update names what changed since the entry's revision. An entry that missed more gets the whole list. TestUpdatesBySteps compares an entry that misses updates with the control VM; TestManyRemovals covers more removals than are kept.

--- a/internal/state/bffleet/machine.go
+++ b/internal/state/bffleet/machine.go
@@ -16,8 +16,9 @@
 	// maxAccepted bounds the kept digests of accepted route tables.
 	maxAccepted = 4096
 	// maxDeparted bounds the kept records of instances that have left.
-	maxDeparted    = 8192
-	snapshotFormat = 1
+	maxDeparted = 8192
+	// snapshotFormat 1 had no removals.
+	snapshotFormat = 2
 )
 
 type (
@@ -162,7 +163,11 @@
 	if err := bfcodec.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("bffleet: restore: %w", err)
 	}
-	if s.Format != snapshotFormat {
+	switch s.Format {
+	case 1:
+		s.State.RemovedSince = s.State.ServersRevision
+	case snapshotFormat:
+	default:
 		return fmt.Errorf("bffleet: restore: unknown format %d", s.Format)
 	}
 	m.mu.Lock()
--- a/internal/state/bffleet/machine_test.go
+++ b/internal/state/bffleet/machine_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -216,6 +217,46 @@
 	}
 }
 
+// TestUpdatesBySteps guards against an entry whose list of servers differs from the control
+// VMs' after it fetched only the changes, whatever it missed in between, and against
+// whole lists where the changes are known.
+func TestUpdatesBySteps(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m, index, entry := New(), uint64(0), &State{}
+		for _, c := range rapid.SliceOfN(rapid.Custom(drawCommand), 1, 60).Draw(r, "commands") {
+			apply(t, m, &index, c)
+			if rapid.IntRange(0, 3).Draw(r, "missed") > 0 {
+				continue
+			}
+			u := m.State().Since(entry.Revision)
+			if entry.Revision > 0 && u.Servers != nil {
+				r.Fatal("the whole list was sent")
+			}
+			entry, _ = entry.Apply(u)
+			if !reflect.DeepEqual(entry.Servers, m.State().Servers) && len(entry.Servers)+len(m.State().Servers) > 0 {
+				r.Fatalf("entry has %v, control VM %v", entry.Servers, m.State().Servers)
+			}
+		}
+	})
+}
+
+// TestManyRemovals guards against an entry that keeps servers whose removal is no longer
+// known.
+func TestManyRemovals(t *testing.T) {
+	m, index := New(), uint64(0)
+	apply(t, m, &index, register(instance("kept", "10.0.0.1:80", 1, 1), instance("a", "10.0.0.2:80", 1, 1)))
+	entry, _ := (&State{}).Apply(m.State().Since(0))
+	apply(t, m, &index, Command{Leave: &Leave{ID: "a"}})
+	for i := range maxRemoved {
+		id := fmt.Sprint("x", i)
+		apply(t, m, &index, register(instance(id, "10.0.0.3:80", int64(i+1), 1)), Command{Leave: &Leave{ID: id}})
+	}
+	entry, _ = entry.Apply(m.State().Since(entry.Revision))
+	if len(entry.Servers) != 1 || entry.Servers[0].ID != "kept" {
+		t.Errorf("entry has %v", entry.Servers)
+	}
+}
+
 // FuzzApply guards against a command from the log that ends the process.
 func FuzzApply(f *testing.F) {
 	for _, c := range []Command{put(0, 1, "a"), register(instance("a", "10.0.0.1:80", 1, 1)), {Leave: &Leave{ID: "a"}}} {
--- a/internal/state/bffleet/registry.go
+++ b/internal/state/bffleet/registry.go
@@ -55,14 +55,13 @@
 
 // admit merges the report into the state and tells whether it changed anything.
 func (m *Machine) admit(s *State, index uint64, in *briarferry.Instance) bool {
-	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool {
-		if other.Address != in.Address || other.ID == in.ID {
-			return false
+	for i := len(s.Servers) - 1; i >= 0; i-- {
+		if other := s.Servers[i]; other.Address == in.Address && other.ID != in.ID {
+			m.departed.put(other.ID, other.Started)
+			s.remove(i, index)
 		}
-		m.departed.put(other.ID, other.Started)
-		return true
-	})
-	srv := Server{Instance: *in}
+	}
+	srv := Server{Instance: *in, Changed: index}
 	if in.ColdFor > 0 {
 		srv.ColdMark = index
 	}
@@ -99,7 +98,8 @@
 	m.departed.put(id, old.Servers[i].Started)
 	next := *old
 	next.Revision, next.ServersRevision = index, index
-	next.Servers = slices.Delete(slices.Clone(old.Servers), i, i+1)
+	next.Servers = slices.Clone(old.Servers)
+	next.remove(i, index)
 	m.publish(&next)
 	return CodeOK
 }
--- a/internal/state/bffleet/state.go
+++ b/internal/state/bffleet/state.go
@@ -1,6 +1,7 @@
 package bffleet
 
 import (
+	"cmp"
 	"slices"
 
 	"briarferry"
@@ -9,6 +10,9 @@
 const (
 	maxServers        = 20_000
 	maxFailureDomains = 1024
+	// maxRemoved bounds the kept removals of servers. An entry that missed more of them
+	// gets the whole list.
+	maxRemoved = 1024
 )
 
 type (
@@ -25,6 +29,10 @@
 		// Servers are the registered backend servers, sorted by instance ID.
 		Servers         []Server `cbor:"6,keyasint"`
 		ServersRevision uint64   `cbor:"7,keyasint"`
+		// Removed are the latest removals of servers, the oldest first; all removals
+		// after RemovedSince are among them.
+		Removed      []Removal `cbor:"8,keyasint,omitempty"`
+		RemovedSince uint64    `cbor:"9,keyasint,omitempty"`
 	}
 
 	// Server is a registered instance.
@@ -32,6 +40,15 @@
 		briarferry.Instance
 		// ColdMark is the log index at which the server last reported to be cold.
 		ColdMark uint64 `cbor:"20,keyasint,omitempty"`
+		// Changed is the log index of the last change to this server.
+		Changed uint64 `cbor:"21,keyasint,omitempty"`
+	}
+
+	// Removal is the end of a server's registration.
+	Removal struct {
+		ID string `cbor:"1,keyasint"`
+		// Revision is the log index of the removal.
+		Revision uint64 `cbor:"2,keyasint"`
 	}
 
 	// Update brings a state to a revision; parts that have not changed are not set.
@@ -39,7 +56,11 @@
 		Revision  uint64                 `cbor:"1,keyasint"`
 		Routes    *briarferry.RouteTable `cbor:"2,keyasint,omitempty"`
 		Evacuated *[]string              `cbor:"3,keyasint,omitempty"`
-		Servers   *[]Server              `cbor:"4,keyasint,omitempty"`
+		// Servers is the whole list; where it is not set, Changed and Removed say how
+		// the list differs.
+		Servers *[]Server `cbor:"4,keyasint,omitempty"`
+		Changed []Server  `cbor:"5,keyasint,omitempty"`
+		Removed []string  `cbor:"6,keyasint,omitempty"`
 	}
 )
 
@@ -60,16 +81,20 @@
 	return s.Servers[i], true
 }
 
-func (s *State) find(id string) (int, bool) {
-	return slices.BinarySearchFunc(s.Servers, id, func(srv Server, id string) int {
-		switch {
-		case srv.ID < id:
-			return -1
-		case srv.ID > id:
-			return 1
-		}
-		return 0
-	})
+func (s *State) find(id string) (int, bool) { return findServer(s.Servers, id) }
+
+func findServer(list []Server, id string) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(srv Server, id string) int { return cmp.Compare(srv.ID, id) })
+}
+
+// remove takes the server at a place out of the list, which belongs to this state alone.
+func (s *State) remove(i int, index uint64) {
+	s.Removed = append(slices.Clone(s.Removed), Removal{ID: s.Servers[i].ID, Revision: index})
+	if over := len(s.Removed) - maxRemoved; over > 0 {
+		s.RemovedSince = s.Removed[over-1].Revision
+		s.Removed = s.Removed[over:]
+	}
+	s.Servers = slices.Delete(s.Servers, i, i+1)
 }
 
 // Since returns the parts that changed after the revision.
@@ -81,12 +106,32 @@
 	if s.EvacuatedRevision > revision {
 		u.Evacuated = &s.Evacuated
 	}
-	if s.ServersRevision > revision {
+	switch {
+	case s.ServersRevision <= revision:
+	case revision == 0 || revision < s.RemovedSince:
 		u.Servers = &s.Servers
+	default:
+		u.Changed, u.Removed = s.serversSince(revision)
 	}
 	return u
 }
 
+// serversSince returns the servers that changed after the revision, and the IDs of those
+// that were removed and have not come back.
+func (s *State) serversSince(revision uint64) (changed []Server, removed []string) {
+	for _, srv := range s.Servers {
+		if srv.Changed > revision {
+			changed = append(changed, srv)
+		}
+	}
+	for _, r := range s.Removed {
+		if _, back := s.find(r.ID); !back && r.Revision > revision {
+			removed = append(removed, r.ID)
+		}
+	}
+	return changed, removed
+}
+
 // Apply returns the state that the update makes of this one, or false for an update
 // that is not newer.
 func (s *State) Apply(u *Update) (*State, bool) {
@@ -101,12 +146,34 @@
 	if u.Evacuated != nil {
 		next.Evacuated, next.EvacuatedRevision = *u.Evacuated, u.Revision
 	}
-	if u.Servers != nil {
+	switch {
+	case u.Servers != nil:
 		next.Servers, next.ServersRevision = *u.Servers, u.Revision
+	case len(u.Changed)+len(u.Removed) > 0:
+		next.Servers, next.ServersRevision = merge(s.Servers, u), u.Revision
 	}
 	return &next, true
 }
 
+// merge returns the list of servers after the update's changes.
+func merge(list []Server, u *Update) []Server {
+	next := slices.Clone(list)
+	for _, id := range u.Removed {
+		if i, ok := findServer(next, id); ok {
+			next = slices.Delete(next, i, i+1)
+		}
+	}
+	for _, srv := range u.Changed {
+		i, ok := findServer(next, srv.ID)
+		if !ok {
+			next = slices.Insert(next, i, srv)
+			continue
+		}
+		next[i] = srv
+	}
+	return next
+}
+
 // Validate reports an update beyond the bounds of the state.
 func (u *Update) Validate() briarferry.Findings {
 	var f briarferry.Findings
@@ -119,5 +186,11 @@
 	if u.Servers != nil && len(*u.Servers) > maxServers {
 		f.Add("servers", "must have at most %d entries", maxServers)
 	}
+	if len(u.Changed) > maxServers {
+		f.Add("changed", "must have at most %d entries", maxServers)
+	}
+	if len(u.Removed) > maxRemoved {
+		f.Add("removed", "must have at most %d entries", maxRemoved)
+	}
 	return f
 }
