--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"briarferry"
 )
 
@@ -31,14 +29,6 @@
 	secondShare = 0.5
 	// spareShare is the load for each slot up to which a server has time to spare.
 	spareShare = 0.5
-	// presumedCold is how likely the first server of a region for a key lacks the key.
-	// All entries send a key there first, so that it mostly has it. The second one gets
-	// what the first can't take.
-	presumedCold       = 0.33
-	presumedColdSecond = 0.75
-	// presumedColdFar is the same for the first server of another region, which only
-	// gets what the own region can't take.
-	presumedColdFar = 0.7
 	// warmingShare is the part of the extra time of a cold server that counts where it
 	// still answers on time, since it has the key afterwards.
 	warmingShare = 0.2
@@ -72,6 +62,7 @@
 		network  time.Duration
 		started  time.Time
 		waited   bool
+		likely   likelihood
 	}
 
 	// NoServer is the refusal of a request for which no server was chosen, with what
@@ -93,13 +84,13 @@
 		network  time.Duration
 		load     float64
 		warm     bool
-		// place is 0 for the first server of a key in its region, 1 for the second and
-		// 2 for all others.
-		place int
+		place    int
 		// hopeful tells that the answer is soon after the target if the server has the key.
 		hopeful bool
 		// guessed tells that no answer has shown yet how long the route's requests take.
 		guessed bool
+		// likely is what is presumed where the server isn't known to have the key.
+		likely likelihood
 	}
 )
 
@@ -169,7 +160,7 @@
 	reason := "no backend server is registered for the service"
 	var list, ejected []candidate
 	entries := s.entries()
-	firsts, nearest := v.firsts(r, s.FailureDomain)
+	places := v.places(s, r)
 	for _, srv := range v.servers {
 		if !srv.usable(r) || slices.Contains(r.Avoid, srv.ID) {
 			continue
@@ -178,7 +169,7 @@
 			reason = "the backend servers are cold"
 			continue
 		}
-		c := v.assess(now, s, r, m, srv, firsts[srv.region].place(srv), srv == nearest)
+		c := v.assess(now, s, r, m, srv, places.of(srv))
 		if srv.ejected() {
 			ejected = append(ejected, c)
 			continue
@@ -191,54 +182,11 @@
 	return s.shift.filter(now, list), reason
 }
 
-// preferred are the servers of a region that all entries use first and second for a key.
-type preferred [2]*server
-
-// place returns 0 or 1 for the preferred servers, and 2 for all others.
-func (p preferred) place(srv *server) int {
-	switch srv {
-	case p[0]:
-		return 0
-	case p[1]:
-		return 1
-	}
-	return 2
-}
-
-// firsts returns the preferred servers of each region for the request's key, and the
-// first one in the own failure domain.
-func (v *service) firsts(r *Request, domain string) (map[string]preferred, *server) {
-	key := r.key()
-	if key == "" {
-		return nil, nil
-	}
-	var nearest *server
-	hash := xxhash.Sum64String(key)
-	out := map[string]preferred{}
-	for _, srv := range v.servers {
-		if !srv.usable(r) || srv.ejected() {
-			continue
-		}
-		if srv.FailureDomain == domain && (nearest == nil || srv.rank(hash) > nearest.rank(hash)) {
-			nearest = srv
-		}
-		p := out[srv.region]
-		switch {
-		case p[0] == nil || srv.rank(hash) > p[0].rank(hash):
-			p[0], p[1] = srv, p[0]
-		case p[1] == nil || srv.rank(hash) > p[1].rank(hash):
-			p[1] = srv
-		}
-		out[srv.region] = p
-	}
-	return out, nearest
-}
-
 // assess estimates the answer time of one server and what it costs to use it.
-func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, place int, nearest bool) candidate {
+func (v *service) assess(now time.Time, s *Steering, r *Request, m *model, srv *server, at place) candidate {
 	target := r.Route.Target.Std()
 	there := min(target, r.Remaining)
-	c := candidate{server: srv, place: place, load: srv.load(now, s.neighbours()), network: s.delay.to(srv.region, s.Region)}
+	c := candidate{server: srv, place: at.order, load: srv.load(now, s.neighbours()), network: s.delay.to(srv.region, s.Region)}
 	c.warm = r.key() != "" && srv.warm.has(r.key())
 	slow := 1 + srv.slowness.get(now, slowLife)
 	warm, cold := m.expect(true, there), m.expect(false, there)
@@ -247,12 +195,9 @@
 	switch {
 	case c.warm, c.guessed && r.key() == "":
 		work = warm
-	case place == 0 && srv.region != s.Region:
-		work = warm + time.Duration(presumedColdFar*float64(cold-warm))
-	case place == 0:
-		work = warm + time.Duration(presumedCold*float64(cold-warm))
-	case place == 1:
-		work = warm + time.Duration(presumedColdSecond*float64(cold-warm))
+	default:
+		c.likely = at.likely
+		work = warm + time.Duration(m.coldChance(c.likely)*float64(cold-warm))
 	}
 	wait := time.Duration(0)
 	if excess := c.load + 1 - float64(srv.Slots); excess > 0 {
@@ -266,9 +211,9 @@
 	if spare && c.estimate+time.Duration(spreadMargin*float64(m.cold.spread)) <= limitOf(r) {
 		c.cost -= time.Duration((1 - warmingShare) * float64(work-warm) * slow)
 	}
-	if r.key() != "" && !c.warm && !(nearest && spare) {
+	if r.key() != "" && !c.warm && !(at.nearest && spare) {
 		// Elsewhere the key drives out another one.
-		c.cost += time.Duration(float64(place) / 2 * float64(cold-warm))
+		c.cost += time.Duration(float64(at.order) / 2 * float64(cold-warm))
 	}
 	bytes := time.Duration(m.kilobytes.get() * float64(kilobyteCost))
 	if srv.FailureDomain != s.FailureDomain {
@@ -351,6 +296,6 @@
 	return &Try{
 		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.othersAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
-		waited: c.load+1 > float64(srv.Slots), Known: m.cold.samples >= minSamples,
+		waited: c.load+1 > float64(srv.Slots), Known: m.cold.samples >= minSamples, likely: c.likely,
 	}
 }
--- a/internal/coordination/bfsteering/model.go
+++ b/internal/coordination/bfsteering/model.go
@@ -17,6 +17,29 @@
 	minSamples = 5
 )
 
+// The likelihoods that a server lacks a key of which this entry knows nothing there.
+const (
+	// presumeCold stands for servers that are neither first nor second for the key.
+	presumeCold likelihood = iota
+	// presumeFirst stands for the first server of a key. All entries of the region send
+	// it there first, so that it mostly has it.
+	presumeFirst
+	// presumeSecond stands for the second one in the own region, which gets what the
+	// first can't take.
+	presumeSecond
+	// presumeFar stands for the first server elsewhere of a key that belongs in the own
+	// region; it gets what both can't take.
+	presumeFar
+
+	likelihoods
+)
+
+// initialCold are the likelihoods until answers have shown them.
+var initialCold = [likelihoods]float64{presumeCold: 1, presumeFirst: 0.33, presumeSecond: 0.75, presumeFar: 0.7}
+
+// likelihood names what is presumed of a server that isn't known to have a key.
+type likelihood int
+
 // model is what the answers to one route's requests at one service have shown. It
 // belongs to its service's lock.
 type model struct {
@@ -29,6 +52,19 @@
 	keep float64
 	// kilobytes is the size of a request with its answer.
 	kilobytes mean
+	// lacked are the shares of the keys that servers turned out to lack.
+	lacked [likelihoods]mean
+}
+
+// coldChance returns how likely a server lacks a key of which nothing is known there.
+func (m *model) coldChance(l likelihood) float64 {
+	if l == presumeCold {
+		return initialCold[l]
+	}
+	if !m.lacked[l].known {
+		return initialCold[l]
+	}
+	return m.lacked[l].value
 }
 
 // mean is an exponential moving average of plain numbers.
@@ -47,6 +83,21 @@
 
 func (m *mean) get() float64 { return m.value }
 
+// learn adds a sample to a mean that starts at a prior.
+func (m *mean) learn(prior, v float64) {
+	if !m.known {
+		m.value, m.known = prior, true
+	}
+	m.add(v)
+}
+
+func boolToShare(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // average is an exponential moving average.
 type average struct {
 	value   time.Duration
@@ -99,11 +150,16 @@
 }
 
 // learn takes the server time of an answer for a key that the server was expected to
-// have or not. Surprises move the estimate of how many keys servers keep.
-func (m *model) learn(expectedWarm bool, d time.Duration) {
+// have or not, and what was presumed in the latter case. Surprises move the estimate of
+// how many keys servers keep.
+func (m *model) learn(expectedWarm bool, l likelihood, d time.Duration) {
 	m.all.add(d)
-	fast := m.warm.samples > 0 && m.cold.samples > 0 && d < (m.warm.value+m.cold.value)/2
-	slow := m.warm.samples > 0 && m.cold.samples > 0 && !fast
+	both := m.warm.samples > 0 && m.cold.samples > 0
+	fast := both && d < (m.warm.value+m.cold.value)/2
+	slow := both && !fast
+	if both && !expectedWarm {
+		m.lacked[l].learn(initialCold[l], boolToShare(slow))
+	}
 	switch {
 	case expectedWarm && slow:
 		m.keep = max(minKeep, m.keep*0.98)
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -15,8 +15,10 @@
 	Shed Outcome = "shed"
 	// Misdirected is an answer of another instance at the server's address.
 	Misdirected Outcome = "misdirected"
-	// Refused is a connection that could not be made; nothing was sent.
+	// Refused is a connection that the server's machine refused; nothing was sent.
 	Refused Outcome = "refused"
+	// Unreachable is a connection that was not made in time; nothing was sent.
+	Unreachable Outcome = "unreachable"
 	// Died is a connection that ended without a whole answer.
 	Died Outcome = "died"
 	// Silent is a try that got no answer in time.
@@ -75,6 +77,10 @@
 	case Refused:
 		srv.restarted = true
 		t.lose(now, "connection refused")
+	case Unreachable:
+		if !t.steering.path.timedOut(now, srv.FailureDomain) {
+			t.lose(now, "connection timed out")
+		}
 	case Died:
 		srv.errors.add(now, errorLife, 1)
 		srv.dead++
@@ -138,7 +144,7 @@
 	}
 	if t.key != "" {
 		if !t.waited && !cold && slow < 0.5 {
-			t.model.learn(t.Warm, work)
+			t.model.learn(t.Warm, t.likely, work)
 		}
 		srv.warm.touch(t.key, int(t.model.keep))
 		return
@@ -188,9 +194,11 @@
 	return out
 }
 
-// Checked tells whether the server accepted a connection. A server that was restarted
-// counts as cold.
-func (s *Steering) Checked(now time.Time, b briarferry.Backend, alive bool) {
+// Checked takes the outcome of a connection that was opened to see whether the server is
+// there. A server that was restarted counts as cold.
+func (s *Steering) Checked(now time.Time, b briarferry.Backend, o Outcome) {
+	alive := o == Answered
+	blocked := o == Unreachable && s.path.timedOut(now, b.FailureDomain)
 	v := s.service(b.Service)
 	if v == nil {
 		return
@@ -200,7 +208,7 @@
 	for _, srv := range v.servers {
 		switch {
 		case srv.ID != b.InstanceID:
-		case !alive && !srv.ejected():
+		case !alive && !srv.ejected() && !blocked:
 			s.lose(now, srv, "no connection")
 		case alive && srv.ejected():
 			srv.ejectedUntil = time.Time{}
--- a/internal/coordination/bfsteering/shift.go
+++ b/internal/coordination/bfsteering/shift.go
@@ -1,6 +1,7 @@
 package bfsteering
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -105,8 +106,9 @@
 	return latest, earlier, latestAll, earlierAll
 }
 
-// filter drops the servers of regions whose share would grow too fast, unless no others
-// are left.
+// filter drops the servers of regions whose share would grow too fast. Where it would in
+// all regions, as the first request of a window is all of it, the one with the least
+// growth is left.
 func (l *shiftLimit) filter(now time.Time, list []candidate) []candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -118,17 +120,19 @@
 	if before < minShiftSample || l.last-l.started < int64(shiftWindow/shiftBucket) {
 		return list
 	}
-	kept := make([]candidate, 0, len(list))
+	growth := map[string]float64{}
+	least := math.Inf(1)
 	for _, c := range list {
 		region := c.server.region
 		old := float64(earlier[region]) / float64(before)
-		share := (float64(latest[region]) + shiftPrior*old + 1) / float64(all+shiftPrior+1)
-		if share <= old+shiftShare*l.max {
+		growth[region] = (float64(latest[region])+shiftPrior*old+1)/float64(all+shiftPrior+1) - old
+		least = min(least, growth[region])
+	}
+	kept := make([]candidate, 0, len(list))
+	for _, c := range list {
+		if growth[c.server.region] <= max(least, shiftShare*l.max) {
 			kept = append(kept, c)
 		}
 	}
-	if len(kept) == 0 {
-		return list
-	}
 	return kept
 }
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -33,6 +33,7 @@
 
 		shift shiftLimit
 		delay delays
+		path  ownPath
 
 		mu       sync.RWMutex
 		services map[string]*service
@@ -81,6 +82,7 @@
 // Update takes over a new state.
 func (s *Steering) Update(now time.Time, state *bffleet.State) {
 	s.shift.configure(s.Limits.MaxShift)
+	s.path.configure(s.FailureDomain, len(s.Regions), s.Log)
 	groups := map[string][]bffleet.Server{}
 	for _, srv := range state.Servers {
 		groups[srv.Service] = append(groups[srv.Service], srv)
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -159,7 +159,7 @@
 		}
 	}
 	m := v.model(r.Route.Name)
-	return v.begin(f.now, s, &r, m, v.assess(f.now, s, &r, m, best, 2, false)), nil
+	return v.begin(f.now, s, &r, m, v.assess(f.now, s, &r, m, best, place{order: 2})), nil
 }
 
 // TestAffinityBeatsLeastLoaded guards against the collapse in which requests spread over
@@ -345,11 +345,11 @@
 	if len(due) != 1 || due[0].InstanceID != gone.InstanceID {
 		t.Fatalf("due %v", due)
 	}
-	s.Checked(f.now, due[0], false)
+	s.Checked(f.now, due[0], Refused)
 	if len(s.Due(f.now)) != 0 {
 		t.Error("checked again at once")
 	}
-	s.Checked(f.now, due[0], true)
+	s.Checked(f.now, due[0], Answered)
 	f.now = f.now.Add(4 * time.Second)
 	seen := false
 	for k := range 40 {
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -150,7 +150,7 @@
 		return o.answer, nil, true
 	case bfsteering.Failed:
 		r.failure = o.answer
-	case bfsteering.Refused, bfsteering.Cancelled:
+	case bfsteering.Refused, bfsteering.Unreachable, bfsteering.Cancelled:
 		r.sent--
 		r.dials++
 	case bfsteering.Shed, bfsteering.Misdirected:
@@ -241,8 +241,11 @@
 		r.Outcome = bfsteering.Cancelled
 	case !tryErr.Dispatched:
 		r.Outcome = bfsteering.Refused
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			r.Outcome = bfsteering.Cancelled
+		case tryErr.Silent:
+			r.Outcome = bfsteering.Unreachable
 		}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.Outcome = bfsteering.Silent
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -232,9 +232,19 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 				defer cancel()
-				err := n.upstream.Probe(ctx, b)
-				n.steering.Checked(time.Now(), b, err == nil)
+				n.steering.Checked(time.Now(), b, checkOutcome(n.upstream.Probe(ctx, b)))
 			}()
 		}
 	}
 }
+
+// checkOutcome classifies the result of opening a connection.
+func checkOutcome(err error) bfsteering.Outcome {
+	switch {
+	case err == nil:
+		return bfsteering.Answered
+	case errors.Is(err, context.DeadlineExceeded):
+		return bfsteering.Unreachable
+	}
+	return bfsteering.Refused
+}
