--- a/internal/protocol/bfwire/fleet.go
+++ b/internal/protocol/bfwire/fleet.go
@@ -22,6 +22,8 @@
 		// Revision is the state that the entry acts on.
 		Revision uint64
 		Sequence uint64
+		// Load is the share of the entry's link that is in use.
+		Load float64
 	}
 
 	// EntryInfo describes an entry to the control VMs and to other entries.
@@ -93,6 +95,9 @@
 	if !b.Entry.HTTP.IsValid() || !b.Entry.Gossip.IsValid() {
 		f.Add("entry.address", "must be IP addresses with ports")
 	}
+	if !(b.Load >= 0) {
+		f.Add("load", "must be a number from 0 on")
+	}
 	return f
 }
 
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -35,6 +35,9 @@
 	// maxDrain is how long callers use an answer of the directory, with some margin.
 	maxDrain = 3 * time.Second
 	megabyte = 1 << 20
+	// Links are rated in decimal units.
+	megabit     = 1_000_000
+	bitsPerByte = 8
 )
 
 // The offsets of the internal ports from the first one.
@@ -48,15 +51,16 @@
 type (
 	// vmFlags are the settings of an entry or control process as text.
 	vmFlags struct {
-		nodeFile, metrics, logLevel, traceEndpoint string
-		traceShare                                 float64
-		insecure                                   bool
+		nodeFile, bind, metrics, logLevel, traceEndpoint string
+		traceShare                                       float64
+		insecure                                         bool
 	}
 
 	// vmSettings are the checked settings of an entry or control process.
 	vmSettings struct {
 		platform *platform.Settings
 		watcher  *platform.Watcher
+		bind     netip.Addr
 		metrics  uint16
 		log      zerolog.Logger
 		writer   *bflog.Writer
@@ -93,6 +97,7 @@
 
 func (f *vmFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&f.nodeFile, "node-file", "", "settings file of the platform (TOML)")
+	fs.StringVar(&f.bind, "bind", "", "IP address to listen on, where others reach this VM at another one; empty for the one in the settings file")
 	fs.StringVar(&f.metrics, "metrics-port", "9464", "port for metrics; 0 for none")
 	fs.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&f.traceEndpoint, "trace-endpoint", "", "URL of an OTLP collector; empty for no traces")
@@ -106,6 +111,12 @@
 	if !f.insecure {
 		v.findings.Add("--insecure-rpc", "must be given, as traffic between the VMs of a routed deployment is not protected")
 	}
+	var err error
+	if f.bind != "" {
+		if s.bind, err = netip.ParseAddr(f.bind); err != nil {
+			v.findings.Add("--bind", "must be an IP address: %q", f.bind)
+		}
+	}
 	level, err := zerolog.ParseLevel(f.logLevel)
 	if err != nil {
 		v.findings.Add("--log-level", "must be debug, info, warn or error: %q", f.logLevel)
@@ -151,7 +162,7 @@
 	if s.metrics == 0 {
 		return
 	}
-	ln, err := net.Listen("tcp", netip.AddrPortFrom(s.platform.Address, s.metrics).String())
+	ln, err := net.Listen("tcp", briarferry.ListenAt(s.bind, netip.AddrPortFrom(s.platform.Address, s.metrics)).String())
 	if err != nil {
 		s.log.Warn().Err(err).Msg("metrics not served")
 		return
@@ -172,21 +183,22 @@
 			Name: p.Name, Region: p.Region, FailureDomain: p.FailureDomain, HTTP: p.Listen.Callers,
 			RPC: s.port(entryRPCPort), Gossip: s.port(entryGossipPort), Incarnation: uint64(time.Now().UnixMicro()),
 		},
-		Regions: p.Regions, Seeds: s.watcher.Seeds, ControlGossip: p.FirstPort + controlGossipPort,
+		Bind: s.bind, Regions: p.Regions, Seeds: s.watcher.Seeds, ControlGossip: p.FirstPort + controlGossipPort,
 		Ready: p.Listen.Ready, ReadyPath: platform.ReadyPath, Dialect: platform.Dialect(),
 		Limits: bfsteering.Limits{
 			RetryShare: p.Bounds.RetryShare, RetrySlack: p.Bounds.RetrySlack, RetryWindow: p.Bounds.RetryWindow, MaxShift: p.Bounds.MaxShift,
 		},
 		Grace: p.Bounds.Grace, DrainFor: min(maxDrain, time.Duration(drainShare*float64(p.Bounds.Grace))), Log: s.log,
-		BodyRoom: int64(bodyShare * float64(p.MemoryMB) * megabyte),
+		Bandwidth: p.LinkMbps * megabit / bitsPerByte, BodyRoom: int64(bodyShare * float64(p.MemoryMB) * megabyte),
 	}
 }
 
 func (s *vmSettings) control() *bfcontrol.Node {
 	p := s.platform
 	n := &bfcontrol.Node{
-		Address: p.Address, FailureDomain: p.FailureDomain, RPC: s.port(controlRPCPort), Gossip: s.port(controlGossipPort),
-		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, Data: p.DataDir, Regions: p.Regions, LookupTTL: p.Bounds.LookupTTL, Log: s.log,
+		Address: p.Address, Bind: s.bind, FailureDomain: p.FailureDomain, RPC: s.port(controlRPCPort), Gossip: s.port(controlGossipPort),
+		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, Data: p.DataDir, Regions: p.Regions, LookupTTL: p.Bounds.LookupTTL,
+		MaxShift: p.Bounds.MaxShift, Log: s.log,
 	}
 	n.Setup()
 	api := &platform.API{Control: n, Status: bfcontrol.Status, Log: s.log}
--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -30,6 +30,7 @@
 	entryTable struct {
 		regions map[string]string
 		log     zerolog.Logger
+		spread  spread
 
 		mu      sync.Mutex
 		entries map[string]*entryState
@@ -38,6 +39,8 @@
 	entryState struct {
 		info  bfwire.EntryInfo
 		ready bool
+		// load is the share of its link that the entry uses.
+		load  float64
 		seq   uint64
 		heard time.Time
 		// lost tells that the loss was logged.
@@ -63,7 +66,7 @@
 		t.log.Info().Str("entry", b.Entry.Name).Bool("ready", b.Ready).Uint64("incarnation", b.Entry.Incarnation).
 			Uint64("revision", b.Revision).Msg("entry changed")
 	}
-	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, seq: b.Sequence, heard: now}
+	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, load: b.Load, seq: b.Sequence, heard: now}
 	return true
 }
 
@@ -105,18 +108,30 @@
 }
 
 // lookup returns the entries for callers in a failure domain: the ready ones there, or
-// else those of the region, or else all.
-func (t *entryTable) lookup(now time.Time, region, domain string) []netip.AddrPort {
+// else those of the region, or else all. Where these are busy, a part of the callers gets
+// others; stay keeps it in the region.
+func (t *entryTable) lookup(now time.Time, region, domain string, stay bool) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if region == "" {
 		region = t.regions[domain]
 	}
-	var near, inRegion, all []netip.AddrPort
+	var ready []*entryState
 	for _, e := range t.entries {
-		if !t.alive(now, e) || !e.ready {
-			continue
+		if t.alive(now, e) && e.ready {
+			ready = append(ready, e)
 		}
+	}
+	t.spread.step(now, ready)
+	if away := t.spread.away(ready, region, domain, stay); len(away) > 0 {
+		return away
+	}
+	return nearest(ready, region, domain)
+}
+
+func nearest(ready []*entryState, region, domain string) []netip.AddrPort {
+	var near, inRegion, all []netip.AddrPort
+	for _, e := range ready {
 		all = append(all, e.info.HTTP)
 		if e.info.Region == region {
 			inRegion = append(inRegion, e.info.HTTP)
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"briarferry"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
@@ -37,7 +38,9 @@
 	// Node is the process of a control VM. Its exported fields are set before Run.
 	Node struct {
 		// Address names this VM's replica; other VMs reach it there at the RPC port.
-		Address       netip.Addr
+		Address netip.Addr
+		// Bind is the IP address to listen on where it isn't Address.
+		Bind          netip.Addr
 		FailureDomain string
 		RPC           netip.AddrPort
 		Gossip        netip.AddrPort
@@ -52,6 +55,9 @@
 		// LookupTTL bounds how long callers may use the answer of a look-up; zero sets
 		// no bound of its own.
 		LookupTTL time.Duration
+		// MaxShift is the share of a region's requests that may move to another region
+		// within 2 s; 0 sets no limit.
+		MaxShift float64
 		// HTTP serves the given handlers.
 		HTTP map[netip.AddrPort]http.Handler
 		Log  zerolog.Logger
@@ -71,7 +77,7 @@
 		return
 	}
 	n.machine = bffleet.New()
-	n.entries = &entryTable{regions: n.Regions, log: n.Log}
+	n.entries = &entryTable{regions: n.Regions, log: n.Log, spread: spread{maxShift: n.MaxShift, log: n.Log}}
 	n.registry.log = n.Log
 	n.leaders.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
@@ -104,7 +110,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.Setup()
 	n.Log.Info().Str("address", n.Address.String()).Strs("seeds", names(n.Seeds())).Bool("bootstrap", n.Bootstrap).Msg("control VM starts")
-	n.gossip = &bfgossip.Gnet{Listen: n.Gossip, Receive: n.receive, Log: n.Log}
+	n.gossip = &bfgossip.Gnet{Listen: briarferry.ListenAt(n.Bind, n.Gossip), Receive: n.receive, Log: n.Log}
 	stopGossip, err := n.gossip.Start()
 	if err != nil {
 		return err
@@ -137,12 +143,12 @@
 	bfrpc.HandleFleet(mux, n)
 	rpc := bfrpc.NewServer(mux)
 	servers := []*http.Server{rpc}
-	if err := serve(group, rpc, n.RPC); err != nil {
+	if err := n.serve(group, rpc, n.RPC); err != nil {
 		return nil, err
 	}
 	for address, handler := range n.HTTP {
 		s := &http.Server{Handler: handler, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout}
-		if err := serve(group, s, address); err != nil {
+		if err := n.serve(group, s, address); err != nil {
 			return nil, err
 		}
 		servers = append(servers, s)
@@ -150,8 +156,8 @@
 	return servers, nil
 }
 
-func serve(group *errgroup.Group, s *http.Server, address netip.AddrPort) error {
-	ln, err := net.Listen("tcp", address.String())
+func (n *Node) serve(group *errgroup.Group, s *http.Server, address netip.AddrPort) error {
+	ln, err := net.Listen("tcp", briarferry.ListenAt(n.Bind, address).String())
 	if err != nil {
 		return fmt.Errorf("bfcontrol: %w", err)
 	}
--- a/internal/transport/bfcontrol/orders.go
+++ b/internal/transport/bfcontrol/orders.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"briarferry"
@@ -75,15 +76,23 @@
 	return codeError(r.Code)
 }
 
-// Lookup returns the entries for callers in a region and failure domain, and how long
-// the answer may be used.
-func (n *Node) Lookup(region, domain string) ([]netip.AddrPort, time.Duration) {
+// Lookup returns the entries for callers of a host in a region and failure domain, and
+// how long the answer may be used.
+func (n *Node) Lookup(host, region, domain string) ([]netip.AddrPort, time.Duration) {
 	counters.lookups.Add(1)
 	ttl := maxLookupTTL
 	if n.LookupTTL > 0 {
 		ttl = min(ttl, n.LookupTTL)
 	}
-	return n.entries.lookup(time.Now(), region, domain), ttl
+	return n.entries.lookup(time.Now(), region, domain, n.hasHomes(host)), ttl
+}
+
+// hasHomes tells whether a route of the host is bound to regions.
+func (n *Node) hasHomes(host string) bool {
+	routes := n.machine.State().Routes
+	return routes != nil && slices.ContainsFunc(routes.Routes, func(r briarferry.Route) bool {
+		return r.Host == host && len(r.HomeRegions) > 0
+	})
 }
 
 // Status returns the HTTP status for an error of this package.
--- a/internal/transport/bfgateway/door.go
+++ b/internal/transport/bfgateway/door.go
@@ -28,6 +28,7 @@
 	// were in force when it was opened.
 	door struct {
 		handler http.Handler
+		meter   *meter
 		log     zerolog.Logger
 
 		mu      sync.Mutex
@@ -90,7 +91,7 @@
 		f := d.current
 		d.mu.Unlock()
 		select {
-		case f.conns <- c:
+		case f.conns <- d.meter.wrap(c):
 		case <-f.closed:
 			_ = c.Close()
 		}
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -42,7 +42,9 @@
 type (
 	// Node is the process of an entry VM. Its exported fields are set before Run.
 	Node struct {
-		VM      briarferry.VM
+		VM briarferry.VM
+		// Bind is the IP address to listen on where it isn't the VM's own.
+		Bind    netip.Addr
 		Regions map[string]string
 		// Seeds returns the addresses of some control VMs; ControlGossip is the port at
 		// which they hear beats.
@@ -61,9 +63,13 @@
 		// BodyRoom bounds the bytes of callers' bodies that are held at the same time;
 		// zero sets no bound.
 		BodyRoom int64
-		Log      zerolog.Logger
+		// Bandwidth is that of the VM's link each way, in bytes per second; zero stands
+		// for a link without a known limit.
+		Bandwidth float64
+		Log       zerolog.Logger
 
 		room       bodyRoom
+		meter      meter
 		sync       *fleetSync
 		steering   *bfsteering.Steering
 		quarantine *bfquarantine.Quarantine
@@ -95,8 +101,9 @@
 			Name: n.VM.Name, Region: n.VM.Region, FailureDomain: n.VM.FailureDomain,
 			HTTP: n.VM.HTTP, RPC: n.VM.RPC, Gossip: n.VM.Gossip, Incarnation: n.VM.Incarnation,
 		},
-		regions: n.Regions, seeds: n.Seeds, port: n.ControlGossip, ready: n.isReady, changed: n.update, log: n.Log,
+		regions: n.Regions, seeds: n.Seeds, port: n.ControlGossip, ready: n.isReady, load: n.meter.sample, changed: n.update, log: n.Log,
 	}
+	n.meter.bandwidth = n.Bandwidth
 	n.sync.setup()
 	n.room.limit = n.BodyRoom
 	n.steering = &bfsteering.Steering{
@@ -107,12 +114,22 @@
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.sync, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
 	}
-	n.upstream = &bfupstream.Client{Dialect: n.Dialect, Entries: n.steering.Entries}
-	n.door = &door{handler: n, log: n.Log}
+	n.upstream = &bfupstream.Client{Dialect: n.Dialect, Entries: n.steering.Entries, Dial: n.dial}
+	n.door = &door{handler: n, meter: &n.meter, log: n.Log}
 	n.sampler.log = n.Log
 	publish(n)
 }
 
+// dial opens a connection to a backend server.
+func (n *Node) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return n.meter.wrap(c), nil
+}
+
 // update takes over a new state.
 func (n *Node) update(s *bffleet.State) {
 	if s.Routes != nil {
@@ -132,11 +149,11 @@
 	n.setup()
 	n.Log.Info().Str("http", n.VM.HTTP.String()).Str("region", n.VM.Region).Str("failure_domain", n.VM.FailureDomain).Msg("entry starts")
 	var err error
-	if n.listener, err = net.Listen("tcp", n.VM.HTTP.String()); err != nil {
+	if n.listener, err = net.Listen("tcp", briarferry.ListenAt(n.Bind, n.VM.HTTP).String()); err != nil {
 		return fmt.Errorf("bfgateway: %w", err)
 	}
 	n.door.configure(n.listener.Addr(), briarferry.EdgeLimits{})
-	n.sync.gossip = &bfgossip.Gnet{Listen: n.VM.Gossip, Receive: n.sync.receive, Log: n.Log}
+	n.sync.gossip = &bfgossip.Gnet{Listen: briarferry.ListenAt(n.Bind, n.VM.Gossip), Receive: n.sync.receive, Log: n.Log}
 	stopGossip, err := n.sync.gossip.Start()
 	if err != nil {
 		return err
@@ -188,7 +205,7 @@
 func (n *Node) listen(ctx context.Context, group *errgroup.Group, address netip.AddrPort, s *http.Server) {
 	s.ErrorLog = discardLog()
 	group.Go(func() error {
-		ln, err := net.Listen("tcp", address.String())
+		ln, err := net.Listen("tcp", briarferry.ListenAt(n.Bind, address).String())
 		if err != nil {
 			return fmt.Errorf("bfgateway: %w", err)
 		}
--- a/internal/transport/bfgateway/sync.go
+++ b/internal/transport/bfgateway/sync.go
@@ -37,8 +37,10 @@
 		regions map[string]string
 		seeds   func() []netip.Addr
 		// port is the gossip port of control VMs.
-		port    uint16
-		ready   func() bool
+		port  uint16
+		ready func() bool
+		// load measures the use of this VM's link.
+		load    func(now time.Time) float64
 		changed func(s *bffleet.State)
 		delay   func(region string, rtt time.Duration)
 		log     zerolog.Logger
@@ -118,7 +120,7 @@
 	targets := slices.Concat(f.seeds(), f.members)
 	f.noteLosses(now)
 	f.mu.Unlock()
-	data, err := bfwire.Encode(&bfwire.EntryBeat{Entry: f.self, Ready: f.ready(), Revision: f.state.Load().Revision, Sequence: sequence})
+	data, err := bfwire.Encode(&bfwire.EntryBeat{Entry: f.self, Ready: f.ready(), Revision: f.state.Load().Revision, Sequence: sequence, Load: f.load(now)})
 	if err != nil {
 		f.log.Error().Err(err).Msg("beat not encoded")
 		return
--- a/internal/transport/bfgateway/vars.go
+++ b/internal/transport/bfgateway/vars.go
@@ -76,6 +76,7 @@
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("revision", expvar.Func(func() any { return n.sync.state.Load().Revision }))
 		m.Set("live_entries", expvar.Func(func() any { return len(n.sync.Live()) }))
+		m.Set("link_utilization", expvar.Func(func() any { return n.meter.last() }))
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
 	})
 }
--- a/vm.go
+++ b/vm.go
@@ -15,3 +15,12 @@
 	// Control tells whether the VM has a data folder and is a control replica.
 	Control bool `json:"control"`
 }
+
+// ListenAt returns the address at which a VM listens that others reach at the given one:
+// the same port at bind where that is set, as behind a translation of addresses.
+func ListenAt(bind netip.Addr, address netip.AddrPort) netip.AddrPort {
+	if !bind.IsValid() {
+		return address
+	}
+	return netip.AddrPortFrom(bind, address.Port())
+}
