Try only servers that join later at once, not all after a start

Cause: a server to which an entry had sent nothing cost nothing, so that joining servers get work at once. After an entry's start that holds for all servers: where a cold one answers within the target too, each entry sent one request to every server, whatever its key, and 10 entries of a region drove out the keys that servers keep (20 to 37).

Change: only servers that appear 10 s after the first list or later are tried at once.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -225,7 +225,7 @@
 	if failing := srv.errors.get(now, errorLife); failing > 0.05 {
 		c.cost += time.Duration(2 * failing * float64(target+c.estimate))
 	}
-	if srv.sent == 0 && srv.region == s.Region {
+	if srv.sent == 0 && srv.joined && srv.region == s.Region {
 		// A server that joins is tried at once.
 		c.cost = 0
 	}
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -37,6 +37,9 @@
 		region    string
 		score     uint64
 		evacuated bool
+		// joined tells that the server was registered while this entry was running. After
+		// a start all servers are new to the entry, but warm for the keys that they have.
+		joined bool
 
 		inFlight int
 		sent     uint64
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -13,6 +13,10 @@
 	"briarferry/internal/state/bffleet"
 )
 
+// startSpan is the time after an entry's first list of servers in which others that appear
+// count as part of it: at the first start of a deployment all servers register.
+const startSpan = 10 * time.Second
+
 type (
 	// Steering chooses backend servers. Its exported fields are set before use; its
 	// methods may be called at the same time.
@@ -74,8 +78,10 @@
 		mu      sync.Mutex
 		config  briarferry.RouteService
 		servers []*server
-		models  map[string]*model
-		budget  budget
+		// listed is when the entry got its first list of servers.
+		listed time.Time
+		models map[string]*model
+		budget budget
 	}
 )
 
@@ -120,12 +126,16 @@
 	for _, srv := range v.servers {
 		known[srv.ID] = srv
 	}
+	if v.listed.IsZero() && len(list) > 0 {
+		v.listed = now
+	}
 	changed := len(list) != len(v.servers)
 	next := make([]*server, 0, len(list))
 	for _, reported := range list {
 		srv := known[reported.ID]
 		if srv == nil || !srv.SameStart(&reported.Instance) {
 			srv = &server{region: s.Regions[reported.FailureDomain], score: scoreSeed(reported.ID), coldPhase: phaseOf(s.Name, reported.ID)}
+			srv.joined = now.Sub(v.listed) > startSpan
 			changed = true
 		}
 		if reported.ColdMark > srv.ColdMark {
