Remove backend servers that fell silent from the registry

Ruled out: a record of each report in the log (a sync for each of some hundred reports a second); the leader's own reports alone, as servers report to any control VM; marking the removed start as departed, since a server that was only cut off could never come back. Change: every 30 s the leader asks all control VMs which servers reported in the last 2 min and removes the others, unless one doesn't answer or has not run that long, or more than a fifth of a service is silent. A later report registers the server again. Before: never removed.

--- a/internal/protocol/bfwire/fleet.go
+++ b/internal/protocol/bfwire/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"briarferry"
 	"briarferry/internal/state/bffleet"
@@ -73,6 +74,19 @@
 		Command []byte `cbor:"1,keyasint"`
 	}
 
+	// FleetHeard asks a control VM which backend servers reported to it lately.
+	FleetHeard struct {
+		Within time.Duration `cbor:"1,keyasint"`
+	}
+
+	// FleetHeardReply answers a FleetHeard.
+	FleetHeardReply struct {
+		// Up is how long the control VM has been running.
+		Up time.Duration `cbor:"1,keyasint"`
+		// Servers are the IDs of the instances.
+		Servers []string `cbor:"2,keyasint,omitempty"`
+	}
+
 	// FleetResult is the leader's answer to a FleetChange.
 	FleetResult struct {
 		// NotLeader says that the receiver doesn't lead and appended nothing.
--- a/internal/state/bffleet/command.go
+++ b/internal/state/bffleet/command.go
@@ -36,6 +36,7 @@
 		Evacuate  *Evacuate  `cbor:"2,keyasint,omitempty"`
 		Register  *Register  `cbor:"3,keyasint,omitempty"`
 		Leave     *Leave     `cbor:"4,keyasint,omitempty"`
+		Expire    *Expire    `cbor:"5,keyasint,omitempty"`
 	}
 
 	// PutRoutes replaces the route table if its version is still Base.
@@ -64,6 +65,14 @@
 		ID string `cbor:"1,keyasint"`
 	}
 
+	// Expire removes an instance that fell silent, unless it has changed since. A later
+	// report of the same start registers it again.
+	Expire struct {
+		ID string `cbor:"1,keyasint"`
+		// Changed is the log index of the instance's last change.
+		Changed uint64 `cbor:"2,keyasint"`
+	}
+
 	// Result tells how a command ended, and the state's version and revision after it.
 	Result struct {
 		Code     Code   `cbor:"1,keyasint"`
@@ -108,6 +117,12 @@
 			f.Add("leave.id", "must be a name: %q", c.Leave.ID)
 		}
 	}
+	if c.Expire != nil {
+		set++
+		if !briarferry.ValidName(c.Expire.ID) {
+			f.Add("expire.id", "must be a name: %q", c.Expire.ID)
+		}
+	}
 	if set != 1 {
 		f.Add("command", "must have exactly one kind, not %d", set)
 	}
--- a/internal/state/bffleet/machine.go
+++ b/internal/state/bffleet/machine.go
@@ -99,6 +99,8 @@
 		return m.evacuate(index, c.Evacuate)
 	case c.Register != nil:
 		return m.register(index, c.Register)
+	case c.Expire != nil:
+		return m.expire(index, c.Expire)
 	}
 	return m.leave(index, c.Leave.ID)
 }
--- a/internal/state/bffleet/machine_test.go
+++ b/internal/state/bffleet/machine_test.go
@@ -141,6 +141,28 @@
 	}
 }
 
+// TestExpire guards against a removed server that can't come back under the same start,
+// and against one that is removed although it reported meanwhile.
+func TestExpire(t *testing.T) {
+	m, index := New(), uint64(0)
+	first := apply(t, m, &index, register(instance("a", "10.0.0.1:80", 100, 1))).Revision
+	draining := instance("a", "10.0.0.1:80", 100, 2)
+	draining.Draining = true
+	second := apply(t, m, &index, register(draining)).Revision
+	apply(t, m, &index, Command{Expire: &Expire{ID: "a", Changed: first}}, Command{Expire: &Expire{ID: "none", Changed: second}})
+	if _, ok := m.State().Server("a"); !ok {
+		t.Error("removed although it had changed")
+	}
+	apply(t, m, &index, Command{Expire: &Expire{ID: "a", Changed: second}})
+	if _, ok := m.State().Server("a"); ok {
+		t.Error("not removed")
+	}
+	apply(t, m, &index, register(instance("a", "10.0.0.1:80", 100, 3)))
+	if _, ok := m.State().Server("a"); !ok {
+		t.Error("did not come back")
+	}
+}
+
 // TestEvacuation guards against an order that is lost or applied twice.
 func TestEvacuation(t *testing.T) {
 	m, index := New(), uint64(0)
@@ -184,7 +206,7 @@
 
 func drawCommand(r *rapid.T) Command {
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "id")
-	switch rapid.IntRange(0, 4).Draw(r, "kind") {
+	switch rapid.IntRange(0, 5).Draw(r, "kind") {
 	case 0:
 		base := rapid.Uint64Range(0, 4).Draw(r, "base")
 		return put(base, base+rapid.Uint64Range(1, 3).Draw(r, "step"), id)
@@ -192,6 +214,8 @@
 		return Command{Evacuate: &Evacuate{FailureDomain: id, Withdraw: rapid.Bool().Draw(r, "withdraw")}}
 	case 2:
 		return Command{Leave: &Leave{ID: id}}
+	case 3:
+		return Command{Expire: &Expire{ID: id, Changed: rapid.Uint64Range(0, 40).Draw(r, "changed")}}
 	}
 	in := instance(id, fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 3).Draw(r, "address")),
 		rapid.Int64Range(0, 3).Draw(r, "started"), rapid.Uint64Range(0, 9).Draw(r, "sequence"))
--- a/internal/state/bffleet/registry.go
+++ b/internal/state/bffleet/registry.go
@@ -96,10 +96,24 @@
 		return CodeOK
 	}
 	m.departed.put(id, old.Servers[i].Started)
-	next := *old
+	m.publishWithout(i, index)
+	return CodeOK
+}
+
+// expire removes an instance that is still as it was when it was found silent.
+func (m *Machine) expire(index uint64, e *Expire) Code {
+	if srv, ok := m.State().Server(e.ID); ok && srv.Changed == e.Changed {
+		i, _ := m.State().find(e.ID)
+		m.publishWithout(i, index)
+	}
+	return CodeOK
+}
+
+// publishWithout removes the server at a place of the list.
+func (m *Machine) publishWithout(i int, index uint64) {
+	next := *m.State()
 	next.Revision, next.ServersRevision = index, index
-	next.Servers = slices.Clone(old.Servers)
+	next.Servers = slices.Clone(next.Servers)
 	next.remove(i, index)
 	m.publish(&next)
-	return CodeOK
 }
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -67,6 +67,7 @@
 		gossip   *bfgossip.Gnet
 		entries  *entryTable
 		registry registry
+		reports  reportTimes
 		leaders  leaderCalls
 	}
 )
@@ -79,6 +80,7 @@
 	n.machine = bffleet.New()
 	n.entries = &entryTable{regions: n.Regions, log: n.Log, spread: spread{maxShift: n.MaxShift, log: n.Log}}
 	n.registry.log = n.Log
+	n.reports.since = time.Now()
 	n.leaders.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
 	n.replica = &bfreplica.Node{
@@ -126,6 +128,7 @@
 	raft := n.replica.Transport.(*bfrpc.RaftClient)
 	group.Go(func() error { return raft.Run(network) })
 	group.Go(func() error { n.notify(network); return nil })
+	group.Go(func() error { n.sweepLoop(network); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("control VM stops")
 	stopNetwork()
--- a/internal/transport/bfcontrol/registry.go
+++ b/internal/transport/bfcontrol/registry.go
@@ -35,6 +35,7 @@
 	if err := in.Validate().Err(); err != nil {
 		return err
 	}
+	n.reports.hear(time.Now(), in.ID)
 	known, ok := n.machine.State().Server(in.ID)
 	coldAgain := n.registry.coldAgain(time.Now(), in)
 	switch {
--- a/internal/transport/bfrpc/fleet.go
+++ b/internal/transport/bfrpc/fleet.go
@@ -13,6 +13,7 @@
 const (
 	fleetQuery  = "/briarferry.Fleet/Query"
 	fleetChange = "/briarferry.Fleet/Change"
+	fleetHeard  = "/briarferry.Fleet/Heard"
 
 	// fleetDial covers the round trip between the most distant regions twice.
 	fleetDial = 300 * time.Millisecond
@@ -28,12 +29,15 @@
 	Query(ctx context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error)
 	// Change runs a command where this VM leads.
 	Change(ctx context.Context, c *bfwire.FleetChange) (*bfwire.FleetResult, error)
+	// Heard returns the backend servers that reported to this VM.
+	Heard(ctx context.Context, q *bfwire.FleetHeard) (*bfwire.FleetHeardReply, error)
 }
 
 // HandleFleet registers the calls of a routed deployment.
 func HandleFleet(mux *http.ServeMux, s FleetService) {
 	Handle(mux, fleetQuery, s.Query)
 	Handle(mux, fleetChange, s.Change)
+	Handle(mux, fleetHeard, s.Heard)
 }
 
 // NewFleetClient returns a client for the calls of a routed deployment.
@@ -51,3 +55,8 @@
 func ChangeFleet(ctx context.Context, c *http.Client, to netip.AddrPort, change *bfwire.FleetChange) (*bfwire.FleetResult, error) {
 	return NewCall[bfwire.FleetChange, bfwire.FleetResult](c, (*Security)(nil).base(to), fleetChange)(ctx, change)
 }
+
+// HeardFleet asks a control VM which backend servers reported to it lately.
+func HeardFleet(ctx context.Context, c *http.Client, to netip.AddrPort, q *bfwire.FleetHeard) (*bfwire.FleetHeardReply, error) {
+	return NewCall[bfwire.FleetHeard, bfwire.FleetHeardReply](c, (*Security)(nil).base(to), fleetHeard)(ctx, q)
+}
