Check route tables and the platform's settings before they are used

Cause: check read answers and configurations of serve only; a faulty settings file showed at the start of the process. Change: check takes settings (.toml) and route tables too and reports all findings with file and place. Exit codes as before (TestExitCodes).

--- a/internal/transport/bfcommand/command_test.go
+++ b/internal/transport/bfcommand/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -46,10 +47,17 @@
 
 // TestExitCodes guards the documented exit codes.
 func TestExitCodes(t *testing.T) {
-	bad := filepath.Join(t.TempDir(), "bad.json")
-	if err := os.WriteFile(bad, []byte(`{"format":"briarferry_answers/1","colour":1}`), 0o600); err != nil {
-		t.Fatal(err)
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
 	}
+	bad := file("bad.json", `{"format":"briarferry_answers/1","colour":1}`)
+	const settings = "[self]\nnode = \"e1\"\nip = \"10.0.0.1\"\nzone = \"a\"\nregion = \"r\"\n[network]\ninternalPorts = [%s]\n"
+	const routes = `{"version":"00000001","services":[{"name":"s","maxConnections":4}],"hosts":[{"host":"h","paths":[{"name":"p","pathPrefix":"%s","kind":"idempotent","timeoutS":1,"service":"s"}]}]}`
 	tests := []struct {
 		args []string
 		want int
@@ -57,6 +65,11 @@
 		{[]string{"check", "../../../examples/mantas.answers.json"}, 0},
 		{[]string{"check", bad}, 2},
 		{[]string{"check"}, 2},
+		{[]string{"check", file("good.toml", fmt.Sprintf(settings, "7540, 7555"))}, 0},
+		{[]string{"check", file("bad.toml", fmt.Sprintf(settings, "7540"))}, 2},
+		{[]string{"check", file("good-routes.json", fmt.Sprintf(routes, "/a/"))}, 0},
+		{[]string{"check", file("bad-routes.json", fmt.Sprintf(routes, "a"))}, 2},
+		{[]string{"check", filepath.Join(dir, "none.toml")}, 2},
 		{[]string{"serve", "--http", "nowhere"}, 2},
 		{[]string{"lookup", "--service", "x", "--entry", "127.0.0.1:1"}, 1},
 	}
--- a/internal/transport/bfcommand/generate.go
+++ b/internal/transport/bfcommand/generate.go
@@ -6,10 +6,13 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"text/tabwriter"
 
 	"briarferry"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/state/bfconfig"
+	"briarferry/platform"
 )
 
 func generateCommand() *command {
@@ -57,7 +60,7 @@
 func checkCommand() *command {
 	return &command{
 		name:     "check",
-		synopsis: "check answers or configuration files and report every finding",
+		synopsis: "check answers, configurations, route tables or platform settings (.toml) and report every finding",
 		flags:    func(*flag.FlagSet) {},
 		run: func(_ context.Context, args []string) error {
 			var v values
@@ -65,21 +68,35 @@
 				v.findings.Add("arguments", "must name at least one file")
 			}
 			for _, path := range args {
-				v.document("file", path, documentFor(path))
+				v.file(path)
 			}
 			return v.findings.Err()
 		},
 	}
 }
 
-// documentFor returns the type that a file holds: answers name their format.
-func documentFor(path string) briarferry.Validator {
+// file checks a file by what it holds: platform settings are TOML, answers name their
+// format, and route tables list hosts.
+func (v *values) file(path string) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		v.findings.Add("arguments", "%v", err)
+		return
+	}
 	var head struct {
-		Format string `json:"format"`
+		Format string          `json:"format"`
+		Hosts  json.RawMessage `json:"hosts"`
 	}
-	data, err := os.ReadFile(path)
-	if err == nil && json.Unmarshal(data, &head) == nil && head.Format != "" {
-		return &bfconfig.Answers{}
+	known := json.Unmarshal(data, &head) == nil
+	switch {
+	case filepath.Ext(path) == ".toml":
+		_, err = platform.ParseSettings(path, data)
+	case known && head.Format != "":
+		err = bfapi.DecodeJSON(data, &bfconfig.Answers{})
+	case known && head.Hosts != nil:
+		_, err = platform.ParseConfig(data)
+	default:
+		err = bfapi.DecodeJSON(data, &briarferry.Config{})
 	}
-	return &briarferry.Config{}
+	v.merge(path, err)
 }
--- a/internal/transport/bfcommand/values.go
+++ b/internal/transport/bfcommand/values.go
@@ -1,6 +1,7 @@
 package bfcommand
 
 import (
+	"errors"
 	"net/netip"
 	"os"
 	"strconv"
@@ -93,11 +94,17 @@
 		v.findings.Add("--"+flag, "%v", err)
 		return
 	}
-	err = bfapi.DecodeJSON(data, out)
-	if findings, ok := err.(briarferry.Findings); ok {
-		for _, f := range findings {
-			v.findings.Add(path+": "+f.Place, "%s", f.Message)
-		}
+	v.merge(path, bfapi.DecodeJSON(data, out))
+}
+
+// merge adds the findings of a file; all others are findings about the file itself.
+func (v *values) merge(path string, err error) {
+	var findings briarferry.Findings
+	if err != nil && !errors.As(err, &findings) {
+		findings = briarferry.Findings{{Place: "file", Message: err.Error()}}
+	}
+	for _, f := range findings {
+		v.findings.Add(path+": "+strings.TrimPrefix(f.Place, path+": "), "%s", f.Message)
 	}
 }
 
