Draw the logs of a run as one picture

Ruled out: a command of briarferry itself: the plotting library's fonts would be loaded in every process. Change: briarferry-report draws latency by route, requests by outcome and refusal, and changes of belief by the second, as SVG (gonum/plot). Lines about ordinary answers tell that they stand for 100. bfexplain's line reader is shared.

--- a/internal/transport/bfexplain/explain.go
+++ b/internal/transport/bfexplain/explain.go
@@ -2,9 +2,6 @@
 package bfexplain
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -13,16 +10,9 @@
 )
 
 const (
-	// maxLine bounds one log line.
-	maxLine = 1 << 20
-	// requestMessage is the message of the lines about requests.
-	requestMessage = "request"
-	fieldTime      = "time"
-	fieldMessage   = "message"
-	fieldVM        = "vm"
-	fieldRequest   = "request_id"
-	fieldLevel     = "level"
-	fieldTries     = "tries"
+	fieldRequest = "request_id"
+	fieldLevel   = "level"
+	fieldTries   = "tries"
 )
 
 type (
@@ -33,38 +23,31 @@
 		Around   time.Duration
 		From, To time.Time
 	}
-
-	// line is one log line.
-	line struct {
-		at     time.Time
-		fields map[string]any
-		keys   []string
-	}
 )
 
 // Explain writes the lines of the query, in order of time. It fails where the request
 // is in none of the inputs.
 func Explain(w io.Writer, q Query, inputs ...io.Reader) error {
-	var lines []line
+	var lines []Line
 	for _, r := range inputs {
-		got, err := read(r)
+		got, err := Read(r)
 		if err != nil {
-			return fmt.Errorf("bfexplain: read log: %w", err)
+			return err
 		}
 		lines = append(lines, got...)
 	}
-	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	from, to := q.From, q.To
 	if q.RequestID != "" {
-		i := slices.IndexFunc(lines, func(l line) bool { return l.text(fieldRequest) == q.RequestID })
+		i := slices.IndexFunc(lines, func(l Line) bool { return l.Text(fieldRequest) == q.RequestID })
 		if i < 0 {
 			return fmt.Errorf("bfexplain: no line about request %q; ordinary answers are sampled, and a busy entry leaves lines out (see the lines left out)", q.RequestID)
 		}
-		from, to = lines[i].begin().Add(-q.Around), lines[i].at.Add(q.Around)
+		from, to = lines[i].begin().Add(-q.Around), lines[i].At.Add(q.Around)
 	}
 	for _, l := range lines {
-		own := q.RequestID != "" && l.text(fieldRequest) == q.RequestID
-		belief := l.text(fieldMessage) != requestMessage && !l.at.Before(from) && !l.at.After(to)
+		own := q.RequestID != "" && l.Text(fieldRequest) == q.RequestID
+		belief := !l.IsRequest() && !l.At.Before(from) && !l.At.After(to)
 		if own || belief {
 			l.write(w, own)
 		}
@@ -72,66 +55,13 @@
 	return nil
 }
 
-// read takes the JSON part of each line; what stands before it, such as a name that a
-// collector adds, is passed over, as are lines of other kinds.
-func read(r io.Reader) ([]line, error) {
-	var out []line
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLine)
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
-		if i < 0 {
-			continue
-		}
-		if l, ok := parse(s.Bytes()[i:]); ok {
-			out = append(out, l)
-		}
-	}
-	return out, s.Err()
-}
-
-func parse(data []byte) (line, bool) {
-	l := line{fields: map[string]any{}}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	if _, err := dec.Token(); err != nil {
-		return l, false
-	}
-	for dec.More() {
-		key, err := dec.Token()
-		if err != nil {
-			return l, false
-		}
-		var value any
-		if err := dec.Decode(&value); err != nil {
-			return l, false
-		}
-		name, _ := key.(string)
-		l.fields[name] = value
-		l.keys = append(l.keys, name)
-	}
-	ms, ok := l.fields[fieldTime].(float64)
-	l.at = time.UnixMilli(int64(ms)).UTC()
-	return l, ok
-}
-
-func (l *line) text(field string) string {
-	s, _ := l.fields[field].(string)
-	return s
-}
-
-// begin returns when the request of the line began.
-func (l *line) begin() time.Time {
-	took, _ := l.fields["took_ms"].(float64)
-	return l.at.Add(-time.Duration(took * float64(time.Millisecond)))
-}
-
-func (l *line) write(w io.Writer, own bool) {
+func (l *Line) write(w io.Writer, own bool) {
 	mark := " "
 	if own {
 		mark = ">"
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s %-24s %s", mark, l.at.Format("15:04:05.000"), l.text(fieldVM), l.text(fieldMessage))
+	fmt.Fprintf(&b, "%s %s %-24s %s", mark, l.At.Format("15:04:05.000"), l.Text(fieldVM), l.Message())
 	for _, key := range l.keys {
 		switch key {
 		case fieldTime, fieldMessage, fieldVM, fieldLevel, fieldTries:
--- a/internal/transport/bfgateway/note.go
+++ b/internal/transport/bfgateway/note.go
@@ -100,6 +100,9 @@
 	}
 	line := n.Log.Info().Str("request_id", c.request.ID).Str("route", route).Uint64("version", c.version).Str("service", c.service).
 		Str("outcome", how).Int("status", status).Dur("took_ms", took).Bool("late", late)
+	if ordinary {
+		line = line.Int("stands_for", sampleEvery)
+	}
 	if r != nil {
 		line = line.Str("reason", r.Reason).Str("claim", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter)
 	}
