--- a/internal/systemtest/soak_vm_test.go
+++ b/internal/systemtest/soak_vm_test.go
@@ -42,7 +42,6 @@
 	// ending tells that the soak ends the process; done is closed when it has ended.
 	ending bool
 	done   chan struct{}
-	formed bool
 }
 
 var soakZones = []string{"north-a", "south-a", "west-a"}
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -5,11 +5,13 @@
 	"errors"
 	"expvar"
 	"flag"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -68,6 +70,15 @@
 	}
 )
 
+// libraryLog turns lines of the standard logger into lines of this process.
+type libraryLog struct{ log zerolog.Logger }
+
+// Write logs one line.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.log.Warn().Str("line", strings.TrimSpace(string(line))).Msg("library")
+	return len(line), nil
+}
+
 func entryCommand() *command {
 	return vmCommand("entry", "run an entry VM of a routed deployment", func(ctx context.Context, s *vmSettings) error {
 		return s.entry().Run(ctx)
@@ -133,6 +144,9 @@
 		return nil, v.findings
 	}
 	s.log = s.log.With().Str("vm", s.platform.Name).Logger()
+	// Libraries write to the standard logger, such as net/http about a silent connection.
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{s.log})
 	s.watcher.Log = s.log
 	s.trace = bftrace.Exporter{Endpoint: f.traceEndpoint, SampleShare: f.traceShare, Process: "briarferry-" + s.platform.Name}
 	return s, v.findings.Err()
