Ask all control VMs at once for silent servers

Change: all are asked at the same time. TestAskAll fails with one after the other (4 of 11 heard in time).

--- a/internal/transport/bfcontrol/silence.go
+++ b/internal/transport/bfcontrol/silence.go
@@ -96,20 +96,36 @@
 // heardByAll returns the servers that reported to any control VM in the last span. It
 // fails unless all control VMs answer and have run for that long.
 func (n *Node) heardByAll(ctx context.Context, span time.Duration) (map[string]bool, bool) {
+	s := n.replica.Status()
+	return askAll(ctx, append(s.Voters, s.Learners...), span, func(ctx context.Context, id string) (*bfwire.FleetHeardReply, error) {
+		return n.heardBy(ctx, id, span)
+	})
+}
+
+// askAll asks all control VMs at the same time, as many distant ones one after the other
+// would take too long.
+func askAll(ctx context.Context, ids []string, span time.Duration, ask func(ctx context.Context, id string) (*bfwire.FleetHeardReply, error)) (map[string]bool, bool) {
 	ctx, cancel := context.WithTimeout(ctx, heardTimeout)
 	defer cancel()
-	s := n.replica.Status()
-	heard := map[string]bool{}
-	for _, id := range append(s.Voters, s.Learners...) {
-		reply, err := n.heardBy(ctx, id, span)
-		if err != nil || reply.Up < span {
-			return nil, false
-		}
-		for _, srv := range reply.Servers {
-			heard[srv] = true
-		}
+	var mu sync.Mutex
+	heard, complete := map[string]bool{}, true
+	var group sync.WaitGroup
+	for _, id := range ids {
+		group.Go(func() {
+			reply, err := ask(ctx, id)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || reply.Up < span {
+				complete = false
+				return
+			}
+			for _, srv := range reply.Servers {
+				heard[srv] = true
+			}
+		})
 	}
-	return heard, true
+	group.Wait()
+	return heard, complete
 }
 
 func (n *Node) heardBy(ctx context.Context, id string, span time.Duration) (*bfwire.FleetHeardReply, error) {
--- a/internal/transport/bfcontrol/silence_test.go
+++ b/internal/transport/bfcontrol/silence_test.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"briarferry"
+	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 )
 
@@ -31,6 +33,38 @@
 	}
 }
 
+// TestAskAll guards against a sweep that never completes since many control VMs are far
+// away, and against one that counts although one of them did not answer.
+func TestAskAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ids := make([]string, 11)
+		for i := range ids {
+			ids[i] = fmt.Sprint("vm", i)
+		}
+		ask := func(ctx context.Context, id string) (*bfwire.FleetHeardReply, error) {
+			select {
+			case <-time.After(220 * time.Millisecond):
+				return &bfwire.FleetHeardReply{Up: time.Hour, Servers: []string{"of-" + id}}, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		if heard, ok := askAll(t.Context(), ids, time.Minute, ask); !ok || len(heard) != len(ids) {
+			t.Errorf("%d servers heard, complete: %v", len(heard), ok)
+		}
+		silent := func(ctx context.Context, id string) (*bfwire.FleetHeardReply, error) {
+			if id == "vm3" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return ask(ctx, id)
+		}
+		if _, ok := askAll(t.Context(), ids, time.Minute, silent); ok {
+			t.Error("complete without the answer of a control VM")
+		}
+	})
+}
+
 // TestSweep guards against a server that is removed although it reports to another control
 // VM than the leader, or while a control VM that may hear it doesn't answer.
 func TestSweep(t *testing.T) {
