--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -309,5 +309,7 @@
 			s.t.Errorf("version %d was confirmed; a read at the end gives %d (%v)", c.version, version, ok)
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.t.Logf("%d requests, %d confirmed changes, logs in %s", len(s.outcomes), len(s.operator.acked), filepath.Dir(s.controls[0].dir))
 }
