Name the directory's path in the soak

Cause: read-through; a slice of a path stood for the call of the directory. Change: the whole path is compared; no change of what is checked.

--- a/internal/systemtest/soak_worker_test.go
+++ b/internal/systemtest/soak_worker_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -186,7 +187,7 @@
 	ctx, cancel := context.WithTimeout(ctx, soakTimeout)
 	defer cancel()
 	port := soakControl
-	if path[:9] == "/api/reso" {
+	if strings.HasPrefix(path, "/api/resolve") {
 		port = soakDirectory
 	}
 	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", v.address, port, path), bytes.NewReader(body))
