Accept download routes and load reports with a slowdown

Cause: the kind "download" was refused with 400, so a deployment with such a route got no configuration at all, and parseLoad dropped the whole load report of servers that add a fourth figure, without a log line.

Change: Route.LargeAnswers marks downloads, which are idempotent. A report that can't be parsed is counted in invalid_load_reports and logged at most once in 10 s. Steering does not use the slowdown yet.

--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -46,13 +46,11 @@
 		// ServerRefusedConnection reports whether the server refused a new connection
 		// after this one was lost.
 		ServerRefusedConnection bool
-		// HasLoad reports whether the server reported its load in Running, Waiting and
-		// Slots.
+		// HasLoad reports whether the server reported its Load.
 		HasLoad bool
+		Load    briarferry.ServerLoad
 		// Bytes is the size of the request with its answer.
 		Bytes int
-
-		Running, Waiting, Slots int
 	}
 )
 
@@ -63,7 +61,7 @@
 	defer v.mu.Unlock()
 	srv.inFlight--
 	if r.HasLoad {
-		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Running+r.Waiting-srv.inFlight)), now
+		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Load.Running+r.Load.Waiting-srv.inFlight)), now
 	}
 	switch r.Outcome {
 	case Answered, Failed:
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -103,7 +103,7 @@
 // finish ends a try with an answer. The server has the key cached afterwards.
 func (f *fleet) finish(t *Try) {
 	f.caches[t.Backend.InstanceID].touch(t.key, f.cacheSize)
-	t.Done(f.now, Report{Outcome: Answered, HasLoad: true, Running: t.server.inFlight, Slots: t.Backend.Slots, Bytes: 1000})
+	t.Done(f.now, Report{Outcome: Answered, HasLoad: true, Load: briarferry.ServerLoad{Running: t.server.inFlight, Slots: t.Backend.Slots}, Bytes: 1000})
 }
 
 // serve runs a load for the given time. It returns the share of requests answered on time
--- a/internal/protocol/bfapi/dialect.go
+++ b/internal/protocol/bfapi/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"briarferry"
 )
 
 // Dialect describes the HTTP headers and conventions that a deployment uses between
@@ -25,10 +27,9 @@
 	// ServerSignatureHeader is present on every answer of a server that ran the
 	// request. If it is empty, no signature is required.
 	ServerSignatureHeader string
-	// LoadHeader carries the number of a server's running requests, waiting requests
-	// and slots, as ParseLoad reads them.
+	// LoadHeader carries a server's load report, as ParseLoad reads it.
 	LoadHeader string
-	ParseLoad  func(text string) (running, waiting, slots int, ok bool)
+	ParseLoad  func(text string) (briarferry.ServerLoad, bool)
 	// AllowCloseDelimited accepts answers without a length whose body ends when the
 	// connection closes.
 	AllowCloseDelimited bool
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -231,11 +231,28 @@
 	return tryResult{outcome: report.Outcome, answer: answer, err: err}
 }
 
+// parseLoad returns the server's load report, if the answer has a valid one.
+func (n *Node) parseLoad(h http.Header) (briarferry.ServerLoad, bool) {
+	if n.Dialect.LoadHeader == "" {
+		return briarferry.ServerLoad{}, false
+	}
+	text := h.Get(n.Dialect.LoadHeader)
+	if text == "" {
+		return briarferry.ServerLoad{}, false
+	}
+	load, ok := n.Dialect.ParseLoad(text)
+	if !ok {
+		counters.invalidLoads.Add(1)
+		n.invalidLoads.report(text)
+	}
+	return load, ok
+}
+
 // report classifies the end of a try.
 func (n *Node) report(ctx context.Context, a *briarferry.Answer, err error) bfsteering.Report {
 	var r bfsteering.Report
-	if a != nil && n.Dialect.LoadHeader != "" {
-		r.Running, r.Waiting, r.Slots, r.HasLoad = n.Dialect.ParseLoad(a.Header.Get(n.Dialect.LoadHeader))
+	if a != nil {
+		r.Load, r.HasLoad = n.parseLoad(a.Header)
 	}
 	var tryErr *briarferry.TryError
 	switch {
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -34,7 +34,7 @@
 		n, err := strconv.Atoi(text)
 		return time.Duration(n) * time.Millisecond, err == nil
 	},
-	LoadHeader: "X-Load", ParseLoad: func(string) (int, int, int, bool) { return 0, 0, 0, false },
+	LoadHeader: "X-Load", ParseLoad: func(string) (briarferry.ServerLoad, bool) { return briarferry.ServerLoad{}, false },
 }
 
 // behaviour is how a fake backend server handles one request.
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, invalidLoads expvar.Int
 
 		tries expvar.Map
 	}
@@ -75,6 +75,7 @@
 		m.Set("accept_errors", &counters.acceptErrors)
 		m.Set("hedges", &counters.hedges)
 		m.Set("hedges_denied", &counters.hedgesDenied)
+		m.Set("invalid_load_reports", &counters.invalidLoads)
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("revision", expvar.Func(func() any { return n.fleet.state.Load().Revision }))
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -81,6 +81,8 @@
 		active     atomic.Int64
 		stopPhase  atomic.Int32
 		logSampler logSampler
+		// invalidLoads logs load reports that could not be parsed.
+		invalidLoads invalidLoadLog
 	}
 )
 
@@ -118,7 +120,7 @@
 	}
 	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, Dial: n.dial}
 	n.server = &callerServer{handler: n, meter: &n.meter, log: n.Log}
-	n.logSampler.log = n.Log
+	n.logSampler.log, n.invalidLoads.log = n.Log, n.Log
 	publishMetrics(n)
 }
 
--- a/route.go
+++ b/route.go
@@ -76,6 +76,9 @@
 		// HomeRegions are the only regions whose servers may handle the requests; empty
 		// means all regions.
 		HomeRegions []string `json:"home_regions" cbor:"11,keyasint"`
+		// LargeAnswers marks routes of downloads, whose answers have tens of kilobytes or
+		// more.
+		LargeAnswers bool `json:"large_answers,omitempty" cbor:"12,keyasint,omitempty"`
 	}
 
 	// SplitPart is a service with the weight of its share of a route's requests.
