Hand the demand of all blocks on to the next leader

A new leader adopted blocks with a demand of 0 and knew that of a lost region's blocks only from the callers that had come to other entries so far, so it could move more of them in a step than the cap allows.

Change: every 10 s the leader sends each entry the demand of the blocks by class; entries hand it on with the assignment that a new leader adopts. A copy that belongs to another block set is ignored.

--- a/internal/coordination/bfplacement/coordinator.go
+++ b/internal/coordination/bfplacement/coordinator.go
@@ -17,6 +17,9 @@
 	// the assignment that it adopts.
 	reportCollectionTime = 2500 * time.Millisecond
 	maxAdoptionWait      = 5 * time.Second
+	// demandInterval is the interval at which each entry gets the demand of the blocks. With
+	// maxPlannedBlocks blocks of three classes a copy has about 40 KB.
+	demandInterval = 10 * time.Second
 	// maxKeptVersions bounds the assignments that a delta can start from.
 	maxKeptVersions = 8
 )
@@ -43,6 +46,8 @@
 		dimensions dimensions
 		blocks     []plannedBlock
 		net        Network
+		// demandSentAt is when each site last got the demand of the blocks.
+		demandSentAt map[string]time.Time
 		// regionCapacity is the last known capacity of each region.
 		regionCapacity map[string]Rate
 		lastStep       time.Time
@@ -60,6 +65,8 @@
 	adoptedAssignment struct {
 		assignment *Assignment
 		blockSet   *BlockSet
+		// demand is nil if it is unknown or belongs to another block set.
+		demand *BlockDemand
 	}
 
 	// dimensions are the properties that can't change during a planner's life.
@@ -113,7 +120,7 @@
 		return nil
 	}
 	if c.planner != nil && !c.dimensions.equal(dimensionsOf(cfg)) {
-		c.adopted, c.planner = &adoptedAssignment{c.published.newestAssignment(), c.published.blockSet}, nil
+		c.adopted, c.planner = &adoptedAssignment{assignment: c.published.newestAssignment(), blockSet: c.published.blockSet}, nil
 	}
 	if c.planner == nil && !c.readyToPlan(now) {
 		return nil
@@ -136,6 +143,7 @@
 func (c *Coordinator) reset() {
 	c.term, c.planner, c.adopted, c.blocks = 0, nil, nil, nil
 	c.reports, c.regionCapacity = map[string]*receivedReport{}, map[string]Rate{}
+	c.demandSentAt = map[string]time.Time{}
 	c.net, c.plan, c.published = Network{}, Plan{}, publishedState{}
 }
 
@@ -248,11 +256,21 @@
 			served = int8(min(int(l.Classes), len(c.dimensions.urgencies)))
 		}
 		sites, classes = append(sites, site), append(classes, served)
-		c.blocks = append(c.blocks, plannedBlock{prefix: p, homeRegion: homeRegion, lastUsed: now, lastHigh: now, demand: make([]Rate, len(c.dimensions.urgencies))})
+		c.blocks = append(c.blocks, plannedBlock{prefix: p, homeRegion: homeRegion, lastUsed: now, lastHigh: now, demand: c.adopted.blockDemand(i, len(c.dimensions.urgencies))})
 	}
 	return sites, classes, nil
 }
 
+// blockDemand returns the demand of the i-th block by class. It is zero if it is unknown.
+func (a *adoptedAssignment) blockDemand(i, classes int) []Rate {
+	out := make([]Rate, classes)
+	if a.demand == nil || a.demand.Classes != classes || len(a.demand.Rates) < (i+1)*classes {
+		return out
+	}
+	copy(out, a.demand.Rates[i*classes:])
+	return out
+}
+
 func limitsOf(cfg *briarferry.Config) Limits {
 	l := DefaultLimits()
 	l.ShiftCapShare = cfg.Limits.ShiftCapShare
@@ -323,16 +341,32 @@
 		newer := r.Version > 0 && r.Version >= c.newestReportedVersion() && r.Version > c.adoptedVersion()
 		return Reply{Upload: newer}, nil
 	}
-	return c.published.replyTo(r), nil
+	reply := c.published.replyTo(r)
+	if now.Sub(c.demandSentAt[r.Site]) >= demandInterval {
+		c.demandSentAt[r.Site], reply.Demand = now, c.blockDemand()
+	}
+	return reply, nil
+}
+
+// blockDemand returns the demand of all blocks.
+func (c *Coordinator) blockDemand() *BlockDemand {
+	d := &BlockDemand{BlockSetChecksum: c.planner.blockSetChecksum, Classes: len(c.dimensions.urgencies)}
+	for _, b := range c.blocks {
+		d.Rates = append(d.Rates, b.demand...)
+	}
+	return d
 }
 
 func (c *Coordinator) storeReport(now time.Time, r Report) {
 	if r.Assignment != nil && r.BlockSet != nil && c.planner == nil {
 		if a, err := DecodeAssignment(r.Assignment); err == nil && a.Version > c.adoptedVersion() {
-			c.adopted = &adoptedAssignment{a, r.BlockSet}
+			c.adopted = &adoptedAssignment{assignment: a, blockSet: r.BlockSet}
+			if r.Demand != nil && r.Demand.BlockSetChecksum == a.BlockSetChecksum {
+				c.adopted.demand = r.Demand
+			}
 		}
 	}
-	r.Assignment, r.BlockSet = nil, nil
+	r.Assignment, r.BlockSet, r.Demand = nil, nil, nil
 	c.reports[r.Site] = &receivedReport{r, now.Add(-time.Duration(r.AgeMillis) * time.Millisecond)}
 }
 
--- a/internal/coordination/bfplacement/coordinator_test.go
+++ b/internal/coordination/bfplacement/coordinator_test.go
@@ -207,6 +207,42 @@
 	})
 }
 
+// TestAdoptedDemand guards against a new leader that knows the demand of a lost region's
+// blocks only from the callers that have come to other entries so far: it would move more
+// of them in a step than the shift cap allows.
+func TestAdoptedDemand(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		demand := func() map[netip.Prefix]Rate {
+			out := map[netip.Prefix]Rate{}
+			for _, b := range f.leader.blocks {
+				out[b.prefix] = sumRates(b.demand)
+			}
+			return out
+		}
+		before := demand()
+		f.setRegion("b", true)
+		f.leader = nil
+		f.elect(2)
+		// The callers of region b send nothing until the new leader plans.
+		f.startUp()
+		if f.leader.planner == nil {
+			t.Fatal("the new leader does not plan")
+		}
+		after, known := demand(), 0
+		for p, want := range before {
+			if after[p]*10 < want*8 {
+				t.Errorf("block %v: demand %d after the change of leader, %d before", p, after[p], want)
+			}
+			if want > 0 {
+				known++
+			}
+		}
+		if known == 0 {
+			t.Error("no block had any demand before the change of leader")
+		}
+	})
+}
+
 // BenchmarkCoordinator measures a planning step with the maximum number of blocks.
 func BenchmarkCoordinator(b *testing.B) {
 	f := newFleet(nil)
--- a/internal/coordination/bfplacement/entry_agent.go
+++ b/internal/coordination/bfplacement/entry_agent.go
@@ -51,6 +51,7 @@
 	current         *Assignment
 	index           *Index
 	blockSet        *BlockSet
+	demand          *BlockDemand
 	wantFull        bool
 	uploadRequested bool
 }
@@ -119,7 +120,7 @@
 	}
 	r.Version, r.BlockSetChecksum = ea.current.Version, ea.current.BlockSetChecksum
 	if ea.uploadRequested {
-		r.Assignment, r.BlockSet, ea.uploadRequested = ea.current.Encode(), ea.blockSet, false
+		r.Assignment, r.BlockSet, r.Demand, ea.uploadRequested = ea.current.Encode(), ea.blockSet, ea.demand, false
 	}
 	return r
 }
@@ -130,6 +131,9 @@
 	ea.mu.Lock()
 	defer ea.mu.Unlock()
 	ea.uploadRequested = reply.Upload && ea.current != nil
+	if reply.Demand != nil {
+		ea.demand = reply.Demand
+	}
 	if reply.Full == nil && reply.Delta == nil {
 		return nil
 	}
--- a/internal/coordination/bfplacement/report.go
+++ b/internal/coordination/bfplacement/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"briarferry"
 )
@@ -20,6 +21,16 @@
 		HomeRegions []byte   `cbor:"h"`
 	}
 
+	// BlockDemand is the leader's view of the demand of the blocks of a block set. Entries
+	// keep it for the next leader, which can't learn the demand of a lost region's blocks
+	// from the reports of other regions.
+	BlockDemand struct {
+		BlockSetChecksum uint32 `cbor:"b"`
+		Classes          int    `cbor:"n"`
+		// Rates holds the demand of each block by class, most urgent first.
+		Rates []Rate `cbor:"r"`
+	}
+
 	// Report sends the leader an entry's measurements and describes its current assignment.
 	Report struct {
 		Site          string `cbor:"s"`
@@ -37,9 +48,10 @@
 		Load           Rate           `cbor:"l"`
 		OtherDemand    Rate           `cbor:"o"`
 		Blocks         []BlockReading `cbor:"k"`
-		// Assignment and BlockSet are sent if the leader asked for them.
-		Assignment []byte    `cbor:"x,omitempty"`
-		BlockSet   *BlockSet `cbor:"y,omitempty"`
+		// Assignment, BlockSet and Demand are sent if the leader asked for them.
+		Assignment []byte       `cbor:"x,omitempty"`
+		BlockSet   *BlockSet    `cbor:"y,omitempty"`
+		Demand     *BlockDemand `cbor:"z,omitempty"`
 	}
 
 	// Reply updates an entry to the leader's assignment.
@@ -50,6 +62,8 @@
 		Delta    []byte    `cbor:"d,omitempty"`
 		// Upload asks for the entry's assignment, which a new leader adopts.
 		Upload bool `cbor:"u,omitempty"`
+		// Demand is sent to each entry once per demandInterval.
+		Demand *BlockDemand `cbor:"m,omitempty"`
 	}
 
 	// Transport sends a report to the leader.
@@ -72,6 +86,7 @@
 	if len(r.Assignment) > maxMessageBytes {
 		f.Add("assignment", "must have at most %d bytes", maxMessageBytes)
 	}
+	f.Merge("demand", r.Demand.Validate())
 	rates := []Rate{r.RegionCapacity, r.Load, r.OtherDemand}
 	for _, b := range r.Blocks {
 		if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() || len(b.Demand) > maxClasses {
@@ -80,20 +95,37 @@
 		}
 		rates = append(append(rates, b.Lookups), b.Demand...)
 	}
-	for _, rate := range rates {
-		if rate < 0 || rate > maxRate {
-			f.Add("rates", "must be between 0 and %d", maxRate)
-			break
-		}
+	if !areValidRates(rates) {
+		f.Add("rates", "must be between 0 and %d", maxRate)
 	}
 	return f
 }
 
+// Validate returns findings about the values that are out of range.
+func (d *BlockDemand) Validate() briarferry.Findings {
+	var f briarferry.Findings
+	if d == nil {
+		return f
+	}
+	if d.Classes < 1 || d.Classes > maxClasses || len(d.Rates)%max(1, d.Classes) != 0 || len(d.Rates) > maxPlannedBlocks*maxClasses {
+		f.Add("rates", "must have the same number of classes, 1 to %d, for at most %d blocks", maxClasses, maxPlannedBlocks)
+	}
+	if !areValidRates(d.Rates) {
+		f.Add("rates", "must be between 0 and %d", maxRate)
+	}
+	return f
+}
+
+func areValidRates(rates []Rate) bool {
+	return !slices.ContainsFunc(rates, func(r Rate) bool { return r < 0 || r > maxRate })
+}
+
 // Validate returns findings about the values that are out of range.
 func (r *Reply) Validate() briarferry.Findings {
 	var f briarferry.Findings
 	if len(r.Full) > maxMessageBytes || len(r.Delta) > maxMessageBytes {
 		f.Add("assignment", "must have at most %d bytes", maxMessageBytes)
 	}
+	f.Merge("demand", r.Demand.Validate())
 	return f
 }
