Bound the heads, the bodies and the sum of the answers that an entry holds

Cause: only the bytes of a whole answer were limited, to 16 MiB for each. A head could use the whole limit.

Change: heads, with informational and skipped ones, have 64 KiB for a request and bodies 16 MiB; an exhausted limit is always ErrTooLarge. All answers of a client share Client.AnswerMemory, a quarter of the memory limit of an entry. When it is used up, the largest answer that is still being read is dropped and its connection closed. The time is bounded by the try's deadline alone, since a server that pauses may be working. Such a try counts as an invalid answer: an idempotent request is tried elsewhere, another one ends as 502 at once.

--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -33,6 +33,8 @@
 	// bodyMemoryShare is the share of the process's memory limit that the request bodies of
 	// callers may occupy.
 	bodyMemoryShare = 0.25
+	// answerMemoryShare is the same for the answers of backend servers.
+	answerMemoryShare = 0.25
 	// drainGraceShare is the share of the grace period during which a stopping entry still
 	// accepts requests.
 	drainGraceShare = 0.5
@@ -209,10 +211,16 @@
 			RetryShare: p.Bounds.RetryShare, RetrySlack: p.Bounds.RetrySlack, RetryWindow: p.Bounds.RetryWindow, MaxShift: p.Bounds.MaxShift,
 		},
 		GracePeriod: p.Bounds.Grace, DrainTime: min(maxDrainTime, time.Duration(drainGraceShare*float64(p.Bounds.Grace))), Log: s.log,
-		LinkBandwidth: p.LinkMbps * bitsPerMegabit / bitsPerByte, MaxBodyMemory: int64(bodyMemoryShare * float64(p.MemoryMB) * bytesPerMebibyte),
+		LinkBandwidth: p.LinkMbps * bitsPerMegabit / bitsPerByte, MaxBodyMemory: s.memoryShare(bodyMemoryShare),
+		MaxAnswerMemory: s.memoryShare(answerMemoryShare),
 	}
 }
 
+// memoryShare returns a share of the process's memory limit in bytes.
+func (s *vmSettings) memoryShare(share float64) int64 {
+	return int64(share * float64(s.platform.MemoryMB) * bytesPerMebibyte)
+}
+
 func (s *vmSettings) controlNode() *bfcontrol.Node {
 	p := s.platform
 	n := &bfcontrol.Node{
--- a/internal/transport/bfentry/try.go
+++ b/internal/transport/bfentry/try.go
@@ -162,6 +162,9 @@
 	span.SetAttributes(attribute.String("backend", slot.Backend().Address.String()))
 	start := time.Now()
 	a, err := p.Upstream.Do(ctx, slot.Backend(), st.request)
+	// The memory for answers covers those that are being read: an answer of a claimed
+	// request is needed for longer than its try.
+	a.Release()
 	p.recordTry(ctx, st, slot, time.Since(start), a, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -223,6 +223,7 @@
 	answer, err := n.upstream.Do(ctx, t.Backend, c.request)
 	report := n.report(ctx, answer, err)
 	if answer != nil {
+		c.hold(answer)
 		report.Bytes = len(c.request.Body) + len(answer.Body)
 	}
 	t.Done(time.Now(), report)
@@ -278,7 +279,7 @@
 		r.Outcome = bfsteering.TimedOut
 	case ctx.Err() != nil:
 		r.Outcome = bfsteering.Cancelled
-	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature):
+	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
 		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
 	default:
 		r.Outcome, r.ServerRefusedConnection = bfsteering.ConnectionLost, tryErr.ServerRefusedConnection
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -46,16 +46,41 @@
 	received    time.Time
 	// tableVersion is the version of the route table used for the request.
 	tableVersion uint64
-	// mu guards tries, since a try may end after the request was answered, such as the slower
-	// one of a hedged request.
+	// mu guards tries, answers and ended, since a try may end after the request was
+	// answered, such as the slower one of a hedged request.
 	mu    sync.Mutex
 	tries []tryRecord
+	// answers are the servers' answers, which are released when the request has ended.
+	answers []*briarferry.Answer
+	ended   bool
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// releaseBody releases the memory reserved for the body.
 	releaseBody func()
 }
 
+// hold keeps the answer until the request has ended.
+func (c *call) hold(a *briarferry.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		a.Release()
+		return
+	}
+	c.answers = append(c.answers, a)
+}
+
+// end releases all memory that is held for the request.
+func (c *call) end() {
+	c.releaseBody()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, a := range c.answers {
+		a.Release()
+	}
+}
+
 // ServeHTTP handles a caller's request.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
@@ -68,7 +93,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := n.readRequest(w, r, received)
-	defer c.releaseBody()
+	defer c.end()
 	if refusal != nil {
 		n.writeRefusal(w, c, refusal)
 		return
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -81,6 +81,8 @@
 		m.Set("revision", expvar.Func(func() any { return n.fleet.state.Load().Revision }))
 		m.Set("live_entries", expvar.Func(func() any { return len(n.fleet.Live()) }))
 		m.Set("link_utilization", expvar.Func(func() any { return n.meter.last() }))
+		m.Set("answer_bytes_held", expvar.Func(func() any { bytes, _ := n.upstream.HeldAnswers(); return bytes }))
+		m.Set("answers_dropped", expvar.Func(func() any { _, dropped := n.upstream.HeldAnswers(); return dropped }))
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
 	})
 }
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -64,6 +64,9 @@
 		// MaxBodyMemory limits the total bytes of request bodies that are buffered at the
 		// same time; zero means no limit.
 		MaxBodyMemory int64
+		// MaxAnswerMemory limits the total bytes of servers' answers that are held at the
+		// same time; zero means the default of bfupstream.
+		MaxAnswerMemory int64
 		// LinkBandwidth is the bandwidth of the VM's link in each direction, in bytes per
 		// second; zero means unknown.
 		LinkBandwidth float64
@@ -118,7 +121,7 @@
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.fleet, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
 	}
-	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, Dial: n.dial}
+	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, Dial: n.dial, AnswerMemory: n.MaxAnswerMemory}
 	n.server = &callerServer{handler: n, meter: &n.meter, log: n.Log}
 	n.logSampler.log, n.invalidLoads.log = n.Log, n.Log
 	publishMetrics(n)
--- /dev/null
+++ b/internal/transport/bfupstream/answer_reader.go
@@ -0,0 +1,166 @@
+package bfupstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+
+	"briarferry/internal/protocol/bfapi"
+)
+
+const (
+	// maxAnswersRead limits the answers read for one request, including the skipped answers to
+	// other requests.
+	maxAnswersRead = 4
+	// maxHeadBytes limits the heads of all answers read for one request, including the
+	// informational and the skipped ones, and maxBodyBytes their bodies.
+	maxHeadBytes = 64 << 10
+	maxBodyBytes = 16 << 20
+	// smallBodyBytes is the largest body for which no memory is reserved. It is also the
+	// capacity with which the reading of a longer body, or one of unknown length, begins.
+	smallBodyBytes = 8 << 10
+)
+
+type (
+	// answerReader reads answers from a connection within limits for each request.
+	answerReader struct {
+		limited *io.LimitedReader
+		br      *bufio.Reader
+		dialect *bfapi.Dialect
+		memory  *answerMemory
+		// drop closes the connection.
+		drop func()
+		// headBytes and bodyBytes are how many more bytes of heads and bodies may be read
+		// for the current request.
+		headBytes, bodyBytes int64
+	}
+
+	// result is a whole answer or the error of receiving it.
+	result struct {
+		response *http.Response
+		body     []byte
+		// memory is the reservation for the body.
+		memory *reservation
+		err    error
+	}
+)
+
+func newAnswerReader(r io.Reader, c *Client, drop func()) *answerReader {
+	limited := &io.LimitedReader{R: r}
+	return &answerReader{limited: limited, br: bufio.NewReader(limited), dialect: c.dialect(), memory: c.answers(), drop: drop}
+}
+
+// wait waits for the first byte of an answer, or of bytes that belong to none.
+func (ar *answerReader) wait() error {
+	ar.headBytes, ar.bodyBytes = maxHeadBytes, maxBodyBytes
+	ar.limited.N = maxHeadBytes
+	_, err := ar.br.Peek(1)
+	return err
+}
+
+// read reads the whole answer to the request. With DiscardMismatched, it skips answers to
+// other requests.
+func (ar *answerReader) read(p *pendingRequest) result {
+	for range maxAnswersRead {
+		got := ar.readNext(p.request)
+		if got.err != nil || !ar.shouldSkip(got, p.id) {
+			return got
+		}
+		got.memory.release()
+		if got.response.Close {
+			return result{err: fmt.Errorf("%w: only an answer to another request", ErrTruncated)}
+		}
+	}
+	return result{err: ErrAnswerMismatch}
+}
+
+// shouldSkip reports whether the answer belongs to another request and is to be skipped.
+func (ar *answerReader) shouldSkip(got result, id string) bool {
+	if !ar.dialect.DiscardMismatched {
+		return false
+	}
+	other := got.response.Header.Get(ar.dialect.RequestIDHeader)
+	return other != "" && other != id
+}
+
+// readNext reads one answer and skips informational ones. Unless AllowCloseDelimited is set,
+// an answer whose end is only marked by the end of the connection counts as truncated.
+func (ar *answerReader) readNext(r *http.Request) result {
+	var resp *http.Response
+	for resp == nil || resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		err := ar.within(&ar.headBytes, func() (err error) {
+			resp, err = http.ReadResponse(ar.br, r)
+			return err
+		})
+		if err != nil {
+			return result{err: err}
+		}
+	}
+	if !ar.dialect.AllowCloseDelimited && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
+		return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
+	}
+	got := result{response: resp, memory: ar.memory.reserve(ar.drop)}
+	got.err = ar.within(&ar.bodyBytes, func() (err error) {
+		got.body, err = readBody(resp, got.memory)
+		return err
+	})
+	if !got.memory.finishReading() {
+		got.err = fmt.Errorf("%w: %w", ErrTooLarge, errAnswerMemory)
+	}
+	if got.err != nil {
+		got.memory.release()
+		got.body = nil
+	}
+	return got
+}
+
+// within calls read, which may consume at most *left bytes, and subtracts those consumed.
+func (ar *answerReader) within(left *int64, read func() error) error {
+	buffered := int64(ar.br.Buffered())
+	ar.limited.N = max(0, *left-buffered)
+	allowed := ar.limited.N
+	err := read()
+	exhausted := ar.limited.N <= 0
+	*left -= buffered + allowed - ar.limited.N - int64(ar.br.Buffered())
+	switch {
+	case errors.Is(err, errAnswerMemory):
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
+	case exhausted:
+		// The reader ends here like a closed connection, so a body without a length looks
+		// complete.
+		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, allowed+buffered)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	}
+	return nil
+}
+
+// readBody reads the body of an answer into memory that grows with the bytes received,
+// whatever length the answer announces.
+func readBody(resp *http.Response, memory *reservation) ([]byte, error) {
+	size := int64(smallBodyBytes)
+	if resp.ContentLength >= 0 {
+		// One byte more lets the end of the body be read without growing.
+		size = min(size, resp.ContentLength+1)
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			if err := memory.grow(2 * int64(cap(body))); err != nil {
+				return nil, err
+			}
+			body = slices.Grow(body, cap(body))
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -26,12 +26,6 @@
 	idleTimeout = 5 * time.Second
 	// keepAliveMargin covers the transmission of a request and delayed timers.
 	keepAliveMargin = time.Second
-	// maxAnswersRead limits the answers read for one request, including the skipped answers to
-	// other requests.
-	maxAnswersRead = 4
-	// maxAnswerBytes limits the headers and bodies of all answers read for one request,
-	// including the skipped ones.
-	maxAnswerBytes = 16 << 20
 )
 
 var (
@@ -41,6 +35,9 @@
 	// it ended early, was not valid HTTP, announced neither a length nor chunks although the
 	// dialect requires one of them, or the connection ended after an answer to another request.
 	ErrTruncated = errors.New("answer is not complete")
+	// ErrTooLarge is returned for an answer whose head or body exceeds its limit, or that was
+	// the largest one when the memory for answers was used up.
+	ErrTooLarge = errors.New("answer is too large")
 	// ErrShed is returned if the server rejected the request because of its own load.
 	ErrShed = errors.New("server shed the request")
 	// ErrMisdirected is returned if the request reached another instance than the intended
@@ -70,6 +67,12 @@
 		// try itself continues. With nil or 0 this happens only when the try times
 		// out.
 		SuspectAfter func(service string) time.Duration
+		// AnswerMemory limits the total size of the answers that are held at the same
+		// time, from their first byte to Answer.Release; zero means 64 MiB.
+		AnswerMemory int64
+
+		memoryOnce sync.Once
+		memory     answerMemory
 
 		mu    sync.Mutex
 		pools map[netip.AddrPort]*pool
@@ -136,6 +139,7 @@
 	got := <-results
 	if !stop() && got.err == nil {
 		// The answer arrived when the context ended. It counts as late.
+		got.memory.release()
 		got.err = context.Cause(ctx)
 	}
 	if got.err != nil {
@@ -172,9 +176,21 @@
 	return func() { timer.Stop() }
 }
 
-// accept returns the answer if it belongs to the request and the server ran it, and an
-// error otherwise. The answer of a server that did not run the request comes with an error.
+// accept returns the answer of checkAnswer. An answer without an error holds its memory until
+// it is released.
 func (t try) accept(conn *conn, got result) (*briarferry.Answer, error) {
+	a, err := t.checkAnswer(conn, got)
+	if err != nil {
+		got.memory.release()
+		return a, err
+	}
+	a.OnRelease(got.memory.release)
+	return a, nil
+}
+
+// checkAnswer returns the answer if it belongs to the request and the server ran it, and an
+// error otherwise. The answer of a server that did not run the request comes with an error.
+func (t try) checkAnswer(conn *conn, got result) (*briarferry.Answer, error) {
 	d := t.client.dialect()
 	h, status := got.response.Header, got.response.StatusCode
 	notRun := d.IsNotRun(status, h)
@@ -208,7 +224,7 @@
 	e := &briarferry.TryError{
 		Backend:        t.backend,
 		Dispatched:     conn.written.Load() > 0,
-		ConnectionLost: ctxErr == nil && !errors.Is(err, errTooLarge),
+		ConnectionLost: ctxErr == nil && !errors.Is(err, ErrTooLarge),
 		TimedOut:       errors.Is(ctxErr, context.DeadlineExceeded),
 		Err:            err,
 	}
@@ -270,6 +286,21 @@
 	}
 }
 
+// answers returns the memory for answers.
+func (c *Client) answers() *answerMemory {
+	c.memoryOnce.Do(func() {
+		c.memory.limit = c.AnswerMemory
+		if c.memory.limit <= 0 {
+			c.memory.limit = defaultAnswerMemory
+		}
+	})
+	return &c.memory
+}
+
+// HeldAnswers returns the memory that answers use now, and the number of answers that were
+// dropped because it was used up.
+func (c *Client) HeldAnswers() (bytes int64, dropped uint64) { return c.answers().usage() }
+
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	if c.Dial != nil {
 		return c.Dial(ctx, address)
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,10 +14,7 @@
 	"time"
 )
 
-var (
-	errTooLarge = errors.New("answer is too large")
-	errNoAnswer = errors.New("connection ended before its answer")
-)
+var errNoAnswer = errors.New("connection ended before its answer")
 
 type (
 	// conn is a connection to a backend server. A goroutine reads its answers.
@@ -52,13 +48,6 @@
 		// sent is true once the whole request was written.
 		sent atomic.Bool
 	}
-
-	// result is a whole answer or the error of receiving it.
-	result struct {
-		response *http.Response
-		body     []byte
-		err      error
-	}
 )
 
 // Write writes to the connection and counts the bytes.
@@ -95,11 +84,9 @@
 // pending belong to the answer to an abandoned request, so the connection is closed.
 func (c *conn) read() {
 	defer c.close()
-	limited := &io.LimitedReader{R: c.raw}
-	br := bufio.NewReader(limited)
+	answers := newAnswerReader(c.raw, c.pool.client, c.close)
 	for {
-		limited.N = maxAnswerBytes
-		_, err := br.Peek(1)
+		err := answers.wait()
 		p := c.takePending()
 		if p == nil {
 			return
@@ -108,14 +95,11 @@
 			p.results <- result{err: fmt.Errorf("%w: %w", errNoAnswer, err)}
 			return
 		}
-		got := c.pool.client.readAnswer(br, p)
-		if got.err != nil && limited.N <= 0 {
-			got.err = errTooLarge
-		}
+		got := answers.read(p)
 		// If the answer arrived before the whole request was sent, the server may take a
 		// later request for the rest of this one, so the connection isn't used again.
 		last := got.err != nil || got.response.Close || !p.sent.Load()
-		if last || br.Buffered() > 0 {
+		if last || answers.br.Buffered() > 0 {
 			c.markUnusable()
 		}
 		if got.err == nil {
@@ -140,53 +124,6 @@
 	return 0
 }
 
-// readAnswer reads the whole answer to the request. With DiscardMismatched, it skips
-// answers to other requests.
-func (c *Client) readAnswer(br *bufio.Reader, p *pendingRequest) result {
-	for range maxAnswersRead {
-		got := readNext(br, p.request, c.dialect().AllowCloseDelimited)
-		if got.err != nil || !c.shouldSkip(got, p.id) {
-			return got
-		}
-		if got.response.Close {
-			return result{err: fmt.Errorf("%w: only an answer to another request", ErrTruncated)}
-		}
-	}
-	return result{err: ErrAnswerMismatch}
-}
-
-// shouldSkip reports whether the answer belongs to another request and is to be skipped.
-func (c *Client) shouldSkip(got result, id string) bool {
-	d := c.dialect()
-	if !d.DiscardMismatched {
-		return false
-	}
-	other := got.response.Header.Get(d.RequestIDHeader)
-	return other != "" && other != id
-}
-
-// readNext reads one answer and skips informational ones. Unless allowCloseDelimited is set, an
-// answer whose end is only marked by the end of the connection counts as truncated.
-func readNext(br *bufio.Reader, r *http.Request, allowCloseDelimited bool) result {
-	for {
-		resp, err := http.ReadResponse(br, r)
-		if err != nil {
-			return result{err: fmt.Errorf("%w: %w", ErrTruncated, err)}
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		if !allowCloseDelimited && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
-			return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
-		}
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return result{err: fmt.Errorf("%w: %w", ErrTruncated, err)}
-		}
-		return result{response: resp, body: body}
-	}
-}
-
 // takePending returns and clears the pending request.
 func (c *conn) takePending() *pendingRequest {
 	c.mu.Lock()
--- a/request.go
+++ b/request.go
@@ -55,6 +55,8 @@
 		Status int         `json:"status"`
 		Header http.Header `json:"header"`
 		Body   []byte      `json:"body"`
+
+		release func()
 	}
 
 	// Refusal is the error for a request that gets no answer from a backend server.
@@ -81,6 +83,16 @@
 	}
 )
 
+// OnRelease sets the function that frees what is held for the answer.
+func (a *Answer) OnRelease(f func()) { a.release = f }
+
+// Release must be called when the answer is no longer needed. Further calls have no effect.
+func (a *Answer) Release() {
+	if a != nil && a.release != nil {
+		a.release()
+	}
+}
+
 // Error returns the outcome and the reason.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("briarferry: %s: %s", r.Outcome, r.Reason)
