Expect the time to open a connection when a server is chosen

Cause: the estimate had no time for a new connection, which takes a round trip of 110 ms between regions.

Change: without an idle connection the network time counts twice, and a server with one is preferred by 5 ms.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -16,6 +16,9 @@
 	crossDomainCost   = 20 * time.Millisecond
 	crossRegionCost   = 20 * time.Millisecond
 	crossKilobyteCost = 45 * time.Millisecond
+	// newConnectionCost is the delay that is accepted to use a server with an idle
+	// connection instead of opening one to another server.
+	newConnectionCost = 5 * time.Millisecond
 	// onTimeShare is the share of the target that an expected answer may take.
 	onTimeShare = 0.95
 	// maxLateLoad is the load per slot up to which a server accepts requests that no server
@@ -215,9 +218,17 @@
 	if excess := c.load + 1 - float64(srv.Slots); excess > 0 {
 		wait = time.Duration(excess / float64(srv.Slots) * float64(m.slotTime(available)))
 	}
+	connected := s.connected(srv)
+	if !connected {
+		// Opening a connection takes a round trip.
+		c.network *= 2
+	}
 	c.estimate = c.network + time.Duration(float64(work+wait)*slowdown)
 	c.nearLimitIfWarm = c.network+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
 	c.cost = c.estimate
+	if !connected {
+		c.cost += newConnectionCost
+	}
 	// Filling a cache only benefits later requests and must not take capacity that current
 	// requests need, so it lowers the cost only while the server has spare capacity.
 	spare := c.load+1 <= spareLoadShare*float64(srv.Slots)
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -3,6 +3,7 @@
 package bfsteering
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -33,8 +34,11 @@
 		Entries func() int
 		// RegionPeers returns the number of other live entries in this region.
 		RegionPeers func() int
-		Limits      Limits
-		Log         zerolog.Logger
+		// Connected reports whether there is an idle connection to a server; nil means that
+		// there always is one.
+		Connected func(address netip.AddrPort) bool
+		Limits    Limits
+		Log       zerolog.Logger
 
 		shift shiftLimiter
 		rtts  roundTripTimes
@@ -173,6 +177,10 @@
 	return s.RegionPeers()
 }
 
+func (s *Steering) connected(srv *server) bool {
+	return s.Connected == nil || srv.sent > 0 && s.Connected(srv.Address)
+}
+
 func (s *Steering) entries() int {
 	if s.Entries == nil {
 		return 1
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -249,6 +249,19 @@
 	conn.release(false)
 }
 
+// HasIdle reports whether a request to the server needs no new connection.
+func (c *Client) HasIdle(address netip.AddrPort) bool {
+	c.mu.Lock()
+	p := c.pools[address]
+	c.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // connectionLimit returns this entry's share of the server's connection limit.
 func (c *Client) connectionLimit(b briarferry.Backend) int {
 	entries := 1
