Use the slowdown that servers report, with the age of the report

Cause: the fourth figure of load reports, the current slowdown of a machine that servers share with others, was parsed but not used.

Change: the expected time is multiplied by the slowdown, whose weight falls by half every 250 ms. A slow answer is compared with the slowdown that the server reports with it, so that a passing slowdown isn't remembered for seconds.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -71,6 +71,8 @@
 		started   time.Time
 		queued    bool
 		missClass missClass
+		// slowdown is the part of Expected that is due to the server's reported slowdown.
+		slowdown float64
 	}
 
 	// NoServerError refuses a request for which no server could be chosen. It names the
@@ -203,7 +205,7 @@
 	available := min(target, r.Remaining)
 	c := candidate{server: srv, order: pos.order, load: srv.load(now, s.regionPeers()), network: s.rtts.get(srv.region, s.Region)}
 	c.warm = r.key() != "" && srv.warm.has(r.key())
-	slowdown := 1 + srv.slowness.get(now, slownessHalfLife)
+	slowdown := (1 + srv.slowness.get(now, slownessHalfLife)) * srv.currentSlowdown(now)
 	warm, cold := m.expect(true, available), m.expect(false, available)
 	work := cold
 	c.noColdSamples = m.cold.samples == 0
@@ -323,5 +325,6 @@
 		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.loadReportedAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
 		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples, missClass: c.missClass,
+		slowdown: srv.currentSlowdown(now),
 	}
 }
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -62,6 +62,7 @@
 	srv.inFlight--
 	if r.HasLoad {
 		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Load.Running+r.Load.Waiting-srv.inFlight)), now
+		srv.reportedSlowdown = r.Load.Slowdown
 	}
 	switch r.Outcome {
 	case Answered, Failed:
@@ -142,7 +143,9 @@
 	cold := t.started.Before(srv.coldUntil)
 	expected := max(t.Expected, time.Millisecond)
 	slow := srv.slowness.get(now, slownessHalfLife)
-	ratio := float64(took)/float64(expected)*(1+slow) - 1
+	// What the server reports as a passing slowdown does not count as its own slowness.
+	reported := max(1, srv.currentSlowdown(now)/t.slowdown)
+	ratio := float64(took)/(float64(expected)*reported)*(1+slow) - 1
 	// Queueing behind other requests says little about the server's own speed.
 	if !t.queued && ratio > slowRatio*(1+slow)-1 || slow > 0.2 && ratio < slow {
 		srv.slowness.add(now, slownessHalfLife, min(maxSlowness, max(0, ratio)))
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -15,6 +15,10 @@
 	// loadReportLifetime is the age from which a server's load report is ignored; its
 	// weight falls linearly until then.
 	loadReportLifetime = 3 * time.Second
+	// reportedSlowdownHalfLife is the time in which the weight of a reported slowdown falls by
+	// half. Servers share their machines with others, whose work changes several times a
+	// second.
+	reportedSlowdownHalfLife = 250 * time.Millisecond
 	// errorHalfLife and slownessHalfLife are the times in which the error rate and the
 	// slowness of a server fall by half without new samples.
 	errorHalfLife    = 4 * time.Second
@@ -53,6 +57,8 @@
 		othersLoad     float64
 		loadReportedAt time.Time
 		answeredAt     time.Time
+		// reportedSlowdown is that of the last load report, or 0 if it had none.
+		reportedSlowdown float64
 
 		// coldUntil is the end of the cold period, in which the server handles only a few
 		// requests. Each entry sends its first request at a different phase of its sending
@@ -172,6 +178,16 @@
 	return float64(s.inFlight) + s.othersLoad*weight + estimate*(1-weight)
 }
 
+// currentSlowdown estimates the server's current time for a request relative to its usual
+// time, from the last load report.
+func (s *server) currentSlowdown(now time.Time) float64 {
+	if s.reportedSlowdown == 0 {
+		return 1
+	}
+	weight := math.Exp2(-float64(now.Sub(s.loadReportedAt)) / float64(reportedSlowdownHalfLife))
+	return 1 + (s.reportedSlowdown-1)*weight
+}
+
 // usable reports whether the server may get the request at all.
 func (s *server) usable(r *Request) bool {
 	return !s.Draining && !s.evacuated && r.Route.ServesIn(s.region)
