Pass downloads on while they are received

Cause: an entry sent an answer only after it had the whole of it.

A body that ends early closes the caller's connection before the announced length; it counts as an invalid answer of the server, whose next downloads are held again and repeated elsewhere if they are broken.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -41,6 +41,8 @@
 	// coldDeviationMargin is the number of mean deviations that are added to the estimate
 	// before an answer that fills a cache counts as on time.
 	coldDeviationMargin = 1.5
+	// reliableErrorRate is the highest recent error rate of a reliable server.
+	reliableErrorRate = 0.05
 	// minRetryAfter and maxRetryAfter bound the Retry-After of refused requests.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -61,6 +63,9 @@
 		LoadAge time.Duration
 		// Measured reports whether Expected is based on earlier answers.
 		Measured bool
+		// Reliable reports whether the server's recent answers were complete and without
+		// errors.
+		Reliable bool
 
 		steering  *Steering
 		service   *service
@@ -250,7 +255,7 @@
 	if srv.region != s.Region {
 		c.cost += crossRegionCost + bytes
 	}
-	if failing := srv.errorRate.get(now, errorHalfLife); failing > 0.05 {
+	if failing := srv.errorRate.get(now, errorHalfLife); failing > reliableErrorRate {
 		c.cost += time.Duration(2 * failing * float64(target+c.estimate))
 	}
 	if srv.sent == 0 && srv.joinedAfterStart && srv.region == s.Region {
@@ -324,7 +329,8 @@
 	return &Try{
 		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.loadReportedAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
-		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples, missClass: c.missClass,
+		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples,
+		Reliable: srv.errorRate.get(now, errorHalfLife) <= reliableErrorRate, missClass: c.missClass,
 		slowdown: srv.currentSlowdown(now),
 	}
 }
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -48,6 +48,10 @@
 		// serverError is the last 5xx answer of a server that ran the request.
 		serverError *briarferry.Answer
 		tries       []*bfsteering.Try
+		// cancels ends the tries, in their order. passedOn is the number of the try whose
+		// answer is passed on while it is received, from 1, or 0.
+		cancels  []context.CancelFunc
+		passedOn int
 	}
 
 	// tryResult is the end of one try.
@@ -55,6 +59,9 @@
 		outcome bfsteering.Outcome
 		answer  *briarferry.Answer
 		err     error
+		// try is the number of the try, from 1, if its answer is passed on while it is
+		// received, or 0.
+		try int
 	}
 
 	// tryRecord describes a try in the request's log line.
@@ -74,9 +81,9 @@
 	if err := n.quarantine.Check(c.request.Fingerprint); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f := &forwarder{node: n, call: c, ctx: ctx, results: make(chan tryResult, maxUnsent+c.route.MaxAttempts)}
+	// A try can have two results: the head of an answer that is passed on, and its end.
+	f := &forwarder{node: n, call: c, ctx: ctx, results: make(chan tryResult, 2*(maxUnsent+c.route.MaxAttempts))}
+	defer f.cancelTries()
 	for {
 		if f.pending == 0 {
 			if err := f.startTry(false); err != nil {
@@ -88,6 +95,7 @@
 		case result := <-f.results:
 			hedge.Stop()
 			f.pending--
+			f.passedOn = result.try
 			if answer, err, done := f.handleResult(result); done {
 				return answer, err
 			}
@@ -114,10 +122,31 @@
 	f.tries = append(f.tries, try)
 	f.pending++
 	f.sent++
-	go func() { f.results <- f.node.sendTry(f.ctx, f.call, try) }()
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.cancels = append(f.cancels, cancel)
+	number := len(f.cancels)
+	request := *f.call.request
+	// A whole answer can be replaced by that of another server if it is broken. One that is
+	// passed on can't, so that only those of reliable servers are.
+	if f.call.route.LargeAnswers && try.Reliable {
+		request.OnHead = func(a *briarferry.Answer) {
+			f.results <- tryResult{outcome: bfsteering.Answered, answer: a, try: number}
+		}
+	}
+	go func() { f.results <- f.node.sendTry(ctx, f.call, &request, try) }()
 	return nil
 }
 
+// cancelTries ends all tries but the one whose answer is passed on. That one ends with the
+// caller's request.
+func (f *forwarder) cancelTries() {
+	for i, cancel := range f.cancels {
+		if i+1 != f.passedOn {
+			cancel()
+		}
+	}
+}
+
 // hedgeDelay returns how long to wait for an answer before the request is hedged. It is one
 // hour, which is longer than any request takes, if the request must not be hedged now or if
 // the expected time is not based on earlier answers.
@@ -211,8 +240,8 @@
 }
 
 // sendTry sends the request to the chosen server.
-func (n *Node) sendTry(ctx context.Context, c *call, t *bfsteering.Try) tryResult {
-	done, err := n.quarantine.StartRun(ctx, c.request.Fingerprint, t.Backend)
+func (n *Node) sendTry(ctx context.Context, c *call, r *briarferry.Request, t *bfsteering.Try) tryResult {
+	done, err := n.quarantine.StartRun(ctx, r.Fingerprint, t.Backend)
 	if err != nil {
 		t.Done(time.Now(), bfsteering.Report{Outcome: bfsteering.Cancelled})
 		return tryResult{outcome: bfsteering.Cancelled, err: err}
@@ -220,7 +249,7 @@
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
 	span.SetAttributes(attribute.String("backend", t.Backend.Address.String()), attribute.String("instance", t.Backend.InstanceID))
 	defer span.End()
-	answer, err := n.upstream.Do(ctx, t.Backend, c.request)
+	answer, err := n.upstream.Do(ctx, t.Backend, r)
 	report := n.report(ctx, answer, err)
 	if answer != nil {
 		c.hold(answer)
@@ -275,12 +304,14 @@
 		case tryErr.TimedOut:
 			r.Outcome = bfsteering.Unreachable
 		}
+	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
+		// The context may have ended since then, as a broken answer that is passed on ends
+		// the caller's request at once.
+		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.Outcome = bfsteering.TimedOut
 	case ctx.Err() != nil:
 		r.Outcome = bfsteering.Cancelled
-	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
-		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
 	default:
 		r.Outcome, r.ServerRefusedConnection = bfsteering.ConnectionLost, tryErr.ServerRefusedConnection
 	}
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -111,10 +111,27 @@
 		n.writeRefusal(w, c, asRefusal(err))
 		return
 	}
+	if answer.Rest != nil {
+		n.passOn(w, c, answer)
+		return
+	}
 	n.logRequest(c, "answered", answer.Status, nil)
 	writeAnswer(w, answer)
 }
 
+// passOn sends an answer while it is received. If its body does not become complete, the
+// connection is closed before the announced length.
+func (n *Node) passOn(w http.ResponseWriter, c *call, a *briarferry.Answer) {
+	writeHead(w, a, a.Length)
+	if written, err := a.Rest.WriteTo(w); err != nil {
+		counters.brokenOff.Add(1)
+		n.logRequest(c, "broken_off", a.Status, nil)
+		n.Log.Warn().Err(err).Str("request_id", c.request.ID).Int64("bytes", written).Int64("length", a.Length).Msg("answer ended while it was passed on")
+		panic(http.ErrAbortHandler)
+	}
+	n.logRequest(c, "answered", a.Status, nil)
+}
+
 // readRequest reads a request with its body and finds its route. It always returns a call,
 // so that a refused request can be logged too.
 func (n *Node) readRequest(w http.ResponseWriter, r *http.Request, received time.Time) (*call, *briarferry.Refusal) {
@@ -187,16 +204,20 @@
 }
 
 func writeAnswer(w http.ResponseWriter, a *briarferry.Answer) {
+	writeHead(w, a, int64(len(a.Body)))
+	_, _ = w.Write(a.Body)
+}
+
+func writeHead(w http.ResponseWriter, a *briarferry.Answer, length int64) {
 	h := w.Header()
 	for name, values := range a.Header {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	h.Set("Content-Length", strconv.FormatInt(length, 10))
 	if a.Status == http.StatusNoContent || a.Status == http.StatusNotModified {
 		h.Del("Content-Length")
 	}
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
 }
 
 // writeRefusal logs a refused request and sends the refusal to its caller.
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -84,8 +84,9 @@
 	e.node.setup()
 	e.state = &bffleet.State{Revision: 1, Routes: &briarferry.RouteTable{
 		Version: 1, Services: []briarferry.RouteService{{Name: "s", ConnectionLimit: 100}}, Limits: briarferry.EntryLimits{MaxBodyBytes: 1000},
-		Routes: []briarferry.Route{route("read", true), route("order", false)},
+		Routes: []briarferry.Route{route("read", true), route("order", false), route("chart", true)},
 	}}
+	e.state.Routes.Routes[2].LargeAnswers = true
 	for i := range max(3, len(behaviours)) {
 		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 			n := int(e.runs.Add(1)) - 1
--- a/internal/transport/bfupstream/answer_reader.go
+++ b/internal/transport/bfupstream/answer_reader.go
@@ -65,7 +65,7 @@
 // other requests.
 func (ar *answerReader) read(p *pendingRequest) result {
 	for range maxAnswersRead {
-		got := ar.readNext(p.request)
+		got := ar.readNext(p)
 		if got.err != nil || !ar.shouldSkip(got, p.id) {
 			return got
 		}
@@ -88,7 +88,8 @@
 
 // readNext reads one answer and skips informational ones. Unless AllowCloseDelimited is set,
 // an answer whose end is only marked by the end of the connection counts as truncated.
-func (ar *answerReader) readNext(r *http.Request) result {
+func (ar *answerReader) readNext(p *pendingRequest) result {
+	r := p.request
 	var resp *http.Response
 	for resp == nil || resp.StatusCode >= 100 && resp.StatusCode < 200 {
 		err := ar.within(&ar.headBytes, func() (err error) {
@@ -103,8 +104,9 @@
 		return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
 	}
 	got := result{response: resp, memory: ar.memory.reserve(ar.drop)}
+	passed := ar.passOn(p, resp)
 	got.err = ar.within(&ar.bodyBytes, func() (err error) {
-		got.body, err = readBody(resp, got.memory)
+		got.body, err = readBody(resp, got.memory, passed)
 		return err
 	})
 	if !got.memory.finishReading() {
@@ -139,8 +141,8 @@
 }
 
 // readBody reads the body of an answer into memory that grows with the bytes received,
-// whatever length the answer announces.
-func readBody(resp *http.Response, memory *reservation) ([]byte, error) {
+// whatever length the answer announces. It publishes each part if the body is passed on.
+func readBody(resp *http.Response, memory *reservation, passed *passedBody) ([]byte, error) {
 	size := int64(smallBodyBytes)
 	if resp.ContentLength >= 0 {
 		// One byte more lets the end of the body be read without growing.
@@ -156,6 +158,9 @@
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if passed != nil {
+			passed.publish(body)
+		}
 		if err == io.EOF {
 			return body, nil
 		}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -84,6 +84,7 @@
 		request *http.Request
 		id      string
 		backend briarferry.BackendID
+		head    *headRelay
 	}
 )
 
@@ -106,7 +107,9 @@
 			Backend: b.ID(), ServerRefusedConnection: isRefused(err), TimedOut: isTimeout(ctx, err), Err: err,
 		}
 	}
-	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID()})
+	head := newHeadRelay(r.OnHead)
+	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), head: head})
+	head.end(err)
 	if err != nil {
 		c.checkServer(ctx, p, b, err)
 		return a, err
@@ -129,7 +132,7 @@
 // exchange sends the request over the connection and waits for its answer.
 func (c *Client) exchange(ctx context.Context, conn *conn, t try) (*briarferry.Answer, error) {
 	stop := context.AfterFunc(ctx, conn.close)
-	results, err := conn.send(t.request, t.id)
+	results, err := conn.send(t)
 	if err != nil {
 		stop()
 		conn.discard(ctx)
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -44,6 +44,8 @@
 	pendingRequest struct {
 		request *http.Request
 		id      string
+		// head is nil if the answer must not be passed on while it is received.
+		head    *headRelay
 		results chan result
 		// sent is true once the whole request was written.
 		sent atomic.Bool
@@ -59,8 +61,9 @@
 
 // send writes the request. The answer arrives on the returned channel, possibly before the
 // whole request is written.
-func (c *conn) send(r *http.Request, id string) (<-chan result, error) {
-	p := &pendingRequest{request: r, id: id, results: make(chan result, 1)}
+func (c *conn) send(t try) (<-chan result, error) {
+	r := t.request
+	p := &pendingRequest{request: r, id: t.id, head: t.head, results: make(chan result, 1)}
 	c.written.Store(0)
 	c.mu.Lock()
 	if c.unusable {
--- a/request.go
+++ b/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -48,6 +49,9 @@
 		Deadline time.Time
 		// Fingerprint is a hash of the request's content.
 		Fingerprint uint64
+		// OnHead may be set for an answer that is passed on while it is received. It is
+		// called with an answer whose body is in Rest, before the try has ended.
+		OnHead func(*Answer)
 	}
 
 	// Answer is a backend server's complete answer.
@@ -55,6 +59,10 @@
 		Status int         `json:"status"`
 		Header http.Header `json:"header"`
 		Body   []byte      `json:"body"`
+		// Rest writes the body if it is still being received; Length is its length then.
+		// Rest fails if the body does not become complete.
+		Rest   io.WriterTo `json:"-" cbor:"-"`
+		Length int64       `json:"-" cbor:"-"`
 
 		release func()
 	}
