Answer the requests in the listener's backlog at a planned stop

Cause: an entry, the entry part of serve and the control VM closed the listening socket, which resets the connections that the system has established but the process hasn't accepted; a gateway also closed connections that it had accepted while its servers shut down.

--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -20,6 +19,7 @@
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 	"briarferry/internal/transport/bfgossip"
+	"briarferry/internal/transport/bflistener"
 	"briarferry/internal/transport/bfrpc"
 )
 
@@ -164,7 +164,7 @@
 }
 
 func (n *Node) serve(group *errgroup.Group, s *http.Server, address netip.AddrPort) error {
-	ln, err := net.Listen("tcp", briarferry.ListenAt(n.Bind, address).String())
+	ln, err := bflistener.Listen(briarferry.ListenAt(n.Bind, address))
 	if err != nil {
 		return fmt.Errorf("bfcontrol: %w", err)
 	}
--- a/internal/transport/bfentry/server.go
+++ b/internal/transport/bfentry/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bflistener"
 	"briarferry/internal/transport/bftls"
 )
 
@@ -40,7 +41,7 @@
 	stopping := make(chan struct{})
 	s.Entry.Stopping = stopping
 	s.Entry.drainStarted.Store(false)
-	ln, err := net.Listen("tcp", s.Listen.String())
+	ln, err := bflistener.Listen(s.Listen)
 	if err != nil {
 		return fmt.Errorf("bfentry: listen: %w", err)
 	}
--- a/internal/transport/bfgateway/caller_server.go
+++ b/internal/transport/bfgateway/caller_server.go
@@ -35,6 +35,8 @@
 		limits   briarferry.EntryLimits
 		listener *chanListener
 		servers  []*http.Server
+		// serving counts the calls of serve that have not returned.
+		serving sync.WaitGroup
 	}
 
 	// chanListener is a net.Listener that returns the connections sent to its channel.
@@ -78,6 +80,8 @@
 
 // serve accepts connections until the listener is closed.
 func (cs *callerServer) serve(ln net.Listener) error {
+	cs.serving.Add(1)
+	defer cs.serving.Done()
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -99,6 +103,13 @@
 	}
 }
 
+// stopAccepting closes the listener and waits until all connections that it had accepted are
+// served.
+func (cs *callerServer) stopAccepting(ln net.Listener) {
+	_ = ln.Close()
+	cs.serving.Wait()
+}
+
 // shutdown closes idle connections and waits for requests until the context ends.
 func (cs *callerServer) shutdown(ctx context.Context) {
 	cs.mu.Lock()
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -25,6 +25,7 @@
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 	"briarferry/internal/transport/bfgossip"
+	"briarferry/internal/transport/bflistener"
 	"briarferry/internal/transport/bfrpc"
 	"briarferry/internal/transport/bfupstream"
 )
@@ -157,7 +158,7 @@
 	n.setup()
 	n.Log.Info().Str("http", n.VM.HTTP.String()).Str("region", n.VM.Region).Str("failure_domain", n.VM.FailureDomain).Msg("starting entry")
 	var err error
-	if n.listener, err = net.Listen("tcp", briarferry.ListenAt(n.Bind, n.VM.HTTP).String()); err != nil {
+	if n.listener, err = bflistener.Listen(briarferry.ListenAt(n.Bind, n.VM.HTTP)); err != nil {
 		return fmt.Errorf("bfgateway: %w", err)
 	}
 	n.server.configure(n.listener.Addr(), briarferry.EntryLimits{})
@@ -204,7 +205,7 @@
 	case <-ctx.Done():
 	}
 	n.stopPhase.Store(refusing)
-	_ = n.listener.Close()
+	n.server.stopAccepting(n.listener)
 	end, cancel := context.WithDeadline(context.Background(), started.Add(n.GracePeriod-stopMargin))
 	defer cancel()
 	n.server.shutdown(end)
