Suspend the limit on shifts again when servers join later

Now only servers that register within 10 s of an entry's first list don't suspend it, which is the case that broke SHIFT on the large deployment.

--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -121,8 +121,9 @@
 	}
 }
 
-// update replaces the servers and reports whether usable ones were lost. What is known about
-// a server is kept until the server restarts.
+// update replaces the servers and reports whether the set of usable ones changed. Servers
+// that join within startupPeriod don't count as a change. What is known about a server is
+// kept until the server restarts.
 func (v *service) update(now time.Time, config briarferry.RouteService, list []bffleet.Server, evacuated []string, s *Steering) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -134,41 +135,32 @@
 	if v.firstListAt.IsZero() && len(list) > 0 {
 		v.firstListAt = now
 	}
-	lost := false
+	changed := false
 	next := make([]*server, 0, len(list))
 	for _, reported := range list {
 		srv := previous[reported.ID]
-		isEvacuated := slices.Contains(evacuated, reported.FailureDomain)
-		lost = lost || srv.isLost(&reported, isEvacuated)
-		delete(previous, reported.ID)
 		if srv == nil || !srv.SameProcess(&reported.Instance) {
 			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: coldPhase(s.Name, reported.ID)}
 			srv.joinedAfterStart = now.Sub(v.firstListAt) > startupPeriod
+			changed = changed || srv.joinedAfterStart || previous[reported.ID] != nil
 		}
 		if reported.ColdRevision > srv.ColdRevision {
 			srv.markCold(now, now.Add(reported.ColdRemaining.Std()))
 		}
+		isEvacuated := slices.Contains(evacuated, reported.FailureDomain)
 		if srv.evacuated && !isEvacuated {
 			// Servers of an evacuated domain may have lost their caches in the meantime.
 			srv.markCold(now, now.Add(config.ColdStart.Std()))
 		}
+		if srv.evacuated != isEvacuated || srv.Draining != reported.Draining {
+			changed = true
+		}
 		srv.Server, srv.evacuated = reported, isEvacuated
+		delete(previous, reported.ID)
 		next = append(next, srv)
 	}
 	v.servers = next
-	for _, srv := range previous {
-		lost = lost || !srv.Draining && !srv.evacuated
-	}
-	return lost
-}
-
-// isLost reports whether the server was usable and no longer is according to its new report.
-// Servers that join or return have no requests that must move at once.
-func (s *server) isLost(reported *bffleet.Server, evacuated bool) bool {
-	if s == nil || s.Draining || s.evacuated {
-		return false
-	}
-	return !s.SameProcess(&reported.Instance) || reported.Draining || evacuated
+	return changed || len(previous) > 0
 }
 
 // SetRoundTripTime records the round trip time to a region.
