--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,10 @@
 		$(GO) test -count=1 -v -timeout 90m -run '^(TestConfigHistory|TestClaimsUnderFailures|TestSoak)$$' ./internal/systemtest
 
 # Measures the resource use at several system sizes. OUT=docs/CAPACITY.md replaces the page.
+# docs/sweep.md, the growth shown by the users' bench, is added to it.
 OUT ?=
 capacity:
-	$(GO) run ./internal/transport/bfcapacity/run -out "$(OUT)" -revision "$$(git describe --always --dirty)"
+	$(GO) run ./internal/transport/bfcapacity/run -out "$(OUT)" -sweep docs/sweep.md -revision "$$(git describe --always --dirty)"
 
 bench: bench-placement
 
@@ -51,6 +52,13 @@
 bench-policies:
 	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
 
+bench: bench-downloads
+
+# Measures 30 downloads at once through an entry, held until complete and passed on.
+.PHONY: bench-downloads
+bench-downloads:
+	$(GO) test -run '^$$' -bench '^BenchmarkDownloads$$' -benchtime 3x ./internal/transport/bfgateway
+
 bench: bench-paths
 
 # Measures the request path through real processes of the system. PARTS selects among
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -53,6 +53,22 @@
 
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// raw writes the text to the connection and, unless it repeats the text until the entry
+// closes the connection, closes it.
+func raw(text string, repeats bool) behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		text := strings.ReplaceAll(text, "ID", r.Header.Get("X-Id"))
+		for _, err = io.WriteString(c, text); err == nil && repeats; {
+			_, err = io.WriteString(c, text)
+		}
+	}
+}
+
 // testEntry is an entry with fake backend servers of one service.
 type testEntry struct {
 	t      *testing.T
@@ -156,6 +172,11 @@
 	}{
 		{"answered", "/order/1", []behaviour{answer(200, "X-Signature")}, 200, "", 1},
 		{"connection closed", "/order/1", []behaviour{abortConnection, answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
+		{"answer lost in its head", "/order/1", []behaviour{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Sign", false), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
+		{"answer lost in its body", "/order/1", []behaviour{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: 1\r\nContent-Length: 9\r\n\r\nhalf", false), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
+		{"head without end", "/order/1", []behaviour{raw("HTTP/1.1 103 Early Hints\r\n\r\n", true), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
+		{"idempotent, answer lost in its body", "/read/1", []behaviour{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: 1\r\nContent-Length: 9\r\n\r\nhalf", false), answer(200, "X-Signature")}, 200, "", 2},
+		{"idempotent, head without end", "/read/1", []behaviour{raw("HTTP/1.1 103 Early Hints\r\n\r\n", true), answer(200, "X-Signature")}, 200, "", 2},
 		{"no signature", "/order/1", []behaviour{answer(200, "X-None"), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
 		{"server error", "/order/1", []behaviour{answer(500, "X-Signature"), answer(200, "X-Signature")}, 500, "", 1},
 		{"silent", "/order/1", []behaviour{hang}, 504, briarferry.OutcomeUnknown, 1},
@@ -177,6 +198,9 @@
 		if got.header.Get("X-Id") != "q1" {
 			t.Errorf("%s: the answer lacks the request's id", c.name)
 		}
+		if got.took >= testTimeout && got.status == http.StatusBadGateway {
+			t.Errorf("%s: the caller waited %v for the final answer", c.name, got.took)
+		}
 		if got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") == "" {
 			t.Errorf("%s: the refusal has no Retry-After header", c.name)
 		}
