Wait for the end of a passed-on try before its line is logged

Found while reading the diff: a passed-on download was logged before its try was recorded, so that each had a line of its own instead of one in 100; a line about broken downloads had no limit; a caller that left counted as a broken download; and the memory of an answer that arrives after its request could not be sent as a whole was never released. TestDownload checks the line, and TestAbandonedAnswer the memory.

--- a/internal/transport/bfgateway/download_test.go
+++ b/internal/transport/bfgateway/download_test.go
@@ -50,6 +50,14 @@
 	if err != nil || got.status != 200 || len(got.body) != downloadBytes || got.header.Get("X-Signature") != "1" {
 		t.Fatalf("status %d, %d bytes, %v", got.status, len(got.body), err)
 	}
+	e.node.logSampler.mu.Lock()
+	if lines := e.node.logSampler.lines; lines != 1 {
+		t.Errorf("%d log lines for an ordinary download that comes first, want 1", lines)
+	}
+	if e.node.logSampler.ordinary != 1 {
+		t.Error("a complete download is logged like a failed request")
+	}
+	e.node.logSampler.mu.Unlock()
 	broken := counters.brokenOff.Value()
 	invalid := tryCount(bfsteering.InvalidAnswer)
 	// Each server is reliable until its first incomplete answer.
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -62,6 +62,8 @@
 		// try is the number of the try, from 1, if its answer is passed on while it is
 		// received, or 0.
 		try int
+		// ended is closed at the end of that try.
+		ended <-chan struct{}
 	}
 
 	// tryRecord describes a try in the request's log line.
@@ -95,7 +97,7 @@
 		case result := <-f.results:
 			hedge.Stop()
 			f.pending--
-			f.passedOn = result.try
+			f.passedOn, f.call.passedOn = result.try, result.ended
 			if answer, err, done := f.handleResult(result); done {
 				return answer, err
 			}
@@ -124,16 +126,19 @@
 	f.sent++
 	ctx, cancel := context.WithCancel(f.ctx)
 	f.cancels = append(f.cancels, cancel)
-	number := len(f.cancels)
+	number, ended := len(f.cancels), make(chan struct{})
 	request := *f.call.request
 	// A whole answer can be replaced by that of another server if it is broken. One that is
 	// passed on can't, so that only those of reliable servers are.
 	if f.call.route.LargeAnswers && try.Reliable {
 		request.OnHead = func(a *briarferry.Answer) {
-			f.results <- tryResult{outcome: bfsteering.Answered, answer: a, try: number}
+			f.results <- tryResult{outcome: bfsteering.Answered, answer: a, try: number, ended: ended}
 		}
 	}
-	go func() { f.results <- f.node.sendTry(ctx, f.call, &request, try) }()
+	go func() {
+		defer close(ended)
+		f.results <- f.node.sendTry(ctx, f.call, &request, try)
+	}()
 	return nil
 }
 
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -53,6 +53,9 @@
 	// answers are the servers' answers, which are released when the request has ended.
 	answers []*briarferry.Answer
 	ended   bool
+	// passedOn is closed at the end of the try whose answer is passed on while it is
+	// received.
+	passedOn <-chan struct{}
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// releaseBody releases the memory reserved for the body.
@@ -112,7 +115,7 @@
 		return
 	}
 	if answer.Rest != nil {
-		n.passOn(w, c, answer)
+		n.passOn(w, r, c, answer)
 		return
 	}
 	n.logRequest(c, "answered", answer.Status, nil)
@@ -121,14 +124,20 @@
 
 // passOn sends an answer while it is received. If its body does not become complete, the
 // connection is closed before the announced length.
-func (n *Node) passOn(w http.ResponseWriter, c *call, a *briarferry.Answer) {
+func (n *Node) passOn(w http.ResponseWriter, r *http.Request, c *call, a *briarferry.Answer) {
 	writeHead(w, a, a.Length)
-	if written, err := a.Rest.WriteTo(w); err != nil {
+	_, err := a.Rest.WriteTo(w)
+	switch {
+	case r.Context().Err() != nil:
+		n.logRequest(c, "caller_left", 0, nil)
+		panic(http.ErrAbortHandler)
+	case err != nil:
 		counters.brokenOff.Add(1)
-		n.logRequest(c, "broken_off", a.Status, nil)
-		n.Log.Warn().Err(err).Str("request_id", c.request.ID).Int64("bytes", written).Int64("length", a.Length).Msg("answer ended while it was passed on")
+		n.logRequest(c, "broken_off", a.Status, &briarferry.Refusal{Outcome: briarferry.OutcomeUnknown, Reason: err.Error()})
 		panic(http.ErrAbortHandler)
 	}
+	// The request's log line includes the try.
+	<-c.passedOn
 	n.logRequest(c, "answered", a.Status, nil)
 }
 
--- a/internal/transport/bfupstream/answer_memory.go
+++ b/internal/transport/bfupstream/answer_memory.go
@@ -90,8 +90,11 @@
 	return !r.dropped
 }
 
-// release ends the reservation. Further calls have no effect.
+// release ends the reservation. Further calls, and those for nil, have no effect.
 func (r *reservation) release() {
+	if r == nil {
+		return
+	}
 	r.memory.mu.Lock()
 	defer r.memory.mu.Unlock()
 	r.memory.used -= r.bytes
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -161,10 +161,19 @@
 			return t.accept(conn, got)
 		}
 	default:
+		releaseLater(results)
 	}
 	return nil, t.failure(ctx, conn, err)
 }
 
+// releaseLater releases the memory of an answer that nobody waits for. A nil channel means
+// that there will be none.
+func releaseLater(results <-chan result) {
+	if results != nil {
+		go func() { (<-results).memory.release() }()
+	}
+}
+
 // suspectIfSilent excludes the connection and earlier ones from further use, unless the
 // returned function is called within the time given by SuspectAfter.
 func (c *Client) suspectIfSilent(conn *conn, service string) (stop func()) {
--- a/internal/transport/bfupstream/endless_test.go
+++ b/internal/transport/bfupstream/endless_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"briarferry"
@@ -254,3 +255,36 @@
 		t.Errorf("%d bytes used by %d answers after their release", used, len(m.reading))
 	}
 }
+
+// TestAbandonedAnswer guards against keeping the memory of an answer that arrives after its
+// request could not be sent as a whole.
+func TestAbandonedAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &Client{Dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return near, nil }}
+		p := c.acquirePool(testBackend.Address)
+		defer c.releasePool(p)
+		conn, err := p.open(t.Context(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		results := make(chan result, 1)
+		if _, err := (try{client: c}).earlyAnswer(t.Context(), conn, results, io.ErrClosedPipe); err == nil {
+			t.Error("a request that was not sent has an answer")
+		}
+		r := c.answers().reserve(conn.close)
+		if err := r.grow(100); err != nil || !r.finishReading() {
+			t.Fatal(err)
+		}
+		results <- result{memory: r}
+		synctest.Wait()
+		if used, _ := c.HeldAnswers(); used != 0 {
+			t.Errorf("%d bytes are still held", used)
+		}
+		if _, err := (try{client: c}).earlyAnswer(t.Context(), conn, nil, io.ErrClosedPipe); err == nil {
+			t.Error("a request that was not sent has an answer")
+		}
+		conn.close()
+	})
+}
