--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// answerAfter answers like a server that was frozen for the time while it ran the request.
+func answerAfter(d time.Duration, b behaviour) behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		b(w, r)
+	}
+}
+
 func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
@@ -172,6 +180,7 @@
 	}{
 		{"answered", "/order/1", []behaviour{answer(200, "X-Signature")}, 200, "", 1},
 		{"connection closed", "/order/1", []behaviour{abortConnection, answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
+		{"server silent for a while", "/order/1", []behaviour{answerAfter(testTimeout/2, answer(200, "X-Signature")), answer(200, "X-None")}, 200, "", 1},
 		{"answer lost in its head", "/order/1", []behaviour{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Sign", false), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
 		{"answer lost in its body", "/order/1", []behaviour{raw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: 1\r\nContent-Length: 9\r\n\r\nhalf", false), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
 		{"head without end", "/order/1", []behaviour{raw("HTTP/1.1 103 Early Hints\r\n\r\n", true), answer(200, "X-Signature")}, 502, briarferry.OutcomeUnknown, 1},
