Empty the backlog of a stopping listener also on a busy machine

Two ways lead there, which the runs don't tell apart: the deadline of Accept passes while the process gets no processor time, and Go then doesn't look at the backlog; and the gateway did not wait for an accept loop that had not started.

--- a/internal/transport/bfgateway/caller_server.go
+++ b/internal/transport/bfgateway/caller_server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/transport/bflistener"
 )
 
 const (
@@ -35,8 +36,6 @@
 		limits   briarferry.EntryLimits
 		listener *chanListener
 		servers  []*http.Server
-		// serving counts the calls of serve that have not returned.
-		serving sync.WaitGroup
 	}
 
 	// chanListener is a net.Listener that returns the connections sent to its channel.
@@ -80,8 +79,6 @@
 
 // serve accepts connections until the listener is closed.
 func (cs *callerServer) serve(ln net.Listener) error {
-	cs.serving.Add(1)
-	defer cs.serving.Done()
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -103,11 +100,11 @@
 	}
 }
 
-// stopAccepting closes the listener and waits until all connections that it had accepted are
-// served.
-func (cs *callerServer) stopAccepting(ln net.Listener) {
+// stopAccepting closes the listener and waits until all connections of its backlog have been
+// handed to the servers.
+func (cs *callerServer) stopAccepting(ln *bflistener.Listener) {
 	_ = ln.Close()
-	cs.serving.Wait()
+	<-ln.Closed()
 }
 
 // shutdown closes idle connections and waits for requests until the context ends.
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -80,7 +80,7 @@
 		quarantine *bfquarantine.Quarantine
 		upstream   *bfupstream.Client
 		server     *callerServer
-		listener   net.Listener
+		listener   *bflistener.Listener
 		routes     atomic.Pointer[bfroute.Table]
 		active     atomic.Int64
 		stopPhase  atomic.Int32
