--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 		$(GO) test -count=1 -v -timeout 90m -run '^(TestConfigHistory|TestClaimsUnderFailures|TestSoak)$$' ./internal/systemtest
 
 # Measures the resource use at several system sizes. OUT=docs/CAPACITY.md replaces the page.
-# docs/sweep.md, the growth shown by the users' bench, is added to it.
+# docs/sweep.md, the growth that the users' bench measured, is added to it.
 OUT ?=
 capacity:
 	$(GO) run ./internal/transport/bfcapacity/run -out "$(OUT)" -sweep docs/sweep.md -revision "$$(git describe --always --dirty)"
@@ -54,7 +54,7 @@
 
 bench: bench-downloads
 
-# Measures 30 downloads at once through an entry, held until complete and passed on.
+# Measures 30 downloads at once through an entry, held until complete and streamed.
 .PHONY: bench-downloads
 bench-downloads:
 	$(GO) test -run '^$$' -bench '^BenchmarkDownloads$$' -benchtime 3x ./internal/transport/bfgateway
--- a/internal/coordination/bfplacement/coordinator.go
+++ b/internal/coordination/bfplacement/coordinator.go
@@ -343,13 +343,13 @@
 	}
 	reply := c.published.replyTo(r)
 	if now.Sub(c.demandSentAt[r.Site]) >= demandInterval {
-		c.demandSentAt[r.Site], reply.Demand = now, c.blockDemand()
+		c.demandSentAt[r.Site], reply.Demand = now, c.demandSnapshot()
 	}
 	return reply, nil
 }
 
-// blockDemand returns the demand of all blocks.
-func (c *Coordinator) blockDemand() *BlockDemand {
+// demandSnapshot returns the demand of all blocks.
+func (c *Coordinator) demandSnapshot() *BlockDemand {
 	d := &BlockDemand{BlockSetChecksum: c.planner.blockSetChecksum, Classes: len(c.dimensions.urgencies)}
 	for _, b := range c.blocks {
 		d.Rates = append(d.Rates, b.demand...)
--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -76,7 +76,7 @@
 		started   time.Time
 		queued    bool
 		missClass missClass
-		// slowdown is the part of Expected that is due to the server's reported slowdown.
+		// slowdown is the factor of Expected that is due to the server's reported slowdown.
 		slowdown float64
 	}
 
--- a/internal/coordination/bfsteering/positions.go
+++ b/internal/coordination/bfsteering/positions.go
@@ -22,8 +22,8 @@
 	topServers [2]*server
 
 	// area is a region or, for routes with large answers, a failure domain. All entries of
-	// an area use the same few servers for a key. Answers of other failure domains cost
-	// bandwidth, so that large ones are worth a cache in each domain.
+	// an area use the same few servers for a key. With failure domains a key is cached in
+	// each of them, which saves the bandwidth of large answers between domains.
 	area struct {
 		region, domain string
 	}
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -143,7 +143,7 @@
 	cold := t.started.Before(srv.coldUntil)
 	expected := max(t.Expected, time.Millisecond)
 	slow := srv.slowness.get(now, slownessHalfLife)
-	// What the server reports as a passing slowdown does not count as its own slowness.
+	// A slowdown that the server reports is temporary and doesn't count as slowness.
 	reported := max(1, srv.currentSlowdown(now)/t.slowdown)
 	ratio := float64(took)/(float64(expected)*reported)*(1+slow) - 1
 	// Queueing behind other requests says little about the server's own speed.
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -16,8 +16,8 @@
 	// weight falls linearly until then.
 	loadReportLifetime = 3 * time.Second
 	// reportedSlowdownHalfLife is the time in which the weight of a reported slowdown falls by
-	// half. Servers share their machines with others, whose work changes several times a
-	// second.
+	// half. It is short because servers share their hosts with other programs, whose load
+	// changes several times a second.
 	reportedSlowdownHalfLife = 250 * time.Millisecond
 	// errorHalfLife and slownessHalfLife are the times in which the error rate and the
 	// slowness of a server fall by half without new samples.
--- a/internal/coordination/bfsteering/slowdown_test.go
+++ b/internal/coordination/bfsteering/slowdown_test.go
@@ -7,8 +7,9 @@
 	"briarferry"
 )
 
-// TestReportedSlowdown guards against loading a server that is slow at the moment like the
-// others, against trusting an old report, and against avoiding the server for long after.
+// TestReportedSlowdown guards against sending a temporarily slow server as many requests as
+// the others, against using an old report, and against avoiding the server for seconds after
+// its slowdown has ended.
 func TestReportedSlowdown(t *testing.T) {
 	f := newFleet(t, 1, map[string]int{"r1-a": 2}, 8)
 	s := f.steering[0]
@@ -53,6 +54,6 @@
 	f.now = f.now.Add(3 * warmTime)
 	try.Done(f.now, Report{Outcome: Answered, HasLoad: true, Load: briarferry.ServerLoad{Slots: 8, Slowdown: 3}})
 	if got := slow.slowness.get(f.now, slownessHalfLife); got != 0 {
-		t.Errorf("a passing slowdown counts as a slowness of %.2f for seconds", got)
+		t.Errorf("a temporary slowdown counts as a slowness of %.2f", got)
 	}
 }
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -179,6 +179,7 @@
 	return s.RegionPeers()
 }
 
+// connected reports whether a request to the server needs no new connection.
 func (s *Steering) connected(srv *server) bool {
 	return s.Connected == nil || srv.sent > 0 && s.Connected(srv.Address)
 }
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -33,7 +33,7 @@
 	// bodyMemoryShare is the share of the process's memory limit that the request bodies of
 	// callers may occupy.
 	bodyMemoryShare = 0.25
-	// answerMemoryShare is the same for the answers of backend servers.
+	// answerMemoryShare is the share that the answers of backend servers may occupy.
 	answerMemoryShare = 0.25
 	// drainGraceShare is the share of the grace period during which a stopping entry still
 	// accepts requests.
--- a/internal/transport/bfentry/try.go
+++ b/internal/transport/bfentry/try.go
@@ -162,8 +162,8 @@
 	span.SetAttributes(attribute.String("backend", slot.Backend().Address.String()))
 	start := time.Now()
 	a, err := p.Upstream.Do(ctx, slot.Backend(), st.request)
-	// The memory for answers covers those that are being read: an answer of a claimed
-	// request is needed for longer than its try.
+	// Only answers that are being received count against the memory limit, as the recorded
+	// answer of a claimed request is needed for longer than the request takes.
 	a.Release()
 	p.recordTry(ctx, st, slot, time.Since(start), a, err)
 	if err != nil {
--- a/internal/transport/bfgateway/download_test.go
+++ b/internal/transport/bfgateway/download_test.go
@@ -37,8 +37,8 @@
 }
 
 // TestDownload guards against a download that ends early and looks complete, against one
-// whose end is not recorded for its server, and against passing on the answers of servers
-// that failed recently.
+// whose end is not recorded for its server, and against streaming the answers of servers that
+// failed recently.
 func TestDownload(t *testing.T) {
 	const part = downloadBytes / 2
 	const servers = 2
@@ -58,7 +58,7 @@
 		t.Error("a complete download is logged like a failed request")
 	}
 	e.node.logSampler.mu.Unlock()
-	broken := counters.brokenOff.Value()
+	aborted := counters.streamsAborted.Value()
 	invalid := tryCount(bfsteering.InvalidAnswer)
 	// Each server is reliable until its first incomplete answer.
 	for i := range int64(servers) {
@@ -71,8 +71,8 @@
 			}
 		}
 	}
-	if n := counters.brokenOff.Value() - broken; n != servers {
-		t.Errorf("%d downloads were broken off, want %d", n, servers)
+	if n := counters.streamsAborted.Value() - aborted; n != servers {
+		t.Errorf("%d streams were aborted, want %d", n, servers)
 	}
 	got, err = e.send(t.Context(), "/chart/1", "")
 	if err != nil || got.status != 200 || len(got.body) != downloadBytes {
@@ -109,22 +109,20 @@
 }
 
 // BenchmarkDownloads measures 30 downloads at once through an entry with a link of 12 Mbit/s
-// in each direction, with the answers held until they are complete and passed on while they
-// are received: the time to the last byte and the memory that the entry holds for answers.
+// in each direction, with the answers held until they are complete and streamed: the time to the last byte and the memory that the entry holds for answers.
 func BenchmarkDownloads(b *testing.B) {
 	const (
 		downloads     = 30
 		linkBandwidth = 12e6 / 8
 		burst         = 4 << 10
 	)
-	for name, passOn := range map[string]bool{"held": false, "passed_on": true} {
+	for name, stream := range map[string]bool{"held": false, "streamed": true} {
 		b.Run(name, func(b *testing.B) {
 			server := httptest.NewServer(http.HandlerFunc(download(downloadBytes)))
 			defer server.Close()
-			t := &testing.T{}
-			e := newTestEntry(t, answer(200, "X-Signature"))
+			e := newTestEntry(b, answer(200, "X-Signature"))
 			table := *e.state.Routes
-			table.Version, table.Routes[2].LargeAnswers = 2, passOn
+			table.Version, table.Routes[2].LargeAnswers = 2, stream
 			table.Routes[2].Timeout, table.Routes[2].Target = table.Routes[2].Timeout*100, table.Routes[2].Target*100
 			next := *e.state
 			next.Revision, next.Routes, next.Servers = 2, &table, next.Servers[:1]
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -48,22 +48,25 @@
 		// serverError is the last 5xx answer of a server that ran the request.
 		serverError *briarferry.Answer
 		tries       []*bfsteering.Try
-		// cancels ends the tries, in their order. passedOn is the number of the try whose
-		// answer is passed on while it is received, from 1, or 0.
-		cancels  []context.CancelFunc
-		passedOn int
+		attempts    []*attempt
+		// streaming is the attempt whose answer is streamed to the caller, or nil.
+		streaming *attempt
 	}
 
-	// tryResult is the end of one try.
+	// attempt is a try that was started.
+	attempt struct {
+		cancel context.CancelFunc
+		// ended is closed at the end of the try.
+		ended chan struct{}
+	}
+
+	// tryResult is the end of one try, or the start of its streamed answer.
 	tryResult struct {
 		outcome bfsteering.Outcome
 		answer  *briarferry.Answer
 		err     error
-		// try is the number of the try, from 1, if its answer is passed on while it is
-		// received, or 0.
-		try int
-		// ended is closed at the end of that try.
-		ended <-chan struct{}
+		// streaming is the attempt if its answer is streamed, or nil.
+		streaming *attempt
 	}
 
 	// tryRecord describes a try in the request's log line.
@@ -83,9 +86,9 @@
 	if err := n.quarantine.Check(c.request.Fingerprint); err != nil {
 		return nil, err
 	}
-	// A try can have two results: the head of an answer that is passed on, and its end.
+	// A try has two results if its answer is streamed.
 	f := &forwarder{node: n, call: c, ctx: ctx, results: make(chan tryResult, 2*(maxUnsent+c.route.MaxAttempts))}
-	defer f.cancelTries()
+	defer f.cancelAttempts()
 	for {
 		if f.pending == 0 {
 			if err := f.startTry(false); err != nil {
@@ -97,7 +100,9 @@
 		case result := <-f.results:
 			hedge.Stop()
 			f.pending--
-			f.passedOn, f.call.passedOn = result.try, result.ended
+			if a := result.streaming; a != nil {
+				f.streaming, f.call.tryEnded = a, a.ended
+			}
 			if answer, err, done := f.handleResult(result); done {
 				return answer, err
 			}
@@ -125,29 +130,29 @@
 	f.pending++
 	f.sent++
 	ctx, cancel := context.WithCancel(f.ctx)
-	f.cancels = append(f.cancels, cancel)
-	number, ended := len(f.cancels), make(chan struct{})
+	a := &attempt{cancel: cancel, ended: make(chan struct{})}
+	f.attempts = append(f.attempts, a)
 	request := *f.call.request
-	// A whole answer can be replaced by that of another server if it is broken. One that is
-	// passed on can't, so that only those of reliable servers are.
+	// An incomplete answer can't be replaced by that of another server once it is streamed,
+	// so only answers of reliable servers are.
 	if f.call.route.LargeAnswers && try.Reliable {
-		request.OnHead = func(a *briarferry.Answer) {
-			f.results <- tryResult{outcome: bfsteering.Answered, answer: a, try: number, ended: ended}
+		request.OnHead = func(answer *briarferry.Answer) {
+			f.results <- tryResult{outcome: bfsteering.Answered, answer: answer, streaming: a}
 		}
 	}
 	go func() {
-		defer close(ended)
+		defer close(a.ended)
 		f.results <- f.node.sendTry(ctx, f.call, &request, try)
 	}()
 	return nil
 }
 
-// cancelTries ends all tries but the one whose answer is passed on. That one ends with the
-// caller's request.
-func (f *forwarder) cancelTries() {
-	for i, cancel := range f.cancels {
-		if i+1 != f.passedOn {
-			cancel()
+// cancelAttempts cancels all attempts but the one whose answer is streamed, which ends with
+// the caller's request.
+func (f *forwarder) cancelAttempts() {
+	for _, a := range f.attempts {
+		if a != f.streaming {
+			a.cancel()
 		}
 	}
 }
@@ -310,8 +315,8 @@
 			r.Outcome = bfsteering.Unreachable
 		}
 	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
-		// The context may have ended since then, as a broken answer that is passed on ends
-		// the caller's request at once.
+		// These come before the state of the context: an incomplete streamed answer ends the
+		// caller's request, and with it the context, before the try is recorded.
 		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.Outcome = bfsteering.TimedOut
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -53,9 +53,8 @@
 	// answers are the servers' answers, which are released when the request has ended.
 	answers []*briarferry.Answer
 	ended   bool
-	// passedOn is closed at the end of the try whose answer is passed on while it is
-	// received.
-	passedOn <-chan struct{}
+	// tryEnded is closed at the end of the try whose answer is streamed.
+	tryEnded <-chan struct{}
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// releaseBody releases the memory reserved for the body.
@@ -114,31 +113,32 @@
 		n.writeRefusal(w, c, asRefusal(err))
 		return
 	}
-	if answer.Rest != nil {
-		n.passOn(w, r, c, answer)
+	if answer.Stream != nil {
+		n.streamAnswer(w, r, c, answer)
 		return
 	}
 	n.logRequest(c, "answered", answer.Status, nil)
 	writeAnswer(w, answer)
 }
 
-// passOn sends an answer while it is received. If its body does not become complete, the
-// connection is closed before the announced length.
-func (n *Node) passOn(w http.ResponseWriter, r *http.Request, c *call, a *briarferry.Answer) {
+// streamAnswer sends an answer while it is received. If its body does not become complete,
+// the caller's connection is closed before the announced length.
+func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, c *call, a *briarferry.Answer) {
 	writeHead(w, a, a.Length)
-	_, err := a.Rest.WriteTo(w)
+	_, err := a.Stream.WriteTo(w)
 	switch {
+	case err == nil:
+		// The request's log line includes the try.
+		<-c.tryEnded
+		n.logRequest(c, "answered", a.Status, nil)
+		return
 	case r.Context().Err() != nil:
 		n.logRequest(c, "caller_left", 0, nil)
-		panic(http.ErrAbortHandler)
-	case err != nil:
-		counters.brokenOff.Add(1)
-		n.logRequest(c, "broken_off", a.Status, &briarferry.Refusal{Outcome: briarferry.OutcomeUnknown, Reason: err.Error()})
-		panic(http.ErrAbortHandler)
+	default:
+		counters.streamsAborted.Add(1)
+		n.logRequest(c, "aborted", a.Status, &briarferry.Refusal{Outcome: briarferry.OutcomeUnknown, Reason: err.Error()})
 	}
-	// The request's log line includes the try.
-	<-c.passedOn
-	n.logRequest(c, "answered", a.Status, nil)
+	panic(http.ErrAbortHandler)
 }
 
 // readRequest reads a request with its body and finds its route. It always returns a call,
@@ -217,6 +217,7 @@
 	_, _ = w.Write(a.Body)
 }
 
+// writeHead sends the status and the headers of an answer with the given length.
 func writeHead(w http.ResponseWriter, a *briarferry.Answer, length int64) {
 	h := w.Header()
 	for name, values := range a.Header {
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -79,7 +79,7 @@
 
 // testEntry is an entry with fake backend servers of one service.
 type testEntry struct {
-	t      *testing.T
+	t      testing.TB
 	node   *Node
 	server *httptest.Server
 	// runs counts the requests that reached a backend server.
@@ -93,7 +93,7 @@
 // newTestEntry starts an entry. The backend servers handle the first request with the
 // first behaviour, the second one with the second and so on, and all later ones with the
 // last.
-func newTestEntry(t *testing.T, behaviours ...behaviour) *testEntry {
+func newTestEntry(t testing.TB, behaviours ...behaviour) *testEntry {
 	e := &testEntry{t: t}
 	ln, err := bflistener.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, brokenOff, invalidLoads expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads expvar.Int
 
 		tries expvar.Map
 	}
@@ -74,7 +74,7 @@
 		m.Set("bad_datagrams", &counters.badDatagrams)
 		m.Set("accept_errors", &counters.acceptErrors)
 		m.Set("hedges", &counters.hedges)
-		m.Set("answers_broken_off", &counters.brokenOff)
+		m.Set("streams_aborted", &counters.streamsAborted)
 		m.Set("hedges_denied", &counters.hedgesDenied)
 		m.Set("invalid_load_reports", &counters.invalidLoads)
 		m.Set("tries", &counters.tries)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -85,7 +85,7 @@
 		active     atomic.Int64
 		stopPhase  atomic.Int32
 		logSampler logSampler
-		// invalidLoads logs load reports that could not be parsed.
+		// invalidLoads logs invalid load reports.
 		invalidLoads invalidLoadLog
 	}
 )
--- a/internal/transport/bfupstream/answer_reader.go
+++ b/internal/transport/bfupstream/answer_reader.go
@@ -104,9 +104,9 @@
 		return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
 	}
 	got := result{response: resp, memory: ar.memory.reserve(ar.drop)}
-	passed := ar.passOn(p, resp)
+	streamed := ar.stream(p, resp)
 	got.err = ar.within(&ar.bodyBytes, func() (err error) {
-		got.body, err = readBody(resp, got.memory, passed)
+		got.body, err = readBody(resp, got.memory, streamed)
 		return err
 	})
 	if !got.memory.finishReading() {
@@ -119,7 +119,8 @@
 	return got
 }
 
-// within calls read, which may consume at most *left bytes, and subtracts those consumed.
+// within calls read, which may consume at most *left bytes of the connection, and subtracts
+// those that it consumed.
 func (ar *answerReader) within(left *int64, read func() error) error {
 	buffered := int64(ar.br.Buffered())
 	ar.limited.N = max(0, *left-buffered)
@@ -131,8 +132,8 @@
 	case errors.Is(err, errAnswerMemory):
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	case exhausted:
-		// The reader ends here like a closed connection, so a body without a length looks
-		// complete.
+		// This must be an error even if read returned none: the exhausted reader returns EOF
+		// like a closed connection, which completes a body without a length.
 		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, allowed+buffered)
 	case err != nil:
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
@@ -141,8 +142,8 @@
 }
 
 // readBody reads the body of an answer into memory that grows with the bytes received,
-// whatever length the answer announces. It publishes each part if the body is passed on.
-func readBody(resp *http.Response, memory *reservation, passed *passedBody) ([]byte, error) {
+// whatever length the answer announces. It publishes each part if the body is streamed.
+func readBody(resp *http.Response, memory *reservation, streamed *streamedBody) ([]byte, error) {
 	size := int64(smallBodyBytes)
 	if resp.ContentLength >= 0 {
 		// One byte more lets the end of the body be read without growing.
@@ -158,8 +159,8 @@
 		}
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if passed != nil {
-			passed.publish(body)
+		if streamed != nil {
+			streamed.publish(body)
 		}
 		if err == io.EOF {
 			return body, nil
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -84,7 +84,8 @@
 		request *http.Request
 		id      string
 		backend briarferry.BackendID
-		head    *headRelay
+		// streamer is nil if the answer must not be streamed.
+		streamer *streamer
 	}
 )
 
@@ -107,9 +108,9 @@
 			Backend: b.ID(), ServerRefusedConnection: isRefused(err), TimedOut: isTimeout(ctx, err), Err: err,
 		}
 	}
-	head := newHeadRelay(r.OnHead)
-	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), head: head})
-	head.end(err)
+	s := newStreamer(r.OnHead)
+	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s})
+	s.end(err)
 	if err != nil {
 		c.checkServer(ctx, p, b, err)
 		return a, err
@@ -188,8 +189,7 @@
 	return func() { timer.Stop() }
 }
 
-// accept returns the answer of checkAnswer. An answer without an error holds its memory until
-// it is released.
+// accept checks the answer. A valid one keeps its memory until Answer.Release.
 func (t try) accept(conn *conn, got result) (*briarferry.Answer, error) {
 	a, err := t.checkAnswer(conn, got)
 	if err != nil {
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -44,9 +44,9 @@
 	pendingRequest struct {
 		request *http.Request
 		id      string
-		// head is nil if the answer must not be passed on while it is received.
-		head    *headRelay
-		results chan result
+		// streamer is nil if the answer must not be streamed.
+		streamer *streamer
+		results  chan result
 		// sent is true once the whole request was written.
 		sent atomic.Bool
 	}
@@ -63,7 +63,7 @@
 // whole request is written.
 func (c *conn) send(t try) (<-chan result, error) {
 	r := t.request
-	p := &pendingRequest{request: r, id: t.id, head: t.head, results: make(chan result, 1)}
+	p := &pendingRequest{request: r, id: t.id, streamer: t.streamer, results: make(chan result, 1)}
 	c.written.Store(0)
 	c.mu.Lock()
 	if c.unusable {
--- a/internal/transport/bfupstream/endless_test.go
+++ b/internal/transport/bfupstream/endless_test.go
@@ -84,8 +84,8 @@
 	return c.Do(ctx, b, &briarferry.Request{ID: "a", Method: "GET", Target: "/", Deadline: time.Now().Add(timeout)})
 }
 
-// dialWithoutTimeout ignores the client's connection timeout, which a machine that is busy
-// with the servers of these tests may exceed.
+// dialWithoutTimeout ignores the client's connection timeout, which may be exceeded while the
+// servers of these tests use all processors.
 func dialWithoutTimeout(_ context.Context, address netip.AddrPort) (net.Conn, error) {
 	return net.Dial("tcp", address.String())
 }
--- a/internal/transport/bfupstream/passed_body_test.go
+++ b/internal/transport/bfupstream/streamed_body_test.go
@@ -16,9 +16,9 @@
 	"briarferry"
 )
 
-// doPassed sends a request whose answer may be passed on. It returns what was passed on and
-// the error of doing so, or false if the answer wasn't passed on.
-func doPassed(c *Client, timeout time.Duration) (passed []byte, passedErr error, ok bool, err error) {
+// doStreamed sends a request whose answer may be streamed. It returns the streamed body and
+// the error with which it ended, or false if the answer wasn't streamed.
+func doStreamed(c *Client, timeout time.Duration) (streamed []byte, streamErr error, ok bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	done := make(chan struct{})
@@ -29,8 +29,8 @@
 		go func() {
 			defer close(done)
 			var out bytes.Buffer
-			_, passedErr = a.Rest.WriteTo(&out)
-			passed = out.Bytes()
+			_, streamErr = a.Stream.WriteTo(&out)
+			streamed = out.Bytes()
 		}()
 	}
 	a, err := c.Do(ctx, testBackend, r)
@@ -39,20 +39,20 @@
 		return nil, nil, false, err
 	}
 	<-done
-	return passed, passedErr, true, err
+	return streamed, streamErr, true, err
 }
 
-// TestPassedBodies guards against passing on an answer that isn't a success of the server for
+// TestStreamedBodies guards against streaming an answer that isn't a success of the server for
 // this request, and against one that ends early and looks complete.
-func TestPassedBodies(t *testing.T) {
+func TestStreamedBodies(t *testing.T) {
 	body := strings.Repeat("b", 100<<10)
 	head := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
 	change := func(old, text string) string { return strings.Replace(head, old, text, 1) + body }
 	cases := []struct {
-		name   string
-		reply  reply
-		passed bool
-		err    error
+		name     string
+		reply    reply
+		streamed bool
+		err      error
 	}{
 		{"complete", reply{text: head + body}, true, nil},
 		{"after an answer to another request", reply{text: "HTTP/1.1 200 OK\r\nX-Id: z\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno" + head + body}, true, nil},
@@ -71,15 +71,15 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeServer{answers: func(int, *http.Request) reply { return tc.reply }}
 			c := &Client{Dial: f.dial, Dialect: testDialect}
-			passed, passedErr, ok, err := doPassed(c, time.Second)
-			if ok != tc.passed || !errors.Is(err, tc.err) || (err == nil) != (tc.err == nil) {
-				t.Errorf("%s: passed on %v, %v; want %v, %v", tc.name, ok, err, tc.passed, tc.err)
+			streamed, streamErr, ok, err := doStreamed(c, time.Second)
+			if ok != tc.streamed || !errors.Is(err, tc.err) || (err == nil) != (tc.err == nil) {
+				t.Errorf("%s: streamed %v, %v; want %v, %v", tc.name, ok, err, tc.streamed, tc.err)
 			}
-			if ok && (passedErr == nil) != (tc.err == nil) {
-				t.Errorf("%s: the body ended with %v although the try ended with %v", tc.name, passedErr, err)
+			if ok && (streamErr == nil) != (tc.err == nil) {
+				t.Errorf("%s: the body ended with %v although the try ended with %v", tc.name, streamErr, err)
 			}
-			if ok && tc.err == nil && string(passed) != body {
-				t.Errorf("%s: %d bytes passed on, want %d", tc.name, len(passed), len(body))
+			if ok && tc.err == nil && string(streamed) != body {
+				t.Errorf("%s: %d bytes streamed, want %d", tc.name, len(streamed), len(body))
 			}
 			if used, _ := c.HeldAnswers(); used != 0 {
 				t.Errorf("%s: %d bytes are still held", tc.name, used)
@@ -89,9 +89,9 @@
 	}
 }
 
-// TestPassedBodyIsPrompt guards against passing on a body only after it has arrived.
-func TestPassedBodyIsPrompt(t *testing.T) {
-	b := newPassedBody()
+// TestStreamedBodyIsPrompt guards against streaming a body only after it has arrived.
+func TestStreamedBodyIsPrompt(t *testing.T) {
+	b := newStreamedBody()
 	r, w := io.Pipe()
 	ended := make(chan error, 1)
 	go func() {
--- a/request.go
+++ b/request.go
@@ -49,8 +49,8 @@
 		Deadline time.Time
 		// Fingerprint is a hash of the request's content.
 		Fingerprint uint64
-		// OnHead may be set for an answer that is passed on while it is received. It is
-		// called with an answer whose body is in Rest, before the try has ended.
+		// OnHead, if set, allows an answer to be streamed: it is called with an answer that
+		// has a Stream, before the try has ended.
 		OnHead func(*Answer)
 	}
 
@@ -59,9 +59,9 @@
 		Status int         `json:"status"`
 		Header http.Header `json:"header"`
 		Body   []byte      `json:"body"`
-		// Rest writes the body if it is still being received; Length is its length then.
-		// Rest fails if the body does not become complete.
-		Rest   io.WriterTo `json:"-" cbor:"-"`
+		// Stream replaces Body while the body is being received, and Length is its length.
+		// WriteTo writes the body as it arrives and fails if it does not become complete.
+		Stream io.WriterTo `json:"-" cbor:"-"`
 		Length int64       `json:"-" cbor:"-"`
 
 		release func()
