--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,363 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	headerID       = "X-Briarferry-Request-Id"
+	headerExpected = "X-Briarferry-Expected-Instance"
+	headerNotRun   = "X-Briarferry-Not-Executed"
+	headerReceipt  = "X-Briarferry-Server-Signature"
+	headerInstance = "X-Briarferry-Instance-Id"
+	headerDeadline = "X-Briarferry-Deadline-Ms"
+	headerLoad     = "X-Briarferry-Server-Load"
+	headerCold     = "X-Briarferry-Cold-Ms"
+
+	beatInterval = 1500 * time.Millisecond
+	beatTimeout  = time.Second
+)
+
+type (
+	// serverConfig is what a server process is told at its start.
+	serverConfig struct {
+		ID, Service, Zone string
+		Address, Admin    string
+		Controls          []string
+		Slots             int
+		WorkMS            int
+	}
+
+	// serverProcess is a backend server: it answers requests and reports to control VMs.
+	serverProcess struct {
+		serverConfig
+		born int64
+
+		mu        sync.Mutex
+		seq       uint64
+		state     string
+		coldUntil time.Time
+		work      time.Duration
+		running   int
+		slots     chan struct{}
+		beatNow   chan struct{}
+		control   int
+		// servesOn is how long the server serves after the confirmation that it drains.
+		servesOn time.Duration
+		leaving  bool
+		// recent holds the times of the requests in the last second.
+		recent []time.Time
+	}
+
+	// server is a backend server process as the case sees it.
+	server struct {
+		*process
+		serverConfig
+
+		mu sync.Mutex
+		// arrivals holds the requests that the server got, except those that it answered
+		// with 421.
+		arrivals []arrival
+		// acks holds the confirmed states.
+		acks []arrival
+	}
+
+	// arrival is an event at a server and when it was seen.
+	arrival struct {
+		what string
+		at   time.Duration
+	}
+)
+
+// addServer starts a backend server.
+func (c *cluster) addServer(service, zone string, slots int, work time.Duration) (*server, error) {
+	i := len(c.servers) + 1
+	ip := fmt.Sprintf("127.%d.1.%d", c.subnet, i)
+	s := &server{serverConfig: serverConfig{
+		ID: fmt.Sprintf("i-%04d", i), Service: service, Zone: zone, Address: c.address(ip, offsetServer), Admin: c.address(ip, offsetAdmin),
+		Controls: c.controlAddresses(), Slots: slots, WorkMS: int(work.Milliseconds()),
+	}}
+	data, err := json.Marshal(s.serverConfig)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(os.Args[0], "server", string(data))
+	cmd.Stderr = os.Stderr
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if s.process, err = c.startProcess(cmd); err != nil {
+		return nil, err
+	}
+	go c.follow(s.ID, pipe, func(line string) {
+		word, rest, _ := strings.Cut(line, " ")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch word {
+		case "got":
+			s.arrivals = append(s.arrivals, arrival{rest, c.now()})
+		case "confirmed":
+			s.acks = append(s.acks, arrival{rest, c.now()})
+		}
+	})
+	c.servers = append(c.servers, s)
+	return s, waitFor("first confirmation of server "+s.ID, startTimeout, func() bool { _, ok := s.confirmed("ready"); return ok })
+}
+
+// confirmed returns when a control VM first confirmed the state.
+func (s *server) confirmed(state string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.acks {
+		if strings.HasPrefix(a.what, state) {
+			return a.at, true
+		}
+	}
+	return 0, false
+}
+
+// got returns the requests that reached the server.
+func (s *server) got() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
+
+// tell sends the server process an instruction of the case.
+func (s *server) tell(instruction string) error {
+	resp, err := http.Post("http://"+s.Admin+"/"+instruction, "", nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// runServer is the main function of a server process.
+func runServer(text string) {
+	s := &serverProcess{born: time.Now().UnixMilli(), state: "ready", beatNow: make(chan struct{}, 1)}
+	if err := json.Unmarshal([]byte(text), &s.serverConfig); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	s.work, s.slots = time.Duration(s.WorkMS)*time.Millisecond, make(chan struct{}, s.Slots)
+	for address, handler := range map[string]http.Handler{s.Address: http.HandlerFunc(s.serve), s.Admin: http.HandlerFunc(s.instruct)} {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitNotRun)
+		}
+		go func() { _ = http.Serve(ln, handler) }()
+	}
+	s.report()
+}
+
+// serve handles a request as the pages say of a worker.
+func (s *serverProcess) serve(w http.ResponseWriter, r *http.Request) {
+	id, h := r.Header.Get(headerID), w.Header()
+	if id != "" {
+		h.Set(headerID, id)
+	}
+	if r.URL.Path == "/health" {
+		h.Set(headerInstance, s.ID)
+		h.Set(headerCold, strconv.FormatInt(s.coldRemaining().Milliseconds(), 10))
+		return
+	}
+	if expected := r.Header.Get(headerExpected); expected != "" && expected != s.ID {
+		h.Set(headerInstance, s.ID)
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.crashIfOverloaded()
+	say("got %s %s %s cold %dms", id, r.Method, r.RequestURI, s.coldRemaining().Milliseconds())
+	limit := time.Hour
+	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	s.running++
+	work := s.work
+	s.mu.Unlock()
+	say("runs %s", id)
+	status := http.StatusOK
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		status = http.StatusGatewayTimeout
+	}
+	<-s.slots
+	s.mu.Lock()
+	s.running--
+	running := s.running
+	s.mu.Unlock()
+	say("ends %s %d", id, status)
+	h.Set(headerReceipt, fmt.Sprintf("%s.%s.%d", s.ID, id, len(body)))
+	h.Set(headerLoad, fmt.Sprintf("%d,0,%d", running, s.Slots))
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.ID, id)
+}
+
+// crashIfOverloaded ends the process without an answer if it is cold and gets more than
+// crashAbove requests in a second.
+func (s *serverProcess) crashIfOverloaded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for len(s.recent) > 0 && now.Sub(s.recent[0]) > time.Second {
+		s.recent = s.recent[1:]
+	}
+	if !now.Before(s.coldUntil) {
+		s.recent = nil
+		return
+	}
+	if s.recent = append(s.recent, now); len(s.recent) > crashAbove {
+		say("crashes with %d requests at work: over %d requests in a second while cold", s.running, crashAbove)
+		os.Exit(1)
+	}
+}
+
+// instruct handles an instruction of the case.
+func (s *serverProcess) instruct(_ http.ResponseWriter, r *http.Request) {
+	word, value, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	ms, _ := strconv.Atoi(value)
+	span := time.Duration(ms) * time.Millisecond
+	s.mu.Lock()
+	switch word {
+	case "drain":
+		s.state, s.servesOn = "draining", span
+	case "cold":
+		s.coldUntil = time.Now().Add(span)
+	case "work":
+		s.work = span
+	}
+	s.mu.Unlock()
+	say("told %s %s", word, value)
+	if word != "work" {
+		select {
+		case s.beatNow <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *serverProcess) coldRemaining() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, time.Until(s.coldUntil))
+}
+
+// report sends the heartbeats.
+func (s *serverProcess) report() {
+	for {
+		s.beat()
+		select {
+		case <-time.After(beatInterval):
+		case <-s.beatNow:
+		}
+	}
+}
+
+// beat sends one heartbeat, to the next control VM after each that gives no confirmation.
+func (s *serverProcess) beat() {
+	for range 2 * len(s.Controls) {
+		s.mu.Lock()
+		s.seq++
+		state := s.state
+		body, _ := json.Marshal(map[string]any{
+			"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": state,
+			"coldRemainingS": max(0, time.Until(s.coldUntil)).Seconds(), "seq": s.seq, "born": s.born,
+		})
+		to := s.Controls[s.control%len(s.Controls)]
+		s.mu.Unlock()
+		status := call(http.MethodPut, "http://"+to+"/api/instances/"+s.ID, body, "", beatTimeout).status
+		if status/100 == 2 {
+			say("confirmed %s by %s cold %dms", state, to, s.coldRemaining().Milliseconds())
+			if state == "draining" {
+				s.leave()
+			}
+			return
+		}
+		say("unconfirmed %s by %s: %d", state, to, status)
+		s.control++
+	}
+}
+
+// leave starts the end of a server that drains, once.
+func (s *serverProcess) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.servesOn == 0 {
+		return
+	}
+	s.leaving = true
+	time.AfterFunc(s.servesOn, func() {
+		to := s.Controls[0]
+		status := call(http.MethodDelete, "http://"+to+"/api/instances/"+s.ID, nil, "", beatTimeout).status
+		s.mu.Lock()
+		running := s.running
+		s.mu.Unlock()
+		say("leaves: %d by %s; exits with %d requests at work", status, to, running)
+		os.Exit(0)
+	})
+}
+
+func say(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+
+// answer is the answer to a call; status is 0 if there was none.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// call makes one call on a connection of its own, which it closes at the end.
+func call(method, url string, body []byte, ifMatch string, limit time.Duration) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return answer{}
+	}
+	r.Close = true
+	if len(body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	if ifMatch != "" {
+		r.Header.Set("If-Match", ifMatch)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{resp.StatusCode, data}
+}
