--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -155,8 +155,7 @@
 	if err := os.MkdirAll(filepath.Join(n.dir, "data"), 0o700); err != nil {
 		return err
 	}
-	settings := filepath.Join(n.dir, "boot.toml")
-	if err := os.WriteFile(settings, []byte(n.settings(bootstrap)), 0o600); err != nil {
+	if err := n.writeSettings(bootstrap); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -166,7 +165,7 @@
 	defer log.Close()
 	cmd := exec.Command("target/briarferry", n.role, "--insecure-rpc")
 	// The machines of the settings have one core.
-	cmd.Env = append(os.Environ(), "BRIARFERRY_NODE_FILE="+settings, "GOMAXPROCS=1")
+	cmd.Env = append(os.Environ(), "BRIARFERRY_NODE_FILE="+n.settingsPath(), "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = log, log
 	if n.process, err = n.cluster.startProcess(cmd); err != nil {
 		return err
@@ -175,6 +174,13 @@
 	return nil
 }
 
+func (n *node) settingsPath() string { return filepath.Join(n.dir, "boot.toml") }
+
+// writeSettings writes the settings file.
+func (n *node) writeSettings(bootstrap bool) error {
+	return os.WriteFile(n.settingsPath(), []byte(n.settings(bootstrap)), 0o600)
+}
+
 // settings returns the settings file of a VM in the layout of the platform.
 func (n *node) settings(bootstrap bool) string {
 	c := n.cluster
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,8 @@
 
 var cases = map[string]func(c *cluster, trouble bool) error{
 	"dead-voters":   runDeadVoters,
+	"stop-reload":   runStopReload,
+	"late-refusal":  runLateRefusal,
 	"late-send":     runLateSend,
 	"withdrawal":    runWithdrawal,
 	"torn-snapshot": runTornSnapshot,
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -23,7 +23,10 @@
 	headerReceipt  = "X-Briarferry-Server-Signature"
 	headerInstance = "X-Briarferry-Instance-Id"
 	headerDeadline = "X-Briarferry-Deadline-Ms"
-	headerLoad     = "X-Briarferry-Server-Load"
+	// refusal is a full server's answer, as in the platform's example.
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Briarferry-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+	headerLoad = "X-Briarferry-Server-Load"
 
 	beatInterval = 1500 * time.Millisecond
 	beatTimeout  = time.Second
@@ -56,8 +59,21 @@
 		// servesOn is how long the server serves after the confirmation that it drains.
 		servesOn time.Duration
 		leaving  bool
+		// copies is true if the server sends a second copy of a refusal late.
+		copies bool
+		// shedsWhenFull is true if the server refuses requests when all slots are taken.
+		shedsWhenFull bool
+	}
+
+	// serverConn is a connection to a server; refused is true after a refusal of which a copy
+	// is still to be sent.
+	serverConn struct {
+		raw     net.Conn
+		refused bool
 	}
 
+	connKey struct{}
+
 	// server is a backend server process as the case sees it.
 	server struct {
 		*process
@@ -159,7 +175,10 @@
 		if address == s.Address {
 			s.listener = ln
 		}
-		go func() { _ = http.Serve(ln, handler) }()
+		server := &http.Server{Handler: handler, ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, &serverConn{raw: conn})
+		}}
+		go func() { _ = server.Serve(ln) }()
 	}
 	s.report()
 }
@@ -184,6 +203,16 @@
 	if err != nil {
 		return
 	}
+	conn := r.Context().Value(connKey{}).(*serverConn)
+	if conn.refused {
+		conn.refused = false
+		say("sends a late copy of its refusal before the answer to %s", id)
+		_, _ = io.WriteString(conn.raw, refusal)
+	}
+	if s.refuses(w, conn) {
+		say("refuses %s", id)
+		return
+	}
 	say("got %s %s %s", id, r.Method, r.RequestURI)
 	limit := time.Hour
 	if ms, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
@@ -221,6 +250,22 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.ID, id)
 }
 
+// refuses answers as a full server does, once its slots are taken, if it is told to send
+// copies. The answer has no other headers than those of the platform's example.
+func (s *serverProcess) refuses(w http.ResponseWriter, conn *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shedsWhenFull || len(s.slots) < cap(s.slots) {
+		return false
+	}
+	h := w.Header()
+	h.Del(headerID)
+	h.Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	conn.refused = s.copies
+	return true
+}
+
 // instruct handles an instruction of the case.
 func (s *serverProcess) instruct(_ http.ResponseWriter, r *http.Request) {
 	word, value, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -234,6 +279,10 @@
 		os.Exit(1)
 	case "drain":
 		s.state, s.servesOn = "draining", span
+	case "full":
+		s.shedsWhenFull = true
+	case "copies":
+		s.copies = true
 	case "work":
 		s.work = span
 	}
