--- a/review/standin/late_refusal.go
+++ b/review/standin/late_refusal.go
@@ -8,7 +8,7 @@
 
 // forgotten is the time after which an entry sends requests again to a server that has
 // refused one.
-const forgotten = 9 * time.Second
+const forgotten = 8 * time.Second
 
 // runLateRefusal lets a full server refuse a request, and send a second copy of that refusal
 // where the answer to the next request on the connection is expected.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -29,7 +29,7 @@
 	headerLoad = "X-Briarferry-Server-Load"
 
 	// keepAlive is the time in seconds after which a server closes an idle connection.
-	keepAlive    = 15
+	keepAlive    = 20
 	beatInterval = 1500 * time.Millisecond
 	beatTimeout  = time.Second
 )
