Remove lost voters of a group whose control VMs are replaced one after the other

Cause: a silent voter was removed only after 8 s and only from a group with an even number of voters, so a second successor that joined within these 8 s kept it for good. Each new leader counted the silence from zero, so no leader counted to the end while leaders were lost too. Ruled out: a removal that is proposed and not committed; the log of the leader has no proposal.

Change: a voter is removed if the group tolerates at least as many further losses without it: one that was silent for 3 s in an even group, one of two that were silent for 8 s in an odd group; never below three voters, nor below 2f+1 for the f VMs of the settings. Heartbeats of the leader name the silent members, and its successor goes on counting after an election timeout of its own.

--- a/internal/coordination/bfraft/election.go
+++ b/internal/coordination/bfraft/election.go
@@ -114,6 +114,7 @@
 	for _, p := range r.progress {
 		p.state = pipelining
 	}
+	r.inheritSilence()
 	_ = r.appendOwn(Entry{Kind: EntryNoOp}) // fails only for a membership entry
 	r.roundDue = true
 }
--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -37,6 +37,8 @@
 	snapshot         *Snapshot
 	incomingSnapshot *Snapshot // the chunks received so far
 	restoredSnapshot *Snapshot // complete snapshot for the next Ready
+	lastLeader       string    // leader that was heard from last
+	reportedSilence  []Silence // members that did not reply to lastLeader
 	persistedState   HardState
 	messages         []Message
 	readStates       []ReadState
--- a/internal/coordination/bfraft/replication.go
+++ b/internal/coordination/bfraft/replication.go
@@ -24,8 +24,12 @@
 		inflight []uint64
 		// awaitingReply is true while a probe or a snapshot chunk is unacknowledged.
 		awaitingReply bool
-		// ticksSinceReply is the number of ticks since the peer's last reply.
+		// ticksSinceReply is the number of ticks since the peer's last reply to this leader, or
+		// since the election.
 		ticksSinceReply int
+		// silentBefore is the number of ticks for which the peer had not replied to earlier
+		// leaders. It is 0 once the peer replies to this one.
+		silentBefore int
 		// stalledHeartbeats is the number of heartbeat replies since an append or a
 		// snapshot chunk was last acknowledged or considered lost.
 		stalledHeartbeats int
@@ -79,9 +83,10 @@
 func (r *Raft) startHeartbeatRound() {
 	r.roundDue, r.heartbeatElapsed = false, 0
 	r.heartbeatRound++
+	silent := r.silentMembers()
 	for _, id := range r.peers() {
 		p := r.progress[id]
-		r.send(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, r.log.committed), Round: r.heartbeatRound})
+		r.send(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, r.log.committed), Round: r.heartbeatRound, Silent: silent})
 	}
 	r.updateQuorumRound()
 }
@@ -137,7 +142,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.recentlyActive, p.ticksSinceReply = true, 0
+	p.recentlyActive, p.ticksSinceReply, p.silentBefore = true, 0, 0
 	switch m.Type {
 	case MsgAppendReply:
 		r.handleAppendReply(m, p)
@@ -235,9 +240,10 @@
 	if r.role != Follower || r.leader != m.From {
 		r.becomeFollower(m.Term, m.From)
 	}
-	r.electionElapsed, r.leaderElapsed = 0, 0
+	r.electionElapsed, r.leaderElapsed, r.lastLeader = 0, 0, m.From
 	switch m.Type {
 	case MsgHeartbeat:
+		r.reportedSilence = m.Silent
 		r.commitTo(m.Commit)
 		r.send(Message{Type: MsgHeartbeatReply, To: m.From, Round: m.Round})
 	case MsgAppend:
--- a/internal/coordination/bfraft/rules_test.go
+++ b/internal/coordination/bfraft/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -269,3 +270,30 @@
 		t.Errorf("follower at %d of %d after %d rejections", follower.LastIndex(), leader.LastIndex(), rejections)
 	}
 }
+
+// TestSilenceIsInherited guards against a new leader that counts the silence of a lost
+// member from zero, and against one that keeps an inherited silence after a reply.
+func TestSilenceIsInherited(t *testing.T) {
+	n := newNetwork(t, 4, 5)
+	first := n.waitForLeader()
+	others := slices.DeleteFunc(n.ids(), func(id string) bool { return id == first.id })
+	lost, returning := n.nodes[others[0]], n.nodes[others[1]]
+	lost.raft, returning.raft = nil, nil
+	n.runTicks(10 * simElectionTicks)
+	if got := first.raft.TicksSinceReply(lost.id); got < 9*simElectionTicks {
+		t.Fatalf("the first leader counts %d ticks of silence", got)
+	}
+	first.raft = nil
+	n.restart(returning)
+	second := n.waitForLeader()
+	n.runTicks(2 * simElectionTicks)
+	if got := second.raft.TicksSinceReply(lost.id); got < 12*simElectionTicks {
+		t.Errorf("the second leader counts %d ticks of silence of the lost member, want at least %d", got, 12*simElectionTicks)
+	}
+	if got := second.raft.TicksSinceReply(first.id); got < 2*simElectionTicks {
+		t.Errorf("the second leader counts %d ticks of silence of the first one", got)
+	}
+	if got := second.raft.TicksSinceReply(returning.id); second != returning && got > simElectionTicks {
+		t.Errorf("the second leader counts %d ticks of silence of a member that is back", got)
+	}
+}
--- a/internal/coordination/bfraft/status.go
+++ b/internal/coordination/bfraft/status.go
@@ -36,12 +36,18 @@
 	return r.quorumRound
 }
 
-// TicksSinceReply returns the number of ticks since the peer's last reply to this leader.
+// TicksSinceReply returns the number of ticks since the peer's last reply to a leader, as
+// far as this leader knows. Ticks before its election count only once the peer has not
+// replied to this leader for an election timeout either.
 func (r *Raft) TicksSinceReply(id string) int {
-	if p := r.progress[id]; p != nil {
+	p := r.progress[id]
+	switch {
+	case p == nil:
+		return 0
+	case p.ticksSinceReply < r.cfg.ElectionTicks:
 		return p.ticksSinceReply
 	}
-	return 0
+	return p.silentBefore + p.ticksSinceReply
 }
 
 // TicksSinceLeader returns the number of ticks since this replica last heard from a leader,
--- a/internal/coordination/bfraft/types.go
+++ b/internal/coordination/bfraft/types.go
@@ -143,6 +143,12 @@
 		Data       []byte     `cbor:"6,keyasint"`
 	}
 
+	// Silence is the time in ticks for which a member has not replied to its leaders.
+	Silence struct {
+		ID    string `cbor:"1,keyasint"`
+		Ticks uint64 `cbor:"2,keyasint"`
+	}
+
 	// Message is exchanged between replicas. Its type decides which fields are set.
 	Message struct {
 		Type MessageType `cbor:"1,keyasint"`
@@ -166,6 +172,8 @@
 		// Transfer marks the vote request of a leadership transfer, which ignores leases.
 		Transfer bool   `cbor:"13,keyasint,omitempty"`
 		Chunk    *Chunk `cbor:"14,keyasint,omitempty"`
+		// Silent lists the members that don't reply, in a heartbeat.
+		Silent []Silence `cbor:"15,keyasint,omitempty"`
 	}
 
 	// ReadState reports that a read request may be served once Index is applied.
--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -99,6 +99,8 @@
 	vms = []string{"a", "b", "c"}
 	// allVMs adds the VMs that may join an open group.
 	allVMs = []string{"a", "b", "c", "d", "e"}
+	// spareVMs replace others under new addresses.
+	spareVMs = []string{"f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p"}
 )
 
 // newCluster starts replicas on the VMs "a", "b" and "c".
@@ -106,13 +108,6 @@
 	c := &cluster{t: t, delay: delay, rng: rand.New(rand.NewPCG(seed, 3)), members: map[string]*member{},
 		links: map[[2]string]chan delivery{}, cutLinks: map[[2]string]bool{}, configure: configure}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	for _, from := range allVMs {
-		for _, to := range allVMs {
-			link := make(chan delivery, 8192)
-			c.links[[2]string{from, to}] = link
-			c.group.Go(func() { c.deliver(link) })
-		}
-	}
 	for _, vm := range vms {
 		c.start(vm, fs(vm))
 	}
@@ -190,12 +185,18 @@
 	c, key := p.c, [2]string{p.vm, VMOf(to)}
 	c.mu.Lock()
 	lost := c.cutLinks[key] || c.dropRate > 0 && c.rng.Float64() < c.dropRate
+	link := c.links[key]
+	if link == nil {
+		link = make(chan delivery, 8192)
+		c.links[key] = link
+		c.group.Go(func() { c.deliver(link) })
+	}
 	c.mu.Unlock()
 	if lost {
 		return nil
 	}
 	select {
-	case c.links[key] <- delivery{due: time.Now().Add(c.delay), message: m}:
+	case link <- delivery{due: time.Now().Add(c.delay), message: m}:
 		return nil
 	default:
 		return errors.New("link is full")
@@ -278,7 +279,7 @@
 func (c *cluster) isolate(vm string, cut bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, other := range allVMs {
+	for _, other := range slices.Concat(allVMs, spareVMs) {
 		c.cutLinks[[2]string{vm, other}], c.cutLinks[[2]string{other, vm}] = cut, cut
 	}
 }
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -19,6 +19,12 @@
 	// which an open group removes a member. This is longer than a restart or a short
 	// network partition.
 	removalElectionTimeouts = 8
+	// replacedElectionTimeouts is that number for a voter of an even group. It is shorter, as
+	// the removal doesn't cost fault tolerance, and as the next control VM may be replaced
+	// soon: the group must not collect voters that are lost for good.
+	replacedElectionTimeouts = 3
+	// leastVoters is the smallest number of voters to which an open group shrinks.
+	leastVoters = 3
 )
 
 // formOrJoin makes an empty replica part of a group: of a new one if every control VM
@@ -212,26 +218,53 @@
 	return bfraft.Change{}, false
 }
 
-// unresponsiveMember returns a member of an open group that has not replied for
-// removalElectionTimeouts. A voter is removed only if the number of voters is even and
-// above two: such a group tolerates no more failures than one with a voter fewer, so the
-// removal costs no fault tolerance, and after a replacement under a new address the group
-// has its old size again.
+// unresponsiveMember returns a member of an open group to remove as it has not replied for
+// long.
 func (n *Node) unresponsiveMember(m bfraft.Membership) (string, bool) {
 	if !n.OpenMembership {
 		return "", false
 	}
-	candidates := m.Learners
-	if len(m.Voters)%2 == 0 && len(m.Voters) > 2 {
-		candidates = slices.Concat(m.Voters, m.Learners)
+	if id, ok := n.unresponsiveVoter(m.Voters); ok {
+		return id, true
 	}
-	limit := removalElectionTimeouts * n.ticks(n.ElectionTimeout)
-	for _, id := range candidates {
+	if silent := n.silentFor(m.Learners, removalElectionTimeouts); len(silent) > 0 {
+		return silent[0], true
+	}
+	return "", false
+}
+
+// unresponsiveVoter returns the voter to remove. The group must tolerate at least as many
+// further failures without it. An even group tolerates no more failures than one with a
+// voter fewer, so one silent voter is enough, and after a replacement under a new address
+// the group has its old size again. An odd group must have two silent voters, as the removal
+// of both gains one.
+func (n *Node) unresponsiveVoter(voters []string) (string, bool) {
+	if len(voters) <= max(n.MinVoters, leastVoters) {
+		return "", false
+	}
+	timeouts, needed := replacedElectionTimeouts, 1
+	if len(voters)%2 == 1 {
+		timeouts, needed = removalElectionTimeouts, 2
+	}
+	silent := n.silentFor(voters, timeouts)
+	if len(silent) < needed {
+		return "", false
+	}
+	return silent[0], true
+}
+
+// silentFor returns the members that have not replied for a number of election timeouts,
+// the longest silent one first.
+func (n *Node) silentFor(ids []string, electionTimeouts int) []string {
+	limit := electionTimeouts * n.ticks(n.ElectionTimeout)
+	var out []string
+	for _, id := range ids {
 		if id != n.raft.ID() && n.raft.TicksSinceReply(id) >= limit {
-			return id, true
+			out = append(out, id)
 		}
 	}
-	return "", false
+	slices.SortStableFunc(out, func(a, b string) int { return n.raft.TicksSinceReply(b) - n.raft.TicksSinceReply(a) })
+	return out
 }
 
 // isReplaced reports whether a replica that stopped replying has a successor on the same VM
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -97,6 +97,9 @@
 		// Control then lists the VMs to contact; the group learns of all others as they
 		// join.
 		OpenMembership bool
+		// MinVoters is the number of voters below which an open group doesn't remove silent
+		// ones. A group whose disks may be lost at f VMs at the same time needs 2f+1.
+		MinVoters int
 		// Seeds returns further VMs to contact; it may be nil.
 		Seeds func() []string
 		// JoinOnly prevents an empty replica from forming a new group; it can only join an
--- a/internal/coordination/bfreplica/open_group_test.go
+++ b/internal/coordination/bfreplica/open_group_test.go
@@ -24,6 +24,11 @@
 	return out
 }
 
+// runningVMs returns the VMs whose replica runs.
+func (c *cluster) runningVMs() []string {
+	return slices.DeleteFunc(c.startedVMs(), func(vm string) bool { return !c.member(vm).running() })
+}
+
 // growToFive starts replicas on the VMs "d" and "e" and waits until they are voters.
 func (c *cluster) growToFive() {
 	for _, vm := range []string{"d", "e"} {
@@ -63,6 +68,73 @@
 	})
 }
 
+// TestTwoReplacedUnderNewAddresses guards against voters that are lost for good and stay, as
+// the second one is replaced before the first is removed: the group then has an odd number
+// of voters, and the loss of one more disk ends it.
+func TestTwoReplacedUnderNewAddresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 16, interRegionDelay, memoryFS(16), openMembership)
+		defer c.close()
+		c.propose("first")
+		for i, vm := range []string{"d", "e"} {
+			c.start(vm, memoryFS(9)(vm))
+			time.Sleep(5 * time.Second)
+			c.stopVMs(vms[i])
+		}
+		c.waitFor("the replaced voters are removed", func() bool { return slices.Equal(c.voterVMs(), []string{"c", "d", "e"}) })
+		c.propose("second")
+		c.wipe("c")
+		c.propose("third")
+	})
+}
+
+// TestReplacedLeaders guards against lost voters that stay because each new leader counts
+// their silence from zero while leaders are lost one after the other.
+func TestReplacedLeaders(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			var c *cluster
+			c = newCluster(t, 40+seed, interRegionDelay, memoryFS(40+seed), func(n *Node) {
+				n.OpenMembership, n.Seeds = true, func() []string { return c.runningVMs() }
+			})
+			defer c.close()
+			c.propose("first")
+			c.growToFive()
+			for i, vm := range spareVMs {
+				c.waitFor("a leader", func() bool { return c.leader() != nil })
+				old := c.leader().vm
+				c.isolate(old, true)
+				c.stopVMs(old)
+				time.Sleep(500 * time.Millisecond)
+				c.start(vm, memoryFS(9)(vm))
+				// The next one is lost as soon as the successor has caught up.
+				time.Sleep(4500 * time.Millisecond)
+				c.propose(fmt.Sprint(i))
+			}
+			time.Sleep(20 * time.Second)
+			if got := c.voterVMs(); len(got) != 5 {
+				t.Errorf("seed %d: voters %v, want the five that run", seed, got)
+			}
+		})
+	}
+}
+
+// TestMinVotersStay guards against a group that shrinks below the number of voters that the
+// loss of two disks needs.
+func TestMinVotersStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 17, interRegionDelay, memoryFS(17), func(n *Node) { n.OpenMembership, n.MinVoters = true, 5 })
+		defer c.close()
+		c.growToFive()
+		c.isolate("d", true)
+		c.isolate("e", true)
+		time.Sleep(60 * time.Second)
+		if got := c.voterVMs(); len(got) != 5 {
+			t.Errorf("voters %v after two of five were silent for a minute", got)
+		}
+	})
+}
+
 // TestRemovedReplicaRejoins guards against a replica that was removed while it was
 // partitioned and never joins the group again.
 func TestRemovedReplicaRejoins(t *testing.T) {
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -226,7 +226,7 @@
 	n := &bfcontrol.Node{
 		Address: p.Address, Bind: s.bind, FailureDomain: p.FailureDomain, RPC: s.internalAddress(controlRPCOffset), Gossip: s.internalAddress(controlGossipOffset),
 		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, DataDir: p.DataDir, Regions: p.Regions, LookupTTL: p.Bounds.LookupTTL,
-		MaxShift: p.Bounds.MaxShift, Log: s.log,
+		MaxShift: p.Bounds.MaxShift, MaxLostVMs: p.Bounds.MaxLostVMs, Log: s.log,
 	}
 	n.Setup()
 	api := &platform.API{Control: n, Status: bfcontrol.HTTPStatus, Log: s.log}
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -50,6 +50,9 @@
 		Seeds func() []netip.Addr
 		// Bootstrap allows the seeds to form a new group.
 		Bootstrap bool
+		// MaxLostVMs is the number of control VMs that may be lost at the same time, with their
+		// disks.
+		MaxLostVMs int
 		// DataDir is the directory of the replica's files.
 		DataDir string
 		// Regions maps each failure domain to its region.
@@ -87,7 +90,8 @@
 	n.clients.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
 	n.replica = &bfreplica.Node{
-		VM: n.Address.String(), Control: addressStrings(n.Seeds()), OpenMembership: true, JoinOnly: !n.Bootstrap, PersistCommit: true,
+		VM: n.Address.String(), Control: addressStrings(n.Seeds()), OpenMembership: true,
+		MinVoters: 2*n.MaxLostVMs + 1, JoinOnly: !n.Bootstrap, PersistCommit: true,
 		Seeds: func() []string { return addressStrings(n.Seeds()) },
 		Dir:   n.DataDir, Machine: n.machine, Transport: network, Discovery: network, Log: n.Log,
 	}
