Give orders that arrive late no effect

Cause: an order names no state that it was made for. A control VM that was frozen read a withdrawal that its caller had given up, passed it to the leader and noticed the closed connection 20 ms later; a newer evacuation was confirmed by then. Ruled out: entries that go back to an older state, as they ignore older revisions.

Change: a control VM reads the newest confirmed state, asks the socket whether the caller still waits, and proposes the order under the condition that no other order for the failure domain came first. The state machine records the index of each order. The removal of a backend server had the same fault and names the process's start now. Orders cost a read index more.

--- a/internal/state/bffleet/command.go
+++ b/internal/state/bffleet/command.go
@@ -13,8 +13,8 @@
 	CodeOK Code = "ok"
 	// CodeInvalid means that the command can't be decoded or is out of range.
 	CodeInvalid Code = "invalid"
-	// CodeConflict means that the route table is based on another version, or that its
-	// version isn't above the current one.
+	// CodeConflict means that the route table is based on another version, that its version
+	// isn't above the current one, or that another order for the failure domain came first.
 	CodeConflict Code = "conflict"
 	// CodeFull means that the registry has no room for another instance.
 	CodeFull Code = "full"
@@ -56,6 +56,11 @@
 	Evacuate struct {
 		FailureDomain string `cbor:"1,keyasint"`
 		Withdraw      bool   `cbor:"2,keyasint,omitempty"`
+		// Conditional limits the change to the state that the order was made for: Base must
+		// still be the log index of the last order for this failure domain. An order that
+		// arrives late would otherwise undo a newer one.
+		Conditional bool   `cbor:"3,keyasint,omitempty"`
+		Base        uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Register adds instances or updates registered ones.
@@ -67,6 +72,9 @@
 	// register it again.
 	Leave struct {
 		ID string `cbor:"1,keyasint"`
+		// Started is the start time of the process that leaves. A process that was started
+		// later under the same ID stays. Zero stands for any process.
+		Started int64 `cbor:"2,keyasint,omitempty"`
 	}
 
 	// Expire removes an instance that stopped reporting, unless it has changed in the
--- a/internal/state/bffleet/machine.go
+++ b/internal/state/bffleet/machine.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -108,7 +109,7 @@
 	case c.Expire != nil:
 		return m.expire(index, c.Expire)
 	}
-	return m.leave(index, c.Leave.ID)
+	return m.leave(index, c.Leave)
 }
 
 func (m *Machine) putRoutes(index uint64, p *PutRoutes) Code {
@@ -127,13 +128,24 @@
 	return CodeOK
 }
 
+// evacuate applies an order for a failure domain and records its index, also where nothing
+// changes: the operator got a confirmation, so an older order must not take effect any more.
 func (m *Machine) evacuate(index uint64, e *Evacuate) Code {
 	old := m.State()
+	next := *old
+	next.EvacuationOrders = maps.Clone(old.EvacuationOrders)
+	if next.EvacuationOrders == nil {
+		next.EvacuationOrders = map[string]uint64{}
+	}
+	next.EvacuationOrders[e.FailureDomain] = index
 	i, known := slices.BinarySearch(old.Evacuated, e.FailureDomain)
 	if known != e.Withdraw {
+		m.state.Store(&next)
 		return CodeOK
 	}
-	next := *old
+	if e.Conditional && e.Base != old.EvacuationOrders[e.FailureDomain] {
+		return CodeConflict
+	}
 	next.Revision, next.EvacuatedRevision = index, index
 	if e.Withdraw {
 		next.Evacuated = slices.Delete(slices.Clone(old.Evacuated), i, i+1)
--- a/internal/state/bffleet/machine_test.go
+++ b/internal/state/bffleet/machine_test.go
@@ -301,3 +301,59 @@
 		}
 	})
 }
+
+// TestEvacuationOrders guards against an order that was made for an older state and undoes a
+// newer one, also where the newer one changed nothing, and against the loss of the order's
+// index with a snapshot.
+func TestEvacuationOrders(t *testing.T) {
+	order := func(withdraw bool, base uint64) Command {
+		return Command{Evacuate: &Evacuate{FailureDomain: "a", Withdraw: withdraw, Conditional: true, Base: base}}
+	}
+	m, index := New(), uint64(0)
+	steps := []struct {
+		what      string
+		command   Command
+		want      Code
+		evacuated bool
+	}{
+		{"first evacuation", order(false, 0), CodeOK, true},
+		{"repeated evacuation", order(false, 0), CodeOK, true},
+		{"withdrawal made before the repetition", order(true, 1), CodeConflict, true},
+		{"withdrawal", order(true, 2), CodeOK, false},
+		{"second evacuation", order(false, 4), CodeOK, true},
+		{"withdrawal made before the second evacuation", order(true, 2), CodeConflict, true},
+		{"order of a VM with an older version", Command{Evacuate: &Evacuate{FailureDomain: "a", Withdraw: true}}, CodeOK, false},
+	}
+	for _, s := range steps {
+		if got := apply(t, m, &index, s.command).Code; got != s.want {
+			t.Errorf("%s: code %q, want %q", s.what, got, s.want)
+		}
+		if got := len(m.State().Evacuated) > 0; got != s.evacuated {
+			t.Errorf("%s: evacuated %v", s.what, got)
+		}
+		data, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m = New()
+		if err := m.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestLeaveOfEarlierProcess guards against a late order of a process that has ended, which
+// removed its successor with the same ID.
+func TestLeaveOfEarlierProcess(t *testing.T) {
+	m, index := New(), uint64(0)
+	apply(t, m, &index, register(instance("a", "10.0.0.1:80", 1, 1)))
+	apply(t, m, &index, register(instance("a", "10.0.0.1:80", 2, 1)))
+	apply(t, m, &index, Command{Leave: &Leave{ID: "a", Started: 1}})
+	if _, ok := m.State().Server("a"); !ok {
+		t.Error("the second process was removed by the first one's order")
+	}
+	apply(t, m, &index, Command{Leave: &Leave{ID: "a", Started: 2}})
+	if _, ok := m.State().Server("a"); ok {
+		t.Error("the process that left is still registered")
+	}
+}
--- a/internal/state/bffleet/registry.go
+++ b/internal/state/bffleet/registry.go
@@ -89,14 +89,15 @@
 	return true
 }
 
-// leave removes an instance and records that it has left.
-func (m *Machine) leave(index uint64, id string) Code {
+// leave removes an instance and records that it has left. It ignores an order for an earlier
+// process of the instance.
+func (m *Machine) leave(index uint64, l *Leave) Code {
 	old := m.State()
-	i, ok := old.find(id)
-	if !ok {
+	i, ok := old.find(l.ID)
+	if !ok || l.Started != 0 && l.Started != old.Servers[i].Started {
 		return CodeOK
 	}
-	m.left.put(id, old.Servers[i].Started)
+	m.left.put(l.ID, old.Servers[i].Started)
 	m.removeServer(i, index)
 	return CodeOK
 }
--- a/internal/state/bffleet/state.go
+++ b/internal/state/bffleet/state.go
@@ -27,6 +27,9 @@
 		// Evacuated lists the failure domains that get no requests, sorted.
 		Evacuated         []string `cbor:"4,keyasint"`
 		EvacuatedRevision uint64   `cbor:"5,keyasint"`
+		// EvacuationOrders maps each failure domain to the log index of the last order to
+		// evacuate it or to withdraw that. Only control VMs have it.
+		EvacuationOrders map[string]uint64 `cbor:"10,keyasint,omitempty"`
 		// Servers are the registered backend servers, sorted by instance ID.
 		Servers         []Server `cbor:"6,keyasint"`
 		ServersRevision uint64   `cbor:"7,keyasint"`
--- a/internal/transport/bfcontrol/metrics.go
+++ b/internal/transport/bfcontrol/metrics.go
@@ -7,7 +7,7 @@
 
 var (
 	counters struct {
-		badDatagrams, reports, lookups, unconfirmed expvar.Int
+		badDatagrams, reports, lookups, unconfirmed, abandoned expvar.Int
 	}
 	publishOnce sync.Once
 )
@@ -21,6 +21,7 @@
 		m.Set("server_reports", &counters.reports)
 		m.Set("lookups", &counters.lookups)
 		m.Set("unconfirmed_orders", &counters.unconfirmed)
+		m.Set("abandoned_orders", &counters.abandoned)
 		m.Set("replica", expvar.Func(func() any { return n.replica.Status() }))
 		m.Set("revision", expvar.Func(func() any { return n.machine.State().Revision }))
 	})
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -158,7 +158,7 @@
 		return nil, err
 	}
 	for address, handler := range n.Handlers {
-		s := &http.Server{Handler: handler, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout}
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, ConnContext: withCallerConn}
 		if err := n.serve(group, s, address); err != nil {
 			return nil, err
 		}
--- a/internal/transport/bfcontrol/operator.go
+++ b/internal/transport/bfcontrol/operator.go
@@ -42,16 +42,8 @@
 // version, or nil and 0 if there is none. The read is linearizable: it fails unless a leader
 // confirms that no newer one exists.
 func (n *Node) Routes(ctx context.Context) ([]byte, uint64, error) {
-	index, err := n.replica.ReadIndex(ctx)
-	if err != nil {
-		return nil, 0, ErrUnavailable
-	}
-	for n.replica.Status().Applied < index {
-		select {
-		case <-ctx.Done():
-			return nil, 0, ErrUnavailable
-		case <-time.After(5 * time.Millisecond):
-		}
+	if err := n.catchUp(ctx); err != nil {
+		return nil, 0, err
 	}
 	compressed, version := n.machine.Source()
 	if version == 0 {
@@ -61,21 +53,6 @@
 	return source, version, err
 }
 
-// Evacuate starts the evacuation of a failure domain or withdraws it.
-func (n *Node) Evacuate(ctx context.Context, domain string, withdraw bool) error {
-	if _, ok := n.Regions[domain]; !ok {
-		return ErrInvalid
-	}
-	started := time.Now()
-	r, err := n.propose(ctx, bffleet.Command{Evacuate: &bffleet.Evacuate{FailureDomain: domain, Withdraw: withdraw}})
-	n.Log.Info().Err(err).Str("failure_domain", domain).Bool("withdraw", withdraw).Str("code", string(r.Code)).
-		Uint64("revision", r.Revision).Dur("took_ms", time.Since(started)).Msg("evacuation change requested")
-	if err != nil {
-		return err
-	}
-	return codeError(r.Code)
-}
-
 // Lookup returns the entries for a caller of the host in the region and failure domain,
 // and how long the caller may cache them.
 func (n *Node) Lookup(host, region, domain string) ([]netip.AddrPort, time.Duration) {
--- a/internal/transport/bfcontrol/propose.go
+++ b/internal/transport/bfcontrol/propose.go
@@ -29,6 +29,9 @@
 	// ErrUnavailable is returned if no leader answered in time. The change may or may not
 	// take effect.
 	ErrUnavailable = eris.New("bfcontrol: no leader confirmed the request")
+	// ErrCallerGone is returned for an order whose caller has closed the connection. The
+	// order has no effect.
+	ErrCallerGone = eris.New("bfcontrol: the caller gave up the order")
 	// ErrConflict is returned for a change whose base version is not the current one.
 	ErrConflict = eris.New("bfcontrol: another version is in force")
 	// ErrInvalid is returned for a change with invalid content.
--- a/internal/transport/bfcontrol/registry.go
+++ b/internal/transport/bfcontrol/registry.go
@@ -61,22 +61,6 @@
 	return codeError(r.Code)
 }
 
-// Deregister removes a backend server from the registry. Later reports of the same process
-// don't register it again.
-func (n *Node) Deregister(ctx context.Context, id string) error {
-	if !briarferry.ValidName(id) {
-		return ErrInvalid
-	}
-	started := time.Now()
-	r, err := n.propose(ctx, bffleet.Command{Leave: &bffleet.Leave{ID: id}})
-	n.cold.log.Info().Err(err).Str("instance", id).Str("code", string(r.Code)).Uint64("revision", r.Revision).
-		Dur("took_ms", time.Since(started)).Msg("deregistration of backend server requested")
-	if err != nil {
-		return err
-	}
-	return codeError(r.Code)
-}
-
 // newPhase reports whether the server has entered a new cold phase: one that ends at least
 // coldTolerance after the last recorded one. It records the end of a new phase.
 func (c *coldTracker) newPhase(now time.Time, in briarferry.Instance) bool {
