--- /dev/null
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -0,0 +1,81 @@
+package bfgateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/state/bffleet"
+	"briarferry/internal/transport/bfrpc"
+)
+
+// fakeControl is a control VM with a fixed state.
+type fakeControl struct {
+	bfrpc.FleetService
+	state   bffleet.State
+	entries []bfwire.EntryInfo
+	queries atomic.Int64
+	address netip.AddrPort
+}
+
+// Query returns the changes since the revision.
+func (c *fakeControl) Query(_ context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
+	c.queries.Add(1)
+	return &bfwire.FleetReply{Update: *c.state.UpdateSince(q.Revision), Entries: c.entries}, nil
+}
+
+// startControl serves the fleet procedures at a loopback address.
+func startControl(t *testing.T, revision uint64, entries ...bfwire.EntryInfo) *fakeControl {
+	t.Helper()
+	c := &fakeControl{state: bffleet.State{Revision: revision}, entries: entries}
+	mux := http.NewServeMux()
+	bfrpc.HandleFleet(mux, c)
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	c.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	return c
+}
+
+// TestRestartedControlVM guards against an entry that keeps asking a restarted control VM
+// for the state that it announced before, stays behind although others have that state, and
+// takes its list of entries.
+func TestRestartedControlVM(t *testing.T) {
+	entry := func(name, address string) bfwire.EntryInfo {
+		a := netip.MustParseAddrPort(address)
+		return bfwire.EntryInfo{Name: name, HTTP: a, RPC: a, Gossip: a}
+	}
+	restarted := startControl(t, 3)
+	other := startControl(t, 10, entry("one", "127.0.0.1:1"), entry("two", "127.0.0.1:2"))
+	f := &fleetSync{
+		self: entry("one", "127.0.0.1:1"), onChange: func(*bffleet.State) {}, onRTT: func(string, time.Duration) {}, log: zerolog.Nop(),
+	}
+	f.setup()
+	f.state.Store(&bffleet.State{Revision: 5})
+	for i, c := range []*fakeControl{restarted, other} {
+		f.controls[c.address] = &controlState{rtt: time.Duration(i+1) * time.Millisecond, lastHeartbeat: time.Now()}
+		data, err := bfwire.Encode(&bfwire.ControlHeartbeat{From: c.address, Revision: 10, EntriesDigest: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.receive(data)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	f.fetchLoop(ctx)
+	if got := f.state.Load().Revision; got != 10 {
+		t.Errorf("the entry has revision %d, want 10", got)
+	}
+	if got := restarted.queries.Load(); got > 2 {
+		t.Errorf("the restarted control VM got %d queries within a second, want 2 at most", got)
+	}
+	if got := len(f.Live()); got != 2 {
+		t.Errorf("%d live entries, want 2", got)
+	}
+}
