Don't reuse a connection after a refusal without an id

Cause: a refusal without an id was accepted as the answer on any connection. A second copy of it, sent late, was taken for the answer to the next request.

Change: such a connection is closed after the refusal.

--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -215,7 +215,9 @@
 		return nil, &briarferry.TryError{Backend: t.backend, Dispatched: true, Err: ErrAnswerMismatch}
 	}
 	if notRun {
-		conn.release(got.response.Close || t.request.Close)
+		// A second copy of an answer without an id can't be told from the answer to the next
+		// request, so the connection isn't used again.
+		conn.release(got.response.Close || t.request.Close || idOmitted)
 		err := ErrShed
 		if status == http.StatusMisdirectedRequest {
 			err = ErrMisdirected
--- a/internal/transport/bfupstream/late_copy_test.go
+++ b/internal/transport/bfupstream/late_copy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -112,6 +113,35 @@
 	}
 }
 
+// TestLateRefusalCopy guards against taking the second copy of a refusal without an id for the
+// answer to the next request: the caller is told that its request did not run, or it runs at
+// another server too.
+func TestLateRefusalCopy(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, timing := range []copyingServer{{}, {after: time.Millisecond}, {inNext: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &copyingServer{copied: refusal, after: timing.after, inNext: timing.inNext}
+			answers := 0
+			s.answer = func(string) string {
+				if answers++; answers == 1 {
+					return refusal
+				}
+				return "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: 7\r\n\r\nbody ok"
+			}
+			c := &Client{Dial: s.dial, Dialect: testDialect}
+			for _, id := range []string{"first", "second"} {
+				time.Sleep(time.Millisecond / 2)
+				a, err := c.Do(t.Context(), testBackend, &briarferry.Request{ID: id, Method: http.MethodPost, Target: "/", Deadline: time.Now().Add(time.Second)})
+				if errors.Is(err, ErrShed) != (id == "first") {
+					t.Errorf("copy after %v, with the next answer %v: request %s: %v", timing.after, timing.inNext, id, err)
+				}
+				a.Release()
+			}
+			time.Sleep(2 * idleTimeout)
+		})
+	}
+}
+
 // checkLateCopy sends three requests one after the other. Each must get its own answer or an
 // error, and at least one its answer.
 func checkLateCopy(t *testing.T, name string, s *copyingServer, method string) {
