Send no request whose caller has left, and none twice for that

Callers saw nothing, as they had left. A backend server could run an order that another one was running: the first try's end by cancellation counted as "not sent", and the loop could take it before it noticed the end of the request, and start another try with an idle connection.

Cause: the outcome "cancelled" covers tries before and after their dispatch. Found by reading for the users' REFUSED case; whether it has this cause isn't shown.

Change: the end of a try says whether the server may have got part of the request. No try starts, and no byte is written, once the request has ended.

--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -65,6 +65,8 @@
 		outcome bfsteering.Outcome
 		answer  *briarferry.Answer
 		err     error
+		// dispatched is true if the server may have got part of the request.
+		dispatched bool
 		// streaming is the attempt if its answer is streamed, or nil.
 		streaming *attempt
 	}
@@ -91,6 +93,9 @@
 	defer f.cancelAttempts()
 	for {
 		if f.pending == 0 {
+			if ctx.Err() != nil {
+				return f.timeout()
+			}
 			if err := f.startTry(false); err != nil {
 				return f.fail(err)
 			}
@@ -192,17 +197,17 @@
 
 // handleResult decides whether the end of a try ends the request.
 func (f *forwarder) handleResult(result tryResult) (*briarferry.Answer, error, bool) {
-	switch result.outcome {
-	case bfsteering.Answered:
+	switch {
+	case result.outcome == bfsteering.Answered:
 		return result.answer, nil, true
-	case bfsteering.Failed:
+	case result.outcome == bfsteering.Failed:
 		f.serverError = result.answer
-	case bfsteering.Refused, bfsteering.Unreachable, bfsteering.Cancelled:
+	case result.outcome == bfsteering.Shed, result.outcome == bfsteering.Misdirected:
+	case result.dispatched:
+		f.mayHaveRun = true
+	default:
 		f.sent--
 		f.unsent++
-	case bfsteering.Shed, bfsteering.Misdirected:
-	default:
-		f.mayHaveRun = true
 	}
 	if f.pending > 0 {
 		return nil, nil, false
@@ -268,7 +273,9 @@
 	t.Done(time.Now(), report)
 	done(runResult(report))
 	n.recordTry(c, t, report.Outcome)
-	return tryResult{outcome: report.Outcome, answer: answer, err: err}
+	var tryErr *briarferry.TryError
+	dispatched := errors.As(err, &tryErr) && tryErr.Dispatched
+	return tryResult{outcome: report.Outcome, answer: answer, err: err, dispatched: dispatched}
 }
 
 // parseLoad returns the server's load report, if the answer has a valid one.
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/state/bffleet"
@@ -251,6 +252,47 @@
 	}
 }
 
+// TestCallerHasLeft guards against sending a request whose caller has already disconnected.
+func TestCallerHasLeft(t *testing.T) {
+	e := newTestEntry(t, hang)
+	// Idle connections to all servers, so that a try needs no time to connect.
+	for _, s := range e.state.Servers {
+		b := briarferry.Backend{Announcement: briarferry.Announcement{Address: s.Address, ConnectionLimit: 100}}
+		if err := e.node.upstream.Probe(t.Context(), b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	for range 20 {
+		req := httptest.NewRequest(http.MethodPost, "/order/1", nil)
+		req.Host = "shop.example"
+		c, refusal := e.node.readRequest(httptest.NewRecorder(), req, time.Now())
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		_, _ = e.node.forward(left, c)
+		c.end()
+	}
+	time.Sleep(50 * time.Millisecond)
+	if runs := e.runs.Load(); runs != 0 {
+		t.Errorf("%d of 20 requests reached a server", runs)
+	}
+}
+
+// TestCancelledAfterDispatch guards against a second try of an order whose first try was
+// cancelled after a server may have got it.
+func TestCancelledAfterDispatch(t *testing.T) {
+	order := route("order", false)
+	for _, dispatched := range []bool{true, false} {
+		f := &forwarder{call: &call{route: &bfroute.Route{Route: &order}}, sent: 1}
+		_, err, done := f.handleResult(tryResult{outcome: bfsteering.Cancelled, dispatched: dispatched})
+		if done != dispatched || f.mayHaveRun != dispatched {
+			t.Errorf("dispatched %v: ends the request %v with %v, may have run %v", dispatched, done, err, f.mayHaveRun)
+		}
+	}
+}
+
 // TestNoRouteTable guards against status 404 from an entry without a route table, which
 // can't know yet whether the route exists.
 func TestNoRouteTable(t *testing.T) {
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -108,6 +108,10 @@
 			Backend: b.ID(), ServerRefusedConnection: isRefused(err), TimedOut: isTimeout(ctx, err), Err: err,
 		}
 	}
+	if ctx.Err() != nil {
+		conn.release(false)
+		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: context.Cause(ctx)}
+	}
 	s := newStreamer(r.OnHead)
 	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s})
 	s.end(err)
