Reset the connections of abandoned requests

Cause: the connection of an abandoned try was closed in the ordinary way, so the operating system went on sending what a partition had held up. Ruled out: later tries of the entry; its log has none.

Change: a connection with a request that has no whole answer is reset.

--- a/internal/transport/bfgateway/meter.go
+++ b/internal/transport/bfgateway/meter.go
@@ -54,6 +54,9 @@
 	return n, err
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *meteredConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite lets the HTTP server shut down its sending side before it closes the
 // connection. Otherwise unread bytes of the caller's request would reset the connection
 // before the caller has read the answer.
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -31,6 +31,8 @@
 		pending *pendingRequest
 		// unusable is true if the connection must not be used for further requests.
 		unusable bool
+		// answered is true unless a request was sent whose whole answer has not arrived.
+		answered bool
 
 		// idleTimer and stale are guarded by the pool's mu. A stale connection is not used
 		// again.
@@ -70,7 +72,7 @@
 		c.mu.Unlock()
 		return nil, net.ErrClosed
 	}
-	c.pending = p
+	c.pending, c.answered = p, false
 	c.mu.Unlock()
 	err := r.Write(c.writer)
 	if err == nil {
@@ -105,6 +107,9 @@
 		if last || answers.br.Buffered() > 0 {
 			c.markUnusable()
 		}
+		if got.err == nil && p.sent.Load() {
+			c.markAnswered()
+		}
 		if got.err == nil {
 			c.keepAlive = keepAliveTimeout(got.response.Header)
 		}
@@ -143,9 +148,21 @@
 	c.unusable = true
 }
 
+func (c *conn) markAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
+}
+
 // close closes the connection. A pending request fails.
 func (c *conn) close() {
-	c.markUnusable()
+	c.mu.Lock()
+	c.unusable = true
+	abandoned := !c.answered
+	c.mu.Unlock()
+	if abandoned {
+		discardUnsent(c.raw)
+	}
 	_ = c.raw.Close()
 	c.pool.remove(c)
 	// The reader may have ended before it took the request.
@@ -154,6 +171,18 @@
 	}
 }
 
+// discardUnsent makes the next Close reset a TCP connection. Otherwise the operating system
+// goes on sending what the server has not acknowledged yet, so that an abandoned request
+// would reach the server after a partition has ended.
+func discardUnsent(c net.Conn) {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (c *conn) usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
