Check the chosen server again before a request is written

Callers saw nothing.

Cause: a server is chosen before the wait for a lock and for a connection, and the choice was not looked at again.

Change: the client for backend servers asks the steering right before it writes whether the instance is still registered there, and neither draining nor evacuated. Such a try counts as not sent.

Result: TestServerDrainsDuringWait failed before (the draining server got the order) and passes; TestMayUse.

--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -3,6 +3,7 @@
 package bfsteering
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -163,6 +164,24 @@
 	return changed || len(previous) > 0
 }
 
+// MayUse reports whether the instance is still registered at its address and is neither
+// draining nor evacuated.
+func (s *Steering) MayUse(b briarferry.Backend) bool {
+	svc := s.service(b.Service)
+	if svc == nil {
+		return false
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	// The servers are sorted by ID, as in the fleet state.
+	i, ok := slices.BinarySearchFunc(svc.servers, b.InstanceID, func(srv *server, id string) int { return cmp.Compare(srv.ID, id) })
+	if !ok {
+		return false
+	}
+	srv := svc.servers[i]
+	return srv.Address == b.Address && !srv.Draining && !srv.evacuated
+}
+
 // SetRoundTripTime records the round trip time to a region.
 func (s *Steering) SetRoundTripTime(region string, rtt time.Duration) { s.rtts.set(region, rtt) }
 
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -411,6 +411,34 @@
 	}
 }
 
+// TestMayUse guards against sending a request to a server that was chosen before it began to
+// drain, left, was evacuated, or was replaced at its address.
+func TestMayUse(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(f *fleet)
+		want   bool
+	}{
+		{"unchanged", func(*fleet) {}, true},
+		{"draining", func(f *fleet) { f.state.Servers[0].Draining = true }, false},
+		{"evacuated", func(f *fleet) { f.state.Evacuated = []string{"r1-a"} }, false},
+		{"left", func(f *fleet) { f.state.Servers = nil }, false},
+		{"restarted elsewhere", func(f *fleet) { f.state.Servers[0].Address = netip.MustParseAddrPort("10.9.9.9:80") }, false},
+	}
+	for _, c := range cases {
+		f := newFleet(t, 1, map[string]int{"r1-a": 1}, 8)
+		try, err := f.steering[0].Choose(f.now, request("k"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.change(f)
+		f.updateEntries()
+		if got := f.steering[0].MayUse(try.Backend); got != c.want {
+			t.Errorf("%s: may use %v", c.name, got)
+		}
+	}
+}
+
 // TestRetryBudget guards against more retries than all entries together may make.
 func TestRetryBudget(t *testing.T) {
 	const entries, requests = 7, 700
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -311,7 +311,7 @@
 		r.Outcome = bfsteering.Shed
 	case errors.Is(err, bfupstream.ErrMisdirected):
 		r.Outcome = bfsteering.Misdirected
-	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit):
+	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn):
 		r.Outcome = bfsteering.Cancelled
 	case !tryErr.Dispatched:
 		r.Outcome = bfsteering.Refused
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -293,6 +295,30 @@
 	}
 }
 
+// TestServerDrainsDuringWait guards against sending an order to a server that began to drain
+// after it was chosen, while the try waited for a connection.
+func TestServerDrainsDuringWait(t *testing.T) {
+	e := newTestEntry(t, answer(200, "X-Signature"))
+	drained := ""
+	e.node.upstream.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		next := *e.state
+		next.Revision, next.Servers = 2, slices.Clone(e.state.Servers)
+		for i := range next.Servers {
+			if srv := &next.Servers[i]; drained == "" && srv.Address == address {
+				drained, srv.Draining = srv.ID, true
+				e.node.update(&next)
+			}
+		}
+		return e.node.dial(ctx, address)
+	}
+	got, err := e.send(t.Context(), "/order/1", "")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil || got.status != 200 || e.runs.Load() != 1 || e.header.Get("X-Expected") == drained {
+		t.Errorf("status %d, %v, %d runs; %s drains, and %s got the order", got.status, err, e.runs.Load(), drained, e.header.Get("X-Expected"))
+	}
+}
+
 // TestNoRouteTable guards against status 404 from an entry without a route table, which
 // can't know yet whether the route exists.
 func TestNoRouteTable(t *testing.T) {
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -123,7 +123,7 @@
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.fleet, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
 	}
-	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, Dial: n.dial, AnswerMemory: n.MaxAnswerMemory}
+	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, MayUse: n.steering.MayUse, Dial: n.dial, AnswerMemory: n.MaxAnswerMemory}
 	n.server = &callerServer{handler: n, meter: &n.meter, log: n.Log}
 	n.logSampler.log, n.invalidLoads.log = n.Log, n.Log
 	publishMetrics(n)
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -46,6 +46,9 @@
 	// ErrNoSignature is returned for an answer without the server's signature or with a
 	// Content-Encoding header.
 	ErrNoSignature = errors.New("answer does not carry the server's receipt")
+	// ErrWithdrawn is returned if the server must not get requests any more. Nothing was
+	// sent.
+	ErrWithdrawn = errors.New("server was withdrawn before the request was sent")
 	// ErrConnectionLimit is returned if a try needs a new connection but the server's
 	// limit is reached.
 	ErrConnectionLimit = errors.New("connection limit of the server is reached")
@@ -59,6 +62,10 @@
 		Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 		// Dialect defines the headers; nil means bfapi.DefaultDialect.
 		Dialect *bfapi.Dialect
+		// MayUse reports whether the server may still get requests; nil means that it may. It
+		// is asked right before a request is written, as the choice of the server may be
+		// older: it precedes the wait for a connection.
+		MayUse func(b briarferry.Backend) bool
 		// EntryCount returns the number of entries that share a server's connection
 		// limit; nil means one.
 		EntryCount func() int
@@ -108,9 +115,9 @@
 			Backend: b.ID(), ServerRefusedConnection: isRefused(err), TimedOut: isTimeout(ctx, err), Err: err,
 		}
 	}
-	if ctx.Err() != nil {
+	if err := c.checkChoice(ctx, b); err != nil {
 		conn.release(false)
-		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: context.Cause(ctx)}
+		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: err}
 	}
 	s := newStreamer(r.OnHead)
 	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s})
@@ -122,6 +129,17 @@
 	return a, nil
 }
 
+// checkChoice returns an error if the request must not be sent any more.
+func (c *Client) checkChoice(ctx context.Context, b briarferry.Backend) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if c.MayUse != nil && !c.MayUse(b) {
+		return ErrWithdrawn
+	}
+	return nil
+}
+
 // Probe opens a connection to the server and adds it to the pool.
 func (c *Client) Probe(ctx context.Context, b briarferry.Backend) error {
 	p := c.acquirePool(b.Address)
