Refuse reports of servers that claim to start in the future

Operators of similar systems reported entries of other writers with a number too large. Here such a report was accepted: with a start time that no process has, it replaced the server at its address, and outranked every later report with its ID.

Cause: the start time had no upper bound.

Change: a start time more than an hour ahead of the control VM's clock is a finding, and the report gets 400.

Result: TestReportFromTheFuture failed before (the report was confirmed) and passes.

--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"net/http"
 	"net/netip"
 	"slices"
 	"testing"
@@ -183,6 +185,24 @@
 	check("heartbeat after expiry", "r", "b", later, one)
 }
 
+// TestReportFromTheFuture guards against a report that isn't a server's own and replaces the
+// server at its address, as it claims a start time that no process has.
+func TestReportFromTheFuture(t *testing.T) {
+	nodes := startGroup(t)
+	in := briarferry.Instance{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), FailureDomain: "a", Slots: 1, Started: time.Now().UnixMilli(), Sequence: 1}
+	if err := eventually(t, func(ctx context.Context) error { return nodes[0].Report(ctx, in) }); err != nil {
+		t.Fatal(err)
+	}
+	odd := in
+	odd.ID, odd.Started = "odd", math.MaxInt64
+	if err := nodes[0].Report(t.Context(), odd); HTTPStatus(err) != http.StatusBadRequest {
+		t.Errorf("report from the future: %v", err)
+	}
+	if _, ok := nodes[0].machine.State().Server("i-1"); !ok {
+		t.Error("the server was replaced")
+	}
+}
+
 // TestNewColdPhase guards against missing that a server is cold again, and against taking
 // repeated reports of the same cold phase for a new one.
 func TestNewColdPhase(t *testing.T) {
--- a/internal/transport/bfcontrol/registry.go
+++ b/internal/transport/bfcontrol/registry.go
@@ -15,6 +15,10 @@
 	// coldTolerance is how far the reported end of a server's cold phase may move without
 	// counting as a new cold phase.
 	coldTolerance = 700 * time.Millisecond
+	// maxClockLead is how far a server's start time may lie in the future by this VM's clock.
+	// A report with a later one doesn't come from a server's process; registered, it would
+	// outrank every later report of the server with its ID or address.
+	maxClockLead = time.Hour
 	// maxColdServers is the number of records above which all of them are dropped.
 	maxColdServers = 20_000
 )
@@ -34,7 +38,7 @@
 // confirmed at once.
 func (n *Node) Report(ctx context.Context, in briarferry.Instance) error {
 	counters.reports.Add(1)
-	if err := in.Validate().Err(); err != nil {
+	if err := checkReport(time.Now(), in); err != nil {
 		return err
 	}
 	n.reports.record(time.Now(), in.ID)
@@ -61,6 +65,15 @@
 	return codeError(r.Code)
 }
 
+// checkReport returns the findings in a report.
+func checkReport(now time.Time, in briarferry.Instance) error {
+	f := in.Validate()
+	if in.Started > now.Add(maxClockLead).UnixMilli() {
+		f.Add("started", "must not be more than %v in the future: %d", maxClockLead, in.Started)
+	}
+	return f.Err()
+}
+
 // newPhase reports whether the server has entered a new cold phase: one that ends at least
 // coldTolerance after the last recorded one. It records the end of a new phase.
 func (c *coldTracker) newPhase(now time.Time, in briarferry.Instance) bool {
