Heed servers that say that they leave or ask for a pause

Change: platform/ decodes both; bfsteering decides in availability.go, without a clock or network; the gateway passes on the notices of whole answers from the chosen instance, also at the head of a streamed one. Choosing a server and the check before the first byte use them. A leaving server stays out until its process is replaced; a pause lasts a minute at most and ends gradually; if all servers pause, the refusal's Retry-After reaches past the first pause.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -1,6 +1,7 @@
 package bfsteering
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -92,6 +93,13 @@
 		Candidates int
 	}
 
+	// noCandidate says why no server may get a request. OpensAt is the first time at which
+	// one that asked for a pause may, or zero.
+	noCandidate struct {
+		reason  string
+		opensAt time.Time
+	}
+
 	candidate struct {
 		server   *server
 		estimate time.Duration
@@ -128,9 +136,9 @@
 		return nil, unavailable("the retry budget of the service is used up", minRetryAfter)
 	}
 	m := v.routeModel(r.Route.Name)
-	list, reason := v.candidates(now, s, &r, m)
+	list, none := v.candidates(now, s, &r, m)
 	if len(list) == 0 {
-		return nil, unavailable(reason, minRetryAfter)
+		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
 	best, ok := pick(list, &r)
 	if !ok {
@@ -176,10 +184,10 @@
 	return v.retries.available(now, s.Limits, s.entries())
 }
 
-// candidates returns the servers that may get the request now, or the reason why there are
-// none. Ejected servers are only included if there are no others.
-func (v *service) candidates(now time.Time, s *Steering, r *Request, m *routeModel) ([]candidate, string) {
-	reason := "no backend server is registered for the service"
+// candidates returns the servers that may get the request now, or why there are none.
+// Ejected servers are only included if there are no others.
+func (v *service) candidates(now time.Time, s *Steering, r *Request, m *routeModel) ([]candidate, noCandidate) {
+	none := noCandidate{reason: "no backend server is registered for the service"}
 	var eligible, ejected []candidate
 	entries := s.entries()
 	positions := v.positions(s, r)
@@ -187,8 +195,13 @@
 		if !srv.usable(r) || slices.Contains(r.Avoid, srv.ID) {
 			continue
 		}
+		s.logPauseEnd(now, srv)
+		if !srv.availability.accepts(now, srv.inFlight, srv.Slots, srv.coldPhase) {
+			none.addPause(srv.availability.opensAt(srv.coldPhase))
+			continue
+		}
 		if srv.tooCold(now, &v.config, entries) {
-			reason = "the backend servers are cold"
+			none.reason = "the backend servers are cold"
 			continue
 		}
 		c := v.assess(now, s, r, m, srv, positions.of(srv))
@@ -201,7 +214,25 @@
 	if len(eligible) == 0 {
 		eligible = ejected
 	}
-	return s.shift.filter(now, eligible), reason
+	return s.shift.filter(now, eligible), none
+}
+
+// addPause records a server that asked for a pause and gets requests again at the given
+// time.
+func (n *noCandidate) addPause(opensAt time.Time) {
+	n.reason = "the backend servers asked for a pause"
+	if n.opensAt.IsZero() || opensAt.Before(n.opensAt) {
+		n.opensAt = opensAt
+	}
+}
+
+// retryAfter returns when the caller may come back: at a random time in the return period of
+// the first server whose pause ends, so that not all callers come at its start.
+func (n *noCandidate) retryAfter(now time.Time) time.Duration {
+	if !n.opensAt.After(now) {
+		return minRetryAfter
+	}
+	return max(minRetryAfter, n.opensAt.Sub(now)+rand.N(returnPeriod/2))
 }
 
 // assess estimates the answer time of a server and the cost of using it.
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -49,6 +49,8 @@
 		// HasLoad reports whether the server reported its Load.
 		HasLoad bool
 		Load    briarferry.ServerLoad
+		// Notice is what the server said about further requests.
+		Notice briarferry.ServerNotice
 		// Bytes is the size of the request with its answer.
 		Bytes int
 	}
@@ -60,6 +62,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv.inFlight--
+	t.steering.note(now, srv, r.Notice)
 	if r.HasLoad {
 		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Load.Running+r.Load.Waiting-srv.inFlight)), now
 		srv.reportedSlowdown = r.Load.Slowdown
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -78,6 +78,7 @@
 		lostConnections int
 		ejectedUntil    time.Time
 		ejections       int
+		availability    availability
 		// restarted marks a server that has probably restarted: it refused a connection, or
 		// maxLostConnections in a row were lost.
 		restarted bool
@@ -190,9 +191,12 @@
 
 // usable reports whether the server may get the request at all.
 func (s *server) usable(r *Request) bool {
-	return !s.Draining && !s.evacuated && r.Route.ServesIn(s.region)
+	return !s.withdrawn() && r.Route.ServesIn(s.region)
 }
 
+// withdrawn reports whether the server gets no new requests any more.
+func (s *server) withdrawn() bool { return s.Draining || s.evacuated || s.availability.leaving }
+
 // tooCold reports whether another request now would exceed this entry's share of the
 // request rate that a cold server can handle.
 func (s *server) tooCold(now time.Time, c *briarferry.RouteService, entries int) bool {
@@ -218,7 +222,7 @@
 
 // needsCheck reports whether the server should be checked now.
 func (s *server) needsCheck(now time.Time) bool {
-	if s.Draining || s.evacuated {
+	if s.withdrawn() {
 		return false
 	}
 	if s.ejected() {
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,6 +41,8 @@
 		Connected func(address netip.AddrPort) bool
 		Limits    Limits
 		Log       zerolog.Logger
+		// Counts counts the notices of servers.
+		Counts NoticeCounts
 
 		shift shiftLimiter
 		rtts  roundTripTimes
@@ -49,6 +52,11 @@
 		services map[string]*service
 	}
 
+	// NoticeCounts counts the servers that said that they leave, and their pauses.
+	NoticeCounts struct {
+		Leaving, Pauses atomic.Int64
+	}
+
 	// Limits apply to all entries together.
 	Limits struct {
 		// RetryShare is the number of retries allowed per request of a service. RetrySlack
@@ -141,6 +149,9 @@
 	for _, reported := range list {
 		srv := previous[reported.ID]
 		if srv == nil || !srv.SameProcess(&reported.Instance) {
+			if srv != nil {
+				s.logLeavingEnd(srv)
+			}
 			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: coldPhase(s.Name, reported.ID)}
 			srv.joinedAfterStart = now.Sub(v.firstListAt) > startupPeriod
 			changed = changed || srv.joinedAfterStart || previous[reported.ID] != nil
@@ -161,12 +172,15 @@
 		next = append(next, srv)
 	}
 	v.servers = next
+	for _, gone := range previous {
+		s.logLeavingEnd(gone)
+	}
 	return changed || len(previous) > 0
 }
 
-// MayUse reports whether the instance is still registered at its address and is neither
-// draining nor evacuated.
-func (s *Steering) MayUse(b briarferry.Backend) bool {
+// MayUse reports whether the instance is still registered at its address, is neither leaving
+// nor evacuated, and has not asked for a pause.
+func (s *Steering) MayUse(now time.Time, b briarferry.Backend) bool {
 	svc := s.service(b.Service)
 	if svc == nil {
 		return false
@@ -179,7 +193,7 @@
 		return false
 	}
 	srv := svc.servers[i]
-	return srv.Address == b.Address && !srv.Draining && !srv.evacuated
+	return srv.Address == b.Address && !srv.withdrawn() && !srv.availability.closed(now)
 }
 
 // SetRoundTripTime records the round trip time to a region.
--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -433,7 +433,7 @@
 		}
 		c.change(f)
 		f.updateEntries()
-		if got := f.steering[0].MayUse(try.Backend); got != c.want {
+		if got := f.steering[0].MayUse(f.now, try.Backend); got != c.want {
 			t.Errorf("%s: may use %v", c.name, got)
 		}
 	}
--- a/internal/protocol/bfapi/dialect.go
+++ b/internal/protocol/bfapi/dialect.go
@@ -30,6 +30,10 @@
 	// LoadHeader carries a server's load report, as ParseLoad reads it.
 	LoadHeader string
 	ParseLoad  func(text string) (briarferry.ServerLoad, bool)
+	// ParseNotice reads what a server says about further requests in an answer with this
+	// status and these headers. Nil means that servers say nothing. An error reports an
+	// invalid part, which is left out of the notice.
+	ParseNotice func(status int, h http.Header, now time.Time) (briarferry.ServerNotice, error)
 	// AllowCloseDelimited accepts answers without a length whose body ends when the
 	// connection closes.
 	AllowCloseDelimited bool
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -142,6 +142,7 @@
 	// so only answers of reliable servers are.
 	if f.call.route.LargeAnswers && try.Reliable {
 		request.OnHead = func(answer *briarferry.Answer) {
+			try.Note(time.Now(), f.node.parseNotice(answer.Status, answer.Header))
 			f.results <- tryResult{outcome: bfsteering.Answered, answer: answer, streaming: a}
 		}
 	}
@@ -295,11 +296,26 @@
 	return load, ok
 }
 
+// parseNotice returns what the server said about further requests. An answer of another
+// instance says nothing about the chosen one.
+func (n *Node) parseNotice(status int, h http.Header) briarferry.ServerNotice {
+	if n.Dialect.ParseNotice == nil || status == http.StatusMisdirectedRequest {
+		return briarferry.ServerNotice{}
+	}
+	notice, err := n.Dialect.ParseNotice(status, h, time.Now())
+	if err != nil {
+		counters.invalidNotices.Add(1)
+		n.invalidNotices.report(err.Error())
+	}
+	return notice
+}
+
 // report classifies the end of a try.
 func (n *Node) report(ctx context.Context, a *briarferry.Answer, err error) bfsteering.Report {
 	var r bfsteering.Report
 	if a != nil {
 		r.Load, r.HasLoad = n.parseLoad(a.Header)
+		r.Notice = n.parseNotice(a.Status, a.Header)
 	}
 	var tryErr *briarferry.TryError
 	switch {
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -37,6 +37,13 @@
 		n, err := strconv.Atoi(text)
 		return time.Duration(n) * time.Millisecond, err == nil
 	},
+	ParseNotice: func(status int, h http.Header, _ time.Time) (briarferry.ServerNotice, error) {
+		seconds, err := strconv.Atoi(h.Get("Retry-After"))
+		if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
+			seconds, err = 0, nil
+		}
+		return briarferry.ServerNotice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(seconds) * time.Second}, err
+	},
 	LoadHeader: "X-Load", ParseLoad: func(string) (briarferry.ServerLoad, bool) { return briarferry.ServerLoad{}, false },
 }
 
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -86,7 +86,9 @@
 		stopPhase  atomic.Int32
 		logSampler logSampler
 		// invalidLoads logs invalid load reports.
-		invalidLoads invalidLoadLog
+		invalidLoads invalidHeaderLog
+		// invalidNotices logs invalid times for which servers want no requests.
+		invalidNotices invalidHeaderLog
 	}
 )
 
@@ -123,12 +125,17 @@
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.fleet, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
 	}
-	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, MayUse: n.steering.MayUse, Dial: n.dial, AnswerMemory: n.MaxAnswerMemory}
+	n.upstream = &bfupstream.Client{Dialect: n.Dialect, EntryCount: n.steering.Entries, MayUse: n.mayUse, Dial: n.dial, AnswerMemory: n.MaxAnswerMemory}
 	n.server = &callerServer{handler: n, meter: &n.meter, log: n.Log}
-	n.logSampler.log, n.invalidLoads.log = n.Log, n.Log
+	n.logSampler.log = n.Log
+	n.invalidLoads.log, n.invalidLoads.message = n.Log, "invalid load report of a backend server ignored"
+	n.invalidNotices.log, n.invalidNotices.message = n.Log, "invalid Retry-After of a backend server ignored"
 	publishMetrics(n)
 }
 
+// mayUse reports whether a backend server may still get a request that was meant for it.
+func (n *Node) mayUse(b briarferry.Backend) bool { return n.steering.MayUse(time.Now(), b) }
+
 // dial opens a metered connection to a backend server.
 func (n *Node) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	var d net.Dialer
