--- a/internal/state/bfstorage/memory_fs.go
+++ b/internal/state/bfstorage/memory_fs.go
@@ -102,6 +102,19 @@
 	return next
 }
 
+// AfterKill returns the file system that a process finds when it restarts after a kill at
+// the crash point: all earlier operations have taken effect.
+func (m *MemoryFS) AfterKill() *MemoryFS {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := NewMemoryFS(m.Rand)
+	for name, node := range m.current {
+		n := &memoryNode{data: slices.Clone(node.data), synced: slices.Clone(node.data)}
+		next.current[name], next.durable[name] = n, n
+	}
+	return next
+}
+
 // dataAfterCrash returns the data of a node after a crash: the synced data and a part of
 // the rest, which may be cut at any byte or have a range of zeros.
 func (m *MemoryFS) dataAfterCrash(n *memoryNode) []byte {
--- a/internal/state/bfstorage/storage.go
+++ b/internal/state/bfstorage/storage.go
@@ -104,6 +104,11 @@
 	if rec.Entries, err = p.entriesAfter(rec.Snapshot); err != nil {
 		return nil, errors.Join(err, w.file.Close())
 	}
+	if p.lacksReset(rec) {
+		if err := w.reset(rec.Snapshot.Index, rec.Snapshot.Term); err != nil {
+			return nil, errors.Join(err, w.file.Close())
+		}
+	}
 	if rec.Snapshot != nil {
 		s.snapshot = rec.Snapshot.Index
 	}
@@ -203,6 +208,12 @@
 	return entries[at+1:], nil
 }
 
+// lacksReset reports whether the log must be reset to continue after the snapshot: its
+// entries are not used, and the next one wouldn't follow them.
+func (p *replay) lacksReset(rec *Recovered) bool {
+	return rec.Snapshot != nil && len(rec.Entries) == 0 && p.nextIndex != 0 && p.nextIndex != rec.Snapshot.Index+1
+}
+
 // Save makes the entries durable, and the hard state unless it is nil.
 func (s *Storage) Save(hard *HardState, entries []Entry) error {
 	return s.write(func() error { return s.wal.save(hard, entries) })
--- a/internal/state/bfstorage/storage_test.go
+++ b/internal/state/bfstorage/storage_test.go
@@ -151,6 +151,21 @@
 	if err := m.verify(rec, pending); err != nil {
 		t.Fatalf("seed %d, operation %d: %v", seed, at, err)
 	}
+	// What is saved after the recovery must survive the next restart too.
+	next := model{term: rec.HardState.Term, entries: rec.Entries, disk: rec.DiskID}
+	if rec.Snapshot != nil {
+		next.snap = rec.Snapshot.Index
+	}
+	if _, err := next.run(disk, seeded(seed+1), 10); err != nil {
+		t.Fatalf("seed %d, operation %d: after the recovery: %v", seed, at, err)
+	}
+	_, rec, err = Open(disk, "data", 600)
+	if err != nil {
+		t.Fatalf("seed %d, operation %d: restart after the recovery: %v", seed, at, err)
+	}
+	if err := next.equal(rec); err != nil {
+		t.Fatalf("seed %d, operation %d: restart after the recovery: %v", seed, at, err)
+	}
 }
 
 // TestCorruptionIsRefused guards against a damaged synced record that is treated as an
