Accept an entry whose wall clock was set back before its restart

Cause: the start time by the wall clock orders the processes of an entry, and control VMs ignored a lower one for ever.

Change: it counts once the earlier process has been silent for as long as an entry takes to expire.

Result: TestEntryWithEarlierClock failed before ("the restarted entry is ignored") and passes.

--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -50,7 +50,9 @@
 )
 
 // heartbeat records a heartbeat. It returns false for one that is outdated or ignored
-// because the table is full.
+// because the table is full. An entry whose wall clock was set back has a lower incarnation
+// after a restart than before. Its heartbeats count once the earlier process is silent, as a
+// datagram isn't delayed for that long.
 func (t *entryTable) heartbeat(now time.Time, b *bfwire.EntryHeartbeat) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -61,7 +63,9 @@
 	switch {
 	case e == nil && len(t.entries) >= maxEntries:
 		return false
-	case e != nil && (b.Entry.Incarnation < e.info.Incarnation || b.Entry.Incarnation == e.info.Incarnation && b.Sequence <= e.sequence):
+	case e != nil && b.Entry.Incarnation < e.info.Incarnation && now.Sub(e.lastHeartbeat) <= entryExpiry:
+		return false
+	case e != nil && b.Entry.Incarnation == e.info.Incarnation && b.Sequence <= e.sequence:
 		return false
 	}
 	if e == nil || e.expiryLogged || e.ready != b.Ready || e.info.Incarnation != b.Entry.Incarnation {
--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -185,6 +185,28 @@
 	check("heartbeat after expiry", "r", "b", later, one)
 }
 
+// TestEntryWithEarlierClock guards against a control VM that ignores an entry for as long as
+// it runs, as its wall clock was set back before its last restart.
+func TestEntryWithEarlierClock(t *testing.T) {
+	now := time.Now()
+	table := &entryTable{regions: map[string]string{"a": "r"}, log: zerolog.Nop()}
+	first := testHeartbeat("one", "r", "a", 9, true)
+	first.Entry.Incarnation = 5
+	table.heartbeat(now, first)
+	restarted := testHeartbeat("one", "r", "a", 1, true)
+	restarted.Entry.Incarnation = 4
+	if table.heartbeat(now.Add(time.Second), restarted) {
+		t.Error("a delayed heartbeat of an earlier process was accepted")
+	}
+	later := now.Add(entryExpiry + time.Millisecond)
+	if !table.heartbeat(later, restarted) || len(table.live(later)) != 1 {
+		t.Error("the restarted entry is ignored")
+	}
+	if table.heartbeat(later, restarted) {
+		t.Error("a repeated heartbeat was accepted")
+	}
+}
+
 // TestReportFromTheFuture guards against a report that isn't a server's own and replaces the
 // server at its address, as it claims a start time that no process has.
 func TestReportFromTheFuture(t *testing.T) {
