Let a clean run clear crashes in which a request was alone in flight

Cause: a clean run cleared only crashes with several requests in flight.

Change: it clears all earlier ones; a request that crashes servers does so each time, so a clean run is proof.

Result: TestCleanRunBetweenCrashes failed before and passes; without a clean run the fingerprint is still quarantined at the second server.

--- a/internal/coordination/bfquarantine/quarantine_test.go
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -252,6 +252,28 @@
 	})
 }
 
+// TestCleanRunBetweenCrashes guards against refusing a harmless request that was alone in
+// flight at two servers that crashed for another reason, and ran well in between.
+func TestCleanRunBetweenCrashes(t *testing.T) {
+	for _, runsBetween := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeSystem(3)
+			startRun(t, s.entry(0), 1, 0)(briarferry.RunCrashed)
+			time.Sleep(10 * time.Second)
+			if runsBetween {
+				startRun(t, s.entry(1), 1, 3)(briarferry.RunAnswered)
+				time.Sleep(10 * time.Second)
+			}
+			startRun(t, s.entry(2), 1, 6)(briarferry.RunCrashed)
+			for i := range 3 {
+				if got := isQuarantined(s.entry(i), 1); got == runsBetween {
+					t.Errorf("entry %d: a run without a crash in between %v, quarantined %v", i, runsBetween, got)
+				}
+			}
+		})
+	}
+}
+
 // TestTableLimits guards against tables that grow without limit.
 func TestTableLimits(t *testing.T) {
 	table, now := newTable(), time.Unix(1000, 0)
--- a/internal/coordination/bfquarantine/table.go
+++ b/internal/coordination/bfquarantine/table.go
@@ -203,8 +203,8 @@
 // isEvidence reports whether the crash may count against the fingerprint.
 func (t *crashTable) isEvidence(c *crash, f uint64, isExplained causeFunc) bool {
 	// A request that crashes servers does so each time, so a clean run clears the
-	// fingerprint of earlier crashes that another one may have caused.
-	if len(c.fingerprints) > 1 && !c.at.After(t.cleared[f]) {
+	// fingerprint of all earlier crashes, also of those with no other one in flight.
+	if !c.at.After(t.cleared[f]) {
 		return false
 	}
 	return !t.isDomainFailure(c, f, isExplained)
