Forward paths with unusual characters as the caller sent them

The users' rule has method, path and query unchanged.

Cause: net/url escapes such characters when it writes a parsed path.

Change: the request is written from the target as it came.

Result: TestTargetIsUnchanged failed before ("/a%7Cb") and passes.

--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -367,11 +369,13 @@
 
 func (c *Client) newRequest(ctx context.Context, b briarferry.Backend, r *briarferry.Request) (*http.Request, error) {
 	dialect := c.dialect()
-	url := "http://" + b.Address.String() + r.Target
-	out, err := http.NewRequest(r.Method, url, bytes.NewReader(r.Body))
+	out, err := http.NewRequest(r.Method, "http://"+b.Address.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("bfupstream: build request: %w", err)
 	}
+	if err := setTarget(out.URL, r.Target); err != nil {
+		return nil, fmt.Errorf("bfupstream: build request: %w", err)
+	}
 	if r.Header != nil {
 		out.Header = r.Header.Clone()
 	}
@@ -395,6 +399,23 @@
 	return out, nil
 }
 
+// setTarget sets the path and query of a request so that they are written as the caller sent
+// them: net/url would escape characters such as "|". A path that begins with two slashes
+// can't be written from an opaque URL, and is parsed.
+func setTarget(u *url.URL, target string) error {
+	if strings.HasPrefix(target, "//") {
+		parsed, err := url.Parse(u.String() + target)
+		if err != nil {
+			return err
+		}
+		*u = *parsed
+		return nil
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	u.Opaque, u.RawQuery, u.ForceQuery = path, query, hasQuery && query == ""
+	return nil
+}
+
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 func isTimeout(ctx context.Context, err error) bool {
--- a/internal/transport/bfupstream/client_test.go
+++ b/internal/transport/bfupstream/client_test.go
@@ -318,3 +318,24 @@
 		}
 	})
 }
+
+// TestTargetIsUnchanged guards against a path or query that reaches the server escaped or
+// cleaned.
+func TestTargetIsUnchanged(t *testing.T) {
+	for _, target := range []string{"/", "/a|b", "/a%7Cb", "/a{b}^`c", "/a%2fb/../c", "/a//b", "//a/b", "/a?x=1|2&y", "/a?", "/?", "/a;b=c", "/caf\u00e9", "/a:b", "/a?b?c"} {
+		synctest.Test(t, func(t *testing.T) {
+			got := ""
+			f := &fakeServer{answers: func(_ int, r *http.Request) reply {
+				got = r.RequestURI
+				return reply{text: "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n"}
+			}}
+			c := &Client{Dial: f.dial, Dialect: testDialect}
+			a, err := c.Do(t.Context(), testBackend, &briarferry.Request{ID: "q1", Method: http.MethodGet, Target: target, Deadline: time.Now().Add(time.Second)})
+			a.Release()
+			if err != nil || got != target {
+				t.Errorf("the server got %q, %v; want %q", got, err, target)
+			}
+			time.Sleep(2 * idleTimeout)
+		})
+	}
+}
