Apply the limit of headers to each request

Cause: the limit belonged to the HTTP server of a connection.

Change: connections read 128 KiB of headers, or the limit if it is larger when they open; the limit in force is applied to each request.

Result: TestHeaderLimit (raised and lowered on one connection) failed before and passes. A limit above 128 KiB that is raised further holds on new connections only.

--- a/internal/transport/bfgateway/caller_server.go
+++ b/internal/transport/bfgateway/caller_server.go
@@ -22,6 +22,12 @@
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 30 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
+	// readHeaderBytes is how much of a header a connection reads at least, whatever the limit
+	// is when it opens. The limit in force is applied to each request, so that a raised one
+	// holds on open connections too.
+	readHeaderBytes = 128 << 10
+	// headerLineOverhead is the number of bytes of a header line besides name and value.
+	headerLineOverhead = len(": \r\n")
 )
 
 type (
@@ -61,12 +67,23 @@
 		Handler:           cs.handler,
 		ReadHeaderTimeout: orDefault(l.HeaderTimeout.Std(), defaultHeaderTimeout),
 		IdleTimeout:       orDefault(l.IdleTimeout.Std(), defaultIdleTimeout),
-		MaxHeaderBytes:    orDefault(l.MaxHeaderBytes, defaultMaxHeaderBytes),
+		MaxHeaderBytes:    max(readHeaderBytes, l.MaxHeaderBytes),
 		ErrorLog:          discardLog(),
 	}
 	cs.servers = append(cs.servers, s)
 	go func(ln *chanListener) { _ = s.Serve(ln) }(cs.listener)
-	cs.log.Info().Int("max_header_bytes", s.MaxHeaderBytes).Dur("header_timeout_ms", s.ReadHeaderTimeout).Dur("idle_timeout_ms", s.IdleTimeout).Msg("limits set for new caller connections")
+	cs.log.Info().Int("max_header_bytes", orDefault(l.MaxHeaderBytes, defaultMaxHeaderBytes)).Dur("header_timeout_ms", s.ReadHeaderTimeout).Dur("idle_timeout_ms", s.IdleTimeout).Msg("limits set for new caller connections")
+}
+
+// headerBytes returns the size of a request's line and headers, without the Host header.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerLineOverhead
+		}
+	}
+	return n
 }
 
 func orDefault[T comparable](v, fallback T) T {
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -153,6 +153,9 @@
 	if n.refusesNew() {
 		return c, &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "the entry stops", RetryAfter: stopRetryAfter}
 	}
+	if limit := orDefault(table.Limits.MaxHeaderBytes, defaultMaxHeaderBytes); headerBytes(r) > limit {
+		return c, &briarferry.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: briarferry.OutcomeNotRun, Reason: "the request's headers are too large"}
+	}
 	target := requestTarget(r)
 	path, _, _ := strings.Cut(target, "?")
 	c.request.Host, c.request.Target = r.Host, target
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -1,6 +1,7 @@
 package bfgateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -345,6 +346,37 @@
 	}
 }
 
+// TestHeaderLimit guards against a changed limit of headers that doesn't hold on connections
+// that are already open.
+func TestHeaderLimit(t *testing.T) {
+	e := newTestEntry(t, answer(200, "X-Signature"))
+	go func() { _ = e.node.server.serve(e.node.listener) }()
+	c, err := net.Dial("tcp", e.node.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for i, step := range []struct{ limit, size, want int }{{1000, 900, 200}, {1000, 1100, 431}, {20_000, 19_000, 200}, {20_000, 21_000, 431}, {500, 600, 431}, {500, 300, 200}} {
+		next := *e.state
+		table := *e.state.Routes
+		table.Version, table.Limits.MaxHeaderBytes = uint64(i+2), step.limit
+		next.Revision, next.Routes = uint64(i+2), &table
+		e.node.update(&next)
+		if _, err := fmt.Fprintf(c, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: q%d\r\nX-Long: %s\r\n\r\n", i, strings.Repeat("x", step.size-60)); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("limit %d, headers of %d bytes: %v", step.limit, step.size, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != step.want {
+			t.Errorf("limit %d, headers of %d bytes: status %d, want %d", step.limit, step.size, resp.StatusCode, step.want)
+		}
+	}
+}
+
 // TestBodyMemoryLimit guards against exceeding the memory for bodies, refusing bodies that
 // just fit, and never releasing reserved memory.
 func TestBodyMemoryLimit(t *testing.T) {
