Propose a cold phase again whose proposal failed

Cause: a control VM remembered a reported cold phase before it was committed, so the server's next report of it was confirmed without a proposal.

Change: the phase is recorded once it is committed.

Result: TestUncommittedColdPhase fails with the record before the proposal, as it was ("confirmed and not committed"), and passes.

--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -207,6 +207,33 @@
 	}
 }
 
+// TestUncommittedColdPhase guards against a server that turned cold while no leader answered
+// and counts as warm afterwards, as the report that could not be committed is remembered.
+func TestUncommittedColdPhase(t *testing.T) {
+	nodes := startGroup(t)
+	in := briarferry.Instance{ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), FailureDomain: "a", Slots: 1, Started: 5, Sequence: 1}
+	if err := eventually(t, func(ctx context.Context) error { return nodes[0].Report(ctx, in) }); err != nil {
+		t.Fatal(err)
+	}
+	in.Sequence, in.ColdRemaining = 2, briarferry.Duration(30*time.Second)
+	lost, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := nodes[0].Report(lost, in); !errors.Is(err, ErrUnavailable) {
+		t.Fatalf("report without a leader's answer: %v, want ErrUnavailable", err)
+	}
+	before, _ := nodes[0].machine.State().Server("i-1")
+	in.Sequence = 3
+	if err := eventually(t, func(ctx context.Context) error { return nodes[0].Report(ctx, in) }); err != nil {
+		t.Fatal(err)
+	}
+	if err := nodes[0].catchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if after, _ := nodes[0].machine.State().Server("i-1"); after.ColdRevision <= before.ColdRevision {
+		t.Error("the cold phase was confirmed and not committed")
+	}
+}
+
 // TestReportFromTheFuture guards against a report that isn't a server's own and replaces the
 // server at its address, as it claims a start time that no process has.
 func TestReportFromTheFuture(t *testing.T) {
@@ -238,8 +265,15 @@
 	}{{0, 3 * time.Second, true}, {time.Second, 2 * time.Second, false}, {2 * time.Second, 1200 * time.Millisecond, false}, {4 * time.Second, 0, false}, {6 * time.Second, 3 * time.Second, true}}
 	for _, s := range steps {
 		in.ColdRemaining = briarferry.Duration(s.cold)
-		if got := tracker.newPhase(now.Add(s.after), in); got != s.want {
+		got := tracker.isNewPhase(now.Add(s.after), in)
+		if got != s.want {
 			t.Errorf("cold for %v reported after %v: new phase %v", s.cold, s.after, got)
 		}
+		if got && !tracker.isNewPhase(now.Add(s.after), in) {
+			t.Error("a phase that was not committed counts as known")
+		}
+		if got {
+			tracker.record(now.Add(s.after), in)
+		}
 	}
 }
--- a/internal/transport/bfcontrol/registry.go
+++ b/internal/transport/bfcontrol/registry.go
@@ -43,7 +43,8 @@
 	}
 	n.reports.record(time.Now(), in.ID)
 	known, ok := n.machine.State().Server(in.ID)
-	newlyCold := n.cold.newPhase(time.Now(), in)
+	now := time.Now()
+	newlyCold := n.cold.isNewPhase(now, in)
 	switch {
 	case ok && known.Started > in.Started:
 		n.cold.log.Info().Str("instance", in.ID).Int64("started", in.Started).Int64("known", known.Started).Msg("ignored a report from before the server's restart")
@@ -62,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if newlyCold {
+		n.cold.record(now, in)
+	}
 	return codeError(r.Code)
 }
 
@@ -74,21 +78,28 @@
 	return f.Err()
 }
 
-// newPhase reports whether the server has entered a new cold phase: one that ends at least
-// coldTolerance after the last recorded one. It records the end of a new phase.
-func (c *coldTracker) newPhase(now time.Time, in briarferry.Instance) bool {
+// isNewPhase reports whether the server has entered a new cold phase: one that ends at least
+// coldTolerance after the last recorded one.
+func (c *coldTracker) isNewPhase(now time.Time, in briarferry.Instance) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if in.ColdRemaining <= 0 {
 		return false
 	}
+	last, ok := c.coldUntil[in.ID]
+	return !ok || !now.Add(in.ColdRemaining.Std()).Before(last.Add(coldTolerance))
+}
+
+// record records the end of a phase whose start is committed. A phase whose proposal failed
+// is not recorded, so that the server's next report proposes it again.
+func (c *coldTracker) record(now time.Time, in briarferry.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.coldUntil == nil || len(c.coldUntil) > maxColdServers {
 		c.coldUntil = map[string]time.Time{}
 	}
 	until := now.Add(in.ColdRemaining.Std())
-	if last, ok := c.coldUntil[in.ID]; ok && until.Before(last.Add(coldTolerance)) {
-		return false
+	if until.After(c.coldUntil[in.ID]) {
+		c.coldUntil[in.ID] = until
 	}
-	c.coldUntil[in.ID] = until
-	return true
 }
