Don't append commands whose callers have given up

Change: a queued command whose context has ended is answered with that and left out.

Result: TestAbandonedProposal plays the queue; the tests of bfreplica pass.

--- a/internal/coordination/bfreplica/node_test.go
+++ b/internal/coordination/bfreplica/node_test.go
@@ -245,3 +245,22 @@
 		t.Errorf("seed %d: only %d commands acknowledged", seed, len(w.acked))
 	}
 }
+
+// TestAbandonedProposal guards against a replica that appends a command whose caller gave up
+// while the command waited in the queue, as at a process that was frozen.
+func TestAbandonedProposal(t *testing.T) {
+	n := &Node{}
+	n.setup()
+	given, giveUp := context.WithCancel(t.Context())
+	giveUp()
+	abandoned := &proposal{ctx: given, cmd: []byte("abandoned"), done: make(chan outcome, 1)}
+	waiting := &proposal{ctx: t.Context(), cmd: []byte("waiting"), done: make(chan outcome, 1)}
+	n.proposals <- waiting
+	batch := n.collectProposals(abandoned)
+	if len(batch) != 1 || batch[0] != waiting {
+		t.Errorf("%d commands to append, want the one whose caller waits", len(batch))
+	}
+	if o := <-abandoned.done; !errors.Is(o.err, context.Canceled) {
+		t.Errorf("abandoned command ended with %v", o.err)
+	}
+}
--- a/internal/coordination/bfreplica/propose.go
+++ b/internal/coordination/bfreplica/propose.go
@@ -10,8 +10,11 @@
 )
 
 type (
-	// proposal is a command to append; term is the term in which it was appended.
+	// proposal is a command to append; term is the term in which it was appended. A proposal
+	// whose context has ended by then is not appended: a replica that was frozen would append
+	// what its callers gave up long ago.
 	proposal struct {
+		ctx  context.Context
 		cmd  []byte
 		term uint64
 		done chan outcome
@@ -46,7 +49,7 @@
 	if len(cmd) > maxCommandBytes {
 		return nil, ErrTooLarge
 	}
-	p := &proposal{cmd: cmd, done: make(chan outcome, 1)}
+	p := &proposal{ctx: ctx, cmd: cmd, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-n.stopped:
@@ -71,17 +74,9 @@
 
 // propose appends the command and all queued ones, so that one disk sync covers them.
 func (n *Node) propose(first *proposal) {
-	batch := []*proposal{first}
-	size := len(first.cmd)
-	for free := n.MaxPending - n.pendingCommands.size(); len(batch) < free && size < maxMessageBytes; {
-		select {
-		case p := <-n.proposals:
-			batch = append(batch, p)
-			size += len(p.cmd)
-			continue
-		default:
-		}
-		break
+	batch := n.collectProposals(first)
+	if len(batch) == 0 {
+		return
 	}
 	cmds := make([][]byte, len(batch))
 	for i, p := range batch {
@@ -100,6 +95,32 @@
 	n.pendingCommands.add(index, n.raft.Term(), batch)
 }
 
+// collectProposals returns the proposal and the queued ones that fit, without those whose
+// context has ended.
+func (n *Node) collectProposals(first *proposal) []*proposal {
+	var batch []*proposal
+	size := 0
+	add := func(p *proposal) {
+		if err := p.ctx.Err(); err != nil {
+			p.done <- outcome{err: err}
+			return
+		}
+		batch = append(batch, p)
+		size += len(p.cmd)
+	}
+	add(first)
+	for free := n.MaxPending - n.pendingCommands.size(); len(batch) < free && size < maxMessageBytes; {
+		select {
+		case p := <-n.proposals:
+			add(p)
+			continue
+		default:
+		}
+		break
+	}
+	return batch
+}
+
 func (t *pendingTable) add(index, term uint64, batch []*proposal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
