Add evacuations, leaving servers and pauses to the soak

Cause: the soak evacuated no failure domain, and its servers said nothing about further requests.

Change: an operator evacuates failure domains, withdraws that and orders it again beside the faults; after the last fault a confirmed evacuation is watched until it must be in force. Servers say in their answers that they leave, or turn a request away with a pause; each connection, which belongs to one entry, is checked.

--- a/internal/systemtest/soak_backend_test.go
+++ b/internal/systemtest/soak_backend_test.go
@@ -46,8 +46,12 @@
 		startedAt      int64
 		server         *http.Server
 		dropNextAnswer atomic.Bool
-		inFlight       atomic.Int64
-		sequence       int
+		// leaving makes all answers say that the server leaves, and wantsPause makes it turn
+		// the next request away with a pause.
+		leaving, wantsPause atomic.Bool
+		checkEvacuation     func(b *soakBackend, id string)
+		inFlight            atomic.Int64
+		sequence            int
 		// drainConfirmedAt is when a control VM confirmed the draining state, in Unix
 		// nanoseconds, or 0.
 		drainConfirmedAt atomic.Int64
@@ -112,7 +116,7 @@
 		return err
 	}
 	b.address, b.startedAt = ln.Addr().String(), time.Now().UnixMilli()
-	b.server = &http.Server{Handler: b}
+	b.server = &http.Server{Handler: b, ConnContext: withConnNotices}
 	go func() { _ = b.server.Serve(ln) }()
 	context.AfterFunc(ctx, func() { _ = b.server.Close() })
 	return nil
@@ -137,8 +141,14 @@
 	if err != nil {
 		return
 	}
+	b.checkNotices(r.Context(), id)
+	if b.sendNotices(r.Context(), h) {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.requests.addRun(id, b.id)
 	b.checkDrain(id)
+	b.checkEvacuation(b, id)
 	b.inFlight.Add(1)
 	defer b.inFlight.Add(-1)
 	select {
@@ -221,7 +231,7 @@
 func (s *soak) replaceBackends(ctx context.Context, service string, domain int, r *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
 		backendCtx, crash := context.WithCancel(ctx)
-		b := &soakBackend{requests: s.requests, id: fmt.Sprintf("i-%s-%d-%d", service, domain, n), service: service, domain: domain, undisturbed: s.undisturbed}
+		b := &soakBackend{requests: s.requests, id: fmt.Sprintf("i-%s-%d-%d", service, domain, n), service: service, domain: domain, undisturbed: s.undisturbed, checkEvacuation: s.checkEvacuation}
 		if err := startBackend(backendCtx, b); err != nil {
 			s.t.Error(err)
 			crash()
@@ -232,6 +242,15 @@
 	}
 }
 
+// leaveByAnswers lets the server say in its answers that it leaves. Its heartbeats don't.
+func (s *soak) leaveByAnswers(ctx context.Context, b *soakBackend) {
+	b.leaving.Store(true)
+	for end := time.Now().Add(soakLeaveTime); time.Now().Before(end) && ctx.Err() == nil; {
+		b.sendHeartbeat(ctx, s.controls, "ready")
+		s.pause(ctx, soakHeartbeatInterval)
+	}
+}
+
 // runBackend sends heartbeats until end; once the last fault is over, it continues until ctx
 // ends. At end, half of the backend servers drain and unregister; the others crash.
 func (s *soak) runBackend(ctx context.Context, b *soakBackend, r *rand.Rand, end time.Time) {
@@ -241,12 +260,18 @@
 		if r.IntN(8) == 0 && !s.faultsOver.Load() {
 			b.dropNextAnswer.Store(true)
 		}
+		if r.IntN(12) == 0 && !s.faultsOver.Load() {
+			b.wantsPause.Store(true)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(soakHeartbeatInterval):
 		}
 	}
+	if r.IntN(3) == 0 {
+		s.leaveByAnswers(ctx, b)
+	}
 	if !drains {
 		return
 	}
--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -51,6 +51,9 @@
 	// faultsOver is set after the last fault. From then on ready backend servers are not
 	// replaced any more.
 	faultsOver atomic.Bool
+	// evacuatedAt is when the evacuation of each failure domain was confirmed, in Unix
+	// nanoseconds, or 0.
+	evacuatedAt [3]atomic.Int64
 
 	mu      sync.Mutex
 	results []requestResult
@@ -64,8 +67,9 @@
 
 // TestSoak guards against guarantees that are violated when different faults overlap: VMs
 // that are killed, stopped, frozen or lose their disks; connections that are delayed,
-// reset, stalled or blocked; backend servers that start, crash and drain; and operators
-// that send conflicting changes. BRIARFERRY_SOAK_SEED and BRIARFERRY_SOAK_COUNT select
+// reset, stalled or blocked; backend servers that start, crash, drain, say that they leave
+// or ask for a pause; and operators that send conflicting changes and evacuate failure
+// domains, withdraw that and order it again. BRIARFERRY_SOAK_SEED and BRIARFERRY_SOAK_COUNT select
 // other seeds, BRIARFERRY_SOAK_FOR the time for which faults are injected, and
 // BRIARFERRY_SOAK_VMS the number of VMs.
 func TestSoak(t *testing.T) {
@@ -134,6 +138,7 @@
 	changesCtx, cancelChanges := context.WithCancel(ctx)
 	var changes sync.WaitGroup
 	changes.Go(func() { s.operator.run(changesCtx, stream(300)) })
+	changes.Go(func() { s.evacuations(changesCtx, stream(400)) })
 	stopChanges := func() {
 		cancelChanges()
 		changes.Wait()
@@ -324,6 +329,7 @@
 	// A read may return an older version than a change that is confirmed while the read is in
 	// flight, so the operator stops before the final read.
 	stopChanges()
+	s.watchEvacuation(ctx)
 	version, ok := uint64(0), false
 	for end := time.Now().Add(soakRecoveryLimit); !ok && time.Now().Before(end); {
 		version, ok = s.operator.read(ctx)
