Keep the leader's list of silent members apart, and its test free of races

Cause: followers of one process appended to the same slice of a heartbeat, which only tests have; TestReplacedLeaders assigned a variable that its replicas read (found by the race detector in the first run of both).

Change: the list is copied; the test hands the group over by an atomic pointer; what control VMs announced is no longer called a claim, which is a request's record here.

--- a/internal/coordination/bfraft/silence.go
+++ b/internal/coordination/bfraft/silence.go
@@ -1,5 +1,7 @@
 package bfraft
 
+import "slices"
+
 // maxSilentTicks limits the inherited time, which comes from another replica's message.
 const maxSilentTicks = 1 << 30
 
@@ -21,7 +23,7 @@
 // those that the last leader reported, and that leader itself. Members that answered the
 // vote are not silent.
 func (r *Raft) inheritSilence() {
-	for _, s := range append(r.reportedSilence, Silence{ID: r.lastLeader}) {
+	for _, s := range slices.Concat(r.reportedSilence, []Silence{{ID: r.lastLeader}}) {
 		p := r.progress[s.ID]
 		if _, answered := r.votes[s.ID]; p == nil || answered {
 			continue
--- a/internal/coordination/bfreplica/open_group_test.go
+++ b/internal/coordination/bfreplica/open_group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,11 +94,17 @@
 func TestReplacedLeaders(t *testing.T) {
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
-			var c *cluster
-			c = newCluster(t, 40+seed, interRegionDelay, memoryFS(40+seed), func(n *Node) {
-				n.OpenMembership, n.Seeds = true, func() []string { return c.runningVMs() }
+			var started atomic.Pointer[cluster]
+			c := newCluster(t, 40+seed, interRegionDelay, memoryFS(40+seed), func(n *Node) {
+				n.OpenMembership, n.Seeds = true, func() []string {
+					if c := started.Load(); c != nil {
+						return c.runningVMs()
+					}
+					return nil
+				}
 			})
 			defer c.close()
+			started.Store(c)
 			c.propose("first")
 			c.growToFive()
 			for i, vm := range spareVMs {
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -80,16 +80,16 @@
 		lastFailure time.Time
 	}
 
-	// sourceClaim is what a control VM had according to its heartbeats when it was chosen
+	// announcedState is what a control VM had according to its heartbeats when it was chosen
 	// for a fetch.
-	sourceClaim struct {
+	announcedState struct {
 		revision      uint64
 		entriesDigest uint64
 	}
 )
 
-func (c *controlState) claim() sourceClaim {
-	return sourceClaim{revision: c.revision, entriesDigest: c.entriesDigest}
+func (c *controlState) announced() announcedState {
+	return announcedState{revision: c.revision, entriesDigest: c.entriesDigest}
 }
 
 func (f *fleetSync) setup() {
@@ -212,7 +212,7 @@
 // fetch gets changes from the nearest control VM that has any. It reports whether it
 // tried, in which case there may be more.
 func (f *fleetSync) fetch(ctx context.Context) bool {
-	from, claim, ok := f.selectSource(time.Now())
+	from, announced, ok := f.selectSource(time.Now())
 	if !ok {
 		return false
 	}
@@ -231,36 +231,36 @@
 		f.state.Store(next)
 		f.onChange(next)
 	}
-	if !f.replyAsClaimed(from, claim, reply.Update.Revision) {
+	if !f.replyIsAsAnnounced(from, announced, reply.Update.Revision) {
 		return true
 	}
 	f.setLiveEntries(reply.Entries)
 	f.mu.Lock()
-	f.entriesDigest = claim.entriesDigest
+	f.entriesDigest = announced.entriesDigest
 	f.mu.Unlock()
 	return true
 }
 
-// replyAsClaimed reports whether the reply has the revision that the control VM's heartbeats
-// claimed. A control VM that has restarted since may have an older state, or none after the
-// loss of its disk, until it has caught up. It is not asked again before it claims more, as
+// replyIsAsAnnounced reports whether the reply has the revision that the control VM's heartbeats
+// announced. A control VM that has restarted since may have an older state, or none after the
+// loss of its disk, until it has caught up. It is not asked again before it announces more, as
 // other control VMs may have the newer state, and its list of entries isn't used.
-func (f *fleetSync) replyAsClaimed(from netip.AddrPort, claim sourceClaim, replied uint64) bool {
-	if replied >= claim.revision {
+func (f *fleetSync) replyIsAsAnnounced(from netip.AddrPort, announced announcedState, replied uint64) bool {
+	if replied >= announced.revision {
 		return true
 	}
-	f.log.Warn().Str("control", from.String()).Uint64("claimed", claim.revision).Uint64("revision", replied).Msg("control VM has an older state than it announced")
+	f.log.Warn().Str("control", from.String()).Uint64("announced", announced.revision).Uint64("revision", replied).Msg("control VM has an older state than it announced")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c := f.controls[from]; c != nil && c.revision == claim.revision {
+	if c := f.controls[from]; c != nil && c.revision == announced.revision {
 		c.revision = replied
 	}
 	return false
 }
 
-// selectSource returns the control VM to fetch from and what it claims to have. It returns
+// selectSource returns the control VM to fetch from and what it announced. It returns
 // false if none has changes.
-func (f *fleetSync) selectSource(now time.Time) (netip.AddrPort, sourceClaim, bool) {
+func (f *fleetSync) selectSource(now time.Time) (netip.AddrPort, announcedState, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	revision := f.state.Load().Revision
@@ -280,14 +280,14 @@
 		}
 	}
 	if c := f.controls[nearestNewer]; c != nil {
-		return nearestNewer, c.claim(), true
+		return nearestNewer, c.announced(), true
 	}
 	// Control VMs may know different entries for a while, so only the nearest one's digest
 	// is compared.
 	if c := f.controls[nearest]; c != nil && c.entriesDigest != f.entriesDigest && c.revision >= revision {
-		return nearest, c.claim(), true
+		return nearest, c.announced(), true
 	}
-	return netip.AddrPort{}, sourceClaim{}, false
+	return netip.AddrPort{}, announcedState{}, false
 }
 
 func (f *fleetSync) fetchFailed(from netip.AddrPort, err error) {
