Freeze a control VM during a withdrawal at the end of each soak

Change: after the last fault, an evacuation is withdrawn at a frozen control VM and at another one, and ordered again; the frozen one wakes.

--- a/internal/systemtest/soak_notice_test.go
+++ b/internal/systemtest/soak_notice_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -124,16 +125,18 @@
 	}
 }
 
-// watchEvacuation goes on, without faults and orders, until a confirmed evacuation must be in
-// force: the last one, or else a new one. An order that takes effect late shows then.
+// watchEvacuation withdraws an evacuation at a control VM that is frozen, and at another one
+// when the first doesn't answer, and orders it again. It goes on, without faults and orders,
+// until the evacuation must be in force. A withdrawal that takes effect late shows then.
 func (s *soak) watchEvacuation(ctx context.Context) {
-	evacuated := false
-	for i := range s.evacuatedAt {
-		evacuated = evacuated || s.evacuatedAt[i].Load() != 0
-	}
-	if !evacuated {
-		s.evacuate(ctx, 0)
-	}
+	s.evacuate(ctx, 0)
+	frozen := s.controls[rand.IntN(len(s.controls))]
+	frozen.signal(syscall.SIGSTOP, false)
+	s.evacuatedAt[0].Store(0)
+	callControl(ctx, frozen, http.MethodDelete, "/api/evacuate/"+soakFailureDomains[0], nil, nil)
+	s.withdraw(ctx, 0)
+	s.evacuate(ctx, 0)
+	frozen.signal(syscall.SIGCONT, false)
 	s.pause(ctx, soakContactLimit+soakEvacuateLimit+2*soakDeliveryTime)
 }
 
