Log heartbeats of entries that are sent late

Cause: no line told an entry that asks control VMs in vain from one that has too little processor time to ask; the users' CONFIG cases fit both.

Result: TestLateHeartbeats.

--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -25,6 +25,9 @@
 	fetchTimeout = 800 * time.Millisecond
 	// controlExpiry is the time without a heartbeat after which a control VM counts as lost.
 	controlExpiry = 1800 * time.Millisecond
+	// maxHeartbeatDelay is the delay of a heartbeat from which it is logged. The process then
+	// was frozen, or had too little processor time to keep its state up to date.
+	maxHeartbeatDelay = time.Second
 	// signalBuffer is the capacity of signal channels. One pending signal is enough, as it
 	// covers all earlier ones.
 	signalBuffer = 1
@@ -108,8 +111,11 @@
 	defer group.Wait()
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	for {
-		f.sendHeartbeat(time.Now())
+	for last := time.Now(); ; {
+		now := time.Now()
+		f.checkDelay(now.Sub(last) - heartbeatInterval)
+		last = now
+		f.sendHeartbeat(now)
 		select {
 		case <-ctx.Done():
 			return
@@ -119,6 +125,15 @@
 	}
 }
 
+// checkDelay counts and logs a heartbeat that is late by more than maxHeartbeatDelay.
+func (f *fleetSync) checkDelay(delay time.Duration) {
+	if delay <= maxHeartbeatDelay {
+		return
+	}
+	counters.lateHeartbeats.Add(1)
+	f.log.Warn().Dur("delay_ms", delay).Uint64("revision", f.state.Load().Revision).Msg("heartbeat was sent late")
+}
+
 // announce sends a heartbeat at once. It is called when readiness has changed.
 func (f *fleetSync) announce() { signal(f.heartbeatNow) }
 
--- a/internal/transport/bfgateway/fleet_sync_test.go
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -1,10 +1,12 @@
 package bfgateway
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +81,21 @@
 		t.Errorf("%d live entries, want 2", got)
 	}
 }
+
+// TestLateHeartbeats guards against an entry that has too little processor time to keep its
+// state up to date without a line in its log that says so.
+func TestLateHeartbeats(t *testing.T) {
+	var log bytes.Buffer
+	f := &fleetSync{log: zerolog.New(&log)}
+	f.state.Store(&bffleet.State{Revision: 7})
+	for _, delay := range []time.Duration{-heartbeatInterval, 0, maxHeartbeatDelay} {
+		f.checkDelay(delay)
+	}
+	if log.Len() > 0 {
+		t.Errorf("logged without a delay: %s", log.String())
+	}
+	f.checkDelay(1800 * time.Millisecond)
+	if line := log.String(); !strings.Contains(line, `"delay_ms":1800`) || !strings.Contains(line, `"revision":7`) {
+		t.Errorf("logged %q", line)
+	}
+}
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats expvar.Int
 
 		tries expvar.Map
 	}
@@ -77,6 +77,7 @@
 		m.Set("streams_aborted", &counters.streamsAborted)
 		m.Set("hedges_denied", &counters.hedgesDenied)
 		m.Set("invalid_load_reports", &counters.invalidLoads)
+		m.Set("late_heartbeats", &counters.lateHeartbeats)
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
