Let each service draw its own random sequence

Change: a hash of the name.

Result: TestServicesDrawDifferently in both packages; with the length, "prices" and "orders" draw the same numbers.

--- a/internal/coordination/bfbalancer/balancer.go
+++ b/internal/coordination/bfbalancer/balancer.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"briarferry"
 )
 
@@ -122,7 +124,7 @@
 		return g.(*serviceGroup)
 	}
 	g, _ := b.groups.LoadOrStore(service, &serviceGroup{
-		rng:     rand.New(rand.NewPCG(b.Seed, uint64(len(service)))),
+		rng:     rand.New(rand.NewPCG(b.Seed, xxhash.Sum64String(service))),
 		servers: map[briarferry.BackendID]*server{},
 	})
 	return g.(*serviceGroup)
--- a/internal/coordination/bfbalancer/balancer_test.go
+++ b/internal/coordination/bfbalancer/balancer_test.go
@@ -171,3 +171,12 @@
 		last, now = s.ejectedUntil.Sub(now), s.ejectedUntil
 	}
 }
+
+// TestServicesDrawDifferently guards against services that choose servers in the same order,
+// as names of equal length gave them the same random sequence.
+func TestServicesDrawDifferently(t *testing.T) {
+	b := &Balancer{Seed: 1}
+	if b.group("prices").rng.Uint64() == b.group("orders").rng.Uint64() {
+		t.Error("two services draw the same random sequence")
+	}
+}
--- a/internal/coordination/bfretry/policy.go
+++ b/internal/coordination/bfretry/policy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"briarferry"
 )
 
@@ -45,7 +47,7 @@
 		return s.(*serviceState)
 	}
 	s, _ := p.services.LoadOrStore(service, &serviceState{
-		rng: rand.New(rand.NewPCG(p.Seed, uint64(len(service)))), tokens: initialTokens, latency: newLatencyTracker(),
+		rng: rand.New(rand.NewPCG(p.Seed, xxhash.Sum64String(service))), tokens: initialTokens, latency: newLatencyTracker(),
 	})
 	return s.(*serviceState)
 }
--- a/internal/coordination/bfretry/policy_test.go
+++ b/internal/coordination/bfretry/policy_test.go
@@ -95,3 +95,12 @@
 		}
 	}
 }
+
+// TestServicesDrawDifferently guards against services that back off at the same moments, as
+// names of equal length gave them the same random sequence.
+func TestServicesDrawDifferently(t *testing.T) {
+	p := &Policy{Seed: 1}
+	if p.state("prices").rng.Uint64() == p.state("orders").rng.Uint64() {
+		t.Error("two services draw the same random sequence")
+	}
+}
