Ask again for a list without a name

Change: the prompt asks until there is a name.

Result: TestPrompterEmptyList, with commas for classes and services.

--- a/internal/transport/bfcommand/answers.go
+++ b/internal/transport/bfcommand/answers.go
@@ -166,9 +166,18 @@
 	}
 }
 
+// list asks until the answer has at least one name.
 func (p *prompter) list(question, defaultAnswer, help string) ([]string, error) {
-	text, err := p.ask(question, defaultAnswer, help)
-	return splitList(text), err
+	for {
+		text, err := p.ask(question, defaultAnswer, help)
+		if err != nil {
+			return nil, err
+		}
+		if names := splitList(text); len(names) > 0 {
+			return names, nil
+		}
+		fmt.Fprintln(p.out, "Enter at least one name.")
+	}
 }
 
 func (p *prompter) number(question, defaultAnswer, help string) (int, error) {
--- a/internal/transport/bfcommand/command_test.go
+++ b/internal/transport/bfcommand/command_test.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// TestPrompterEmptyList guards against a list without a name, such as a comma alone, that ends
+// the command with a panic.
+func TestPrompterEmptyList(t *testing.T) {
+	lines := []string{"Recife,Salvador", "", "", "10ms", "", "", "", ",", " , ,", "urgent", "", ",", "quotes", "", "yes", "20", "9", ""}
+	var out strings.Builder
+	p := &prompter{in: bufio.NewScanner(strings.NewReader(strings.Join(lines, "\n") + "\n")), out: &out}
+	a, err := p.run()
+	if err != nil || len(a.Classes) != 1 || len(a.Services) != 1 {
+		t.Errorf("%+v, %v; want one class and one service", a, err)
+	}
+	if got := strings.Count(out.String(), "at least one name"); got != 3 {
+		t.Errorf("asked again %d times, want 3:\n%s", got, out.String())
+	}
+}
+
 // TestServeReportsAllFindings guards against invalid settings that are reported one at a
 // time, and against a public HTTP address without a token.
 func TestServeReportsAllFindings(t *testing.T) {
