--- a/internal/transport/bfload/caller.go
+++ b/internal/transport/bfload/caller.go
@@ -77,11 +77,7 @@
 	if err != nil || len(entries) == 0 {
 		return result{status: statusNotRun, reason: "no entry to use"}
 	}
-	for i := range entries {
-		entry := entries[i].Address
-		if i == 0 {
-			entry = pickEntry(entries, rng)
-		}
+	for _, entry := range entryOrder(entries, rng) {
 		req, err := g.newRequest(ctx, f, entry, key, body, deadline)
 		if err != nil {
 			return result{status: statusNotRun, reason: err.Error()}
@@ -98,6 +94,18 @@
 	return result{status: statusNotRun, reason: "no entry could be reached"}
 }
 
+// entryOrder returns the addresses in the order in which they are tried: a random one, in
+// proportion to the weights, and then the others as they were named.
+func entryOrder(entries []bfapi.LookupEntry, rng *rand.Rand) []netip.AddrPort {
+	order := []netip.AddrPort{pickEntry(entries, rng)}
+	for _, e := range entries {
+		if e.Address != order[0] {
+			order = append(order, e.Address)
+		}
+	}
+	return order
+}
+
 // pickEntry returns a random entry, in proportion to the weights.
 func pickEntry(entries []bfapi.LookupEntry, rng *rand.Rand) netip.AddrPort {
 	total := 0
