--- a/internal/transport/bfrpc/client.go
+++ b/internal/transport/bfrpc/client.go
@@ -84,8 +84,11 @@
 	}
 )
 
-// Error returns a message with the leader's address.
+// Error returns a message with the leader's address if it is known.
 func (e *NotLeaderError) Error() string {
+	if !e.Leader.IsValid() {
+		return "bfrpc: VM is not the leader and knows none"
+	}
 	return fmt.Sprintf("bfrpc: VM is not the leader; the leader is %s", e.Leader)
 }
 
