--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -239,6 +239,9 @@
 	if err := nodes[0].Report(t.Context(), odd); HTTPStatus(err) != http.StatusBadRequest {
 		t.Errorf("report from the future: %v", err)
 	}
+	if err := nodes[0].catchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	if _, ok := nodes[0].machine.State().Server("i-1"); !ok {
 		t.Error("the server was replaced")
 	}
