--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -107,7 +107,7 @@
 		if last || answers.br.Buffered() > 0 {
 			c.markUnusable()
 		}
-		if got.err == nil && p.sent.Load() {
+		if got.err == nil {
 			c.markAnswered()
 		}
 		if got.err == nil {
@@ -148,6 +148,8 @@
 	c.unusable = true
 }
 
+// markAnswered records that the whole answer has arrived, also one that the server wrote
+// before it had read the whole request.
 func (c *conn) markAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
