Reword comments after a reading of the diff

Cause: some sentences needed a second reading; a report took the time three times.

Change: comments; one reading of the clock for each report.

Result: the tests of bfsteering, bfraft and bfcontrol pass.

--- a/internal/coordination/bfraft/silence.go
+++ b/internal/coordination/bfraft/silence.go
@@ -19,9 +19,9 @@
 	return out
 }
 
-// inheritSilence sets for how long members had not replied before this replica's election:
-// those that the last leader reported, and that leader itself. Members that answered the
-// vote are not silent.
+// inheritSilence takes over for how long members had not replied before this replica's
+// election: those that the last leader reported, and that leader itself. Members that
+// answered the vote request are not silent.
 func (r *Raft) inheritSilence() {
 	for _, s := range slices.Concat(r.reportedSilence, []Silence{{ID: r.lastLeader}}) {
 		p := r.progress[s.ID]
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -218,8 +218,8 @@
 	return bfraft.Change{}, false
 }
 
-// unresponsiveMember returns a member of an open group to remove as it has not replied for
-// long.
+// unresponsiveMember returns a member to remove from an open group because it has not
+// replied for a long time.
 func (n *Node) unresponsiveMember(m bfraft.Membership) (string, bool) {
 	if !n.OpenMembership {
 		return "", false
--- a/internal/coordination/bfsteering/availability.go
+++ b/internal/coordination/bfsteering/availability.go
@@ -16,9 +16,9 @@
 	returnPeriod = 3 * time.Second
 )
 
-// availability is what a server's process has said in its answers about further requests.
-// It answers loads that a server can't take: a process that is about to end, and one that is
-// overloaded although its load reports, which are older, say otherwise.
+// availability is what a server's process has said in its answers about further requests. It
+// keeps them away from a process that is about to end, and from one that is overloaded
+// although its load reports, which are older, say otherwise.
 type availability struct {
 	// leaving is true from the first answer that says so to the end of the process. Later
 	// answers without the notice don't change it: they may have been written before.
@@ -53,8 +53,8 @@
 	return a.pausedUntil.Add(time.Duration(phase * float64(returnPeriod) / 2))
 }
 
-// accepts reports whether the server may get one more request, next to the given number that
-// this entry has there. After a pause the number grows from one to the server's slots.
+// accepts reports whether the server may get another request while this entry has inFlight
+// requests there. After a pause the number allowed grows from one to the server's slots.
 func (a *availability) accepts(now time.Time, inFlight, slots int, phase float64) bool {
 	if a.closed(now) {
 		return false
--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -93,10 +93,11 @@
 		Candidates int
 	}
 
-	// noCandidate says why no server may get a request. OpensAt is the first time at which
-	// one that asked for a pause may, or zero.
+	// noCandidate says why no server may get a request.
 	noCandidate struct {
-		reason  string
+		reason string
+		// opensAt is the first time at which a server that asked for a pause gets requests
+		// again, or zero.
 		opensAt time.Time
 	}
 
--- a/internal/transport/bfcontrol/registry.go
+++ b/internal/transport/bfcontrol/registry.go
@@ -38,12 +38,12 @@
 // confirmed at once.
 func (n *Node) Report(ctx context.Context, in briarferry.Instance) error {
 	counters.reports.Add(1)
-	if err := checkReport(time.Now(), in); err != nil {
+	now := time.Now()
+	if err := checkReport(now, in); err != nil {
 		return err
 	}
-	n.reports.record(time.Now(), in.ID)
+	n.reports.record(now, in.ID)
 	known, ok := n.machine.State().Server(in.ID)
-	now := time.Now()
 	newlyCold := n.cold.isNewPhase(now, in)
 	switch {
 	case ok && known.Started > in.Started:
