--- /dev/null
+++ b/internal/transport/bfcaller/left.go
@@ -0,0 +1,73 @@
+// Package bfcaller tells whether the caller of an HTTP request still waits for its answer.
+package bfcaller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+)
+
+// connKey is the context key of the connection on which a request arrived.
+type connKey struct{}
+
+// WithConn is the ConnContext of HTTP servers whose handlers use this package.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// FromContext returns the connection on which a request arrived, or nil if the server does
+// not use WithConn with connections of this package.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// HasLeft reports whether the caller has given up the request: its context was cancelled, or
+// the other end has closed the connection. It asks the socket, as net/http ends the context only
+// some time after the end of the connection has arrived, and a process that was frozen finds
+// a request and the end of its connection at the same moment.
+func HasLeft(ctx context.Context) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return true
+	}
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && isClosedByPeer(c)
+}
+
+// isClosedByPeer reports whether the connection has nothing left to read but its end, or an
+// error. Connections without a socket count as open.
+func isClosedByPeer(c net.Conn) bool {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = wrapper.NetConn()
+	}
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = isEnd(int(fd)) })
+	return closed || err != nil
+}
+
+// isEnd reports whether the next read of the socket returns the end of the connection or its
+// error.
+func isEnd(fd int) bool {
+	var buf [1]byte
+	count, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch err {
+	case nil:
+		return count == 0
+	case syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.ENOTCONN:
+		return true
+	}
+	return false
+}
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -18,6 +18,7 @@
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
+	"briarferry/internal/transport/bfcaller"
 	"briarferry/internal/transport/bfgossip"
 	"briarferry/internal/transport/bflistener"
 	"briarferry/internal/transport/bfrpc"
@@ -158,7 +159,7 @@
 		return nil, err
 	}
 	for address, handler := range n.Handlers {
-		s := &http.Server{Handler: handler, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, ConnContext: withCallerConn}
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: apiHeaderTimeout, IdleTimeout: apiIdleTimeout, ConnContext: bfcaller.WithConn}
 		if err := n.serve(group, s, address); err != nil {
 			return nil, err
 		}
--- a/internal/transport/bfcontrol/order.go
+++ b/internal/transport/bfcontrol/order.go
@@ -9,6 +9,7 @@
 
 	"briarferry"
 	"briarferry/internal/state/bffleet"
+	"briarferry/internal/transport/bfcaller"
 )
 
 // statePollInterval is the interval at which catchUp looks at the applied index.
@@ -108,7 +109,7 @@
 func (n *Node) orderOnce(ctx context.Context, command func(s *bffleet.State) bffleet.Command) (bffleet.Result, error) {
 	caughtUp := n.catchUp(ctx)
 	c := command(n.machine.State())
-	if callerGone(ctx) {
+	if bfcaller.HasLeft(ctx) {
 		return bffleet.Result{}, ErrCallerGone
 	}
 	if caughtUp != nil {
--- a/internal/transport/bfcontrol/order_test.go
+++ b/internal/transport/bfcontrol/order_test.go
@@ -13,6 +13,7 @@
 
 	"briarferry"
 	"briarferry/internal/state/bffleet"
+	"briarferry/internal/transport/bfcaller"
 )
 
 // orderHandler serves the orders to withdraw evacuations and to deregister servers, and
@@ -58,7 +59,7 @@
 		t.Fatal(err)
 	}
 	answered := make(chan error, 1)
-	s := &http.Server{Handler: orderHandler(n, answered), ConnContext: withCallerConn}
+	s := &http.Server{Handler: orderHandler(n, answered), ConnContext: bfcaller.WithConn}
 	go func() { _ = s.Serve(ln) }()
 	defer func() { _ = s.Close() }()
 	select {
--- a/internal/transport/bfgateway/caller_server.go
+++ b/internal/transport/bfgateway/caller_server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/transport/bfcaller"
 	"briarferry/internal/transport/bflistener"
 )
 
@@ -69,6 +70,7 @@
 		IdleTimeout:       orDefault(l.IdleTimeout.Std(), defaultIdleTimeout),
 		MaxHeaderBytes:    max(readHeaderBytes, l.MaxHeaderBytes),
 		ErrorLog:          discardLog(),
+		ConnContext:       bfcaller.WithConn,
 	}
 	cs.servers = append(cs.servers, s)
 	go func(ln *chanListener) { _ = s.Serve(ln) }(cs.listener)
@@ -110,7 +112,7 @@
 		current := cs.listener
 		cs.mu.Unlock()
 		select {
-		case current.conns <- cs.meter.wrap(c):
+		case current.conns <- bfcaller.Wrap(cs.meter.wrap(c)):
 		case <-current.closed:
 			_ = c.Close()
 		}
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -11,6 +11,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfsteering"
+	"briarferry/internal/transport/bfcaller"
 	"briarferry/internal/transport/bfupstream"
 )
 
@@ -265,7 +266,11 @@
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
 	span.SetAttributes(attribute.String("backend", t.Backend.Address.String()), attribute.String("instance", t.Backend.InstanceID))
 	defer span.End()
+	if bfcaller.HasLeft(ctx) && c.leftBeforeDispatch.CompareAndSwap(false, true) {
+		counters.leftBeforeDispatch.Add(1)
+	}
 	answer, err := n.upstream.Do(ctx, t.Backend, r)
+	n.recordWithdrawal(ctx, c, t)
 	report := n.report(ctx, answer, err)
 	if answer != nil {
 		c.hold(answer)
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,8 @@
 	ended   bool
 	// tryEnded is closed at the end of the try whose answer is streamed.
 	tryEnded <-chan struct{}
+	// leftBeforeDispatch is true if the caller had closed its connection before a try.
+	leftBeforeDispatch atomic.Bool
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// releaseBody releases the memory reserved for the body.
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,11 +19,13 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 
 		tries expvar.Map
 	}
 	latencies   latencyHistograms
+	// withdrawals holds the times from the end of a caller's connection to the end of a try.
+	withdrawals latencyHistograms
 	publishOnce sync.Once
 )
 
@@ -35,7 +37,10 @@
 }
 
 func (h *latencyHistograms) record(route, result string, status int, d time.Duration) {
-	key := route + " " + result + " " + strconv.Itoa(status)
+	h.recordKey(route+" "+result+" "+strconv.Itoa(status), d)
+}
+
+func (h *latencyHistograms) recordKey(key string, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.byKey == nil {
@@ -83,6 +88,8 @@
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
+		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
+		m.Set("withdrawals", expvar.Func(withdrawals.summary))
 		m.Set("revision", expvar.Func(func() any { return n.fleet.state.Load().Revision }))
 		m.Set("live_entries", expvar.Func(func() any { return len(n.fleet.Live()) }))
 		m.Set("link_utilization", expvar.Func(func() any { return n.meter.last() }))
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -9,6 +9,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfsteering"
+	"briarferry/internal/transport/bfcaller"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// maxLoadAge caps the logged age of a load report. The same value is logged if no report
 	// has arrived.
 	maxLoadAge = time.Hour
+	// lateWithdrawal is the time from the end of a caller's connection to the end of a try
+	// from which the try is logged.
+	lateWithdrawal = 200 * time.Millisecond
 )
 
 // logSampler limits the log lines about requests and counts those over the limit.
@@ -83,6 +87,24 @@
 	})
 }
 
+// recordWithdrawal records how long a try went on after the entry had read the end of its
+// caller's connection, and logs long times.
+func (n *Node) recordWithdrawal(ctx context.Context, c *call, t *bfsteering.Try) {
+	conn := bfcaller.FromContext(ctx)
+	if conn == nil {
+		return
+	}
+	endedAt, ended := conn.EndedAt()
+	if !ended {
+		return
+	}
+	took := time.Since(endedAt)
+	withdrawals.recordKey(c.request.Service, took)
+	if took >= lateWithdrawal && n.logSampler.allow(false) {
+		n.Log.Warn().Str("request_id", c.request.ID).Str("instance", t.Backend.InstanceID).Dur("took_ms", took).Msg("try ended late after its caller had left")
+	}
+}
+
 // logRequest counts a finished request and logs it, subject to sampling.
 func (n *Node) logRequest(c *call, result string, status int, r *briarferry.Refusal) {
 	took := time.Since(c.received)
@@ -120,5 +142,8 @@
 		list = list.Dict(zerolog.Dict().Str("instance", t.instance).Str("outcome", string(t.outcome)).Dur("took_ms", t.took).
 			Dur("expected_ms", t.expected).Float64("load", t.load).Dur("load_age_ms", min(t.loadAge, maxLoadAge)).Bool("warm", t.warm))
 	}
+	if c.leftBeforeDispatch.Load() {
+		line = line.Bool("left_before_dispatch", true)
+	}
 	line.Array("tries", list).Msg("request")
 }
