--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -11,7 +11,6 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfsteering"
-	"briarferry/internal/transport/bfcaller"
 	"briarferry/internal/transport/bfupstream"
 )
 
@@ -266,9 +265,6 @@
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
 	span.SetAttributes(attribute.String("backend", t.Backend.Address.String()), attribute.String("instance", t.Backend.InstanceID))
 	defer span.End()
-	if bfcaller.HasLeft(ctx) && c.leftBeforeDispatch.CompareAndSwap(false, true) {
-		counters.leftBeforeDispatch.Add(1)
-	}
 	answer, err := n.upstream.Do(ctx, t.Backend, r)
 	n.recordWithdrawal(ctx, c, t)
 	report := n.report(ctx, answer, err)
@@ -332,7 +328,7 @@
 		r.Outcome = bfsteering.Shed
 	case errors.Is(err, bfupstream.ErrMisdirected):
 		r.Outcome = bfsteering.Misdirected
-	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn):
+	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn), errors.Is(err, bfupstream.ErrCallerLeft):
 		r.Outcome = bfsteering.Cancelled
 	case !tryErr.Dispatched:
 		r.Outcome = bfsteering.Refused
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -20,6 +20,7 @@
 	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfcaller"
 )
 
 const (
@@ -37,6 +38,9 @@
 	tracerName        = "briarferry/internal/transport/bfgateway"
 )
 
+// errCallerLeft is the cause of the end of a request whose caller has closed the connection.
+var errCallerLeft = errors.New("bfgateway: caller has left")
+
 // call is one request of a caller and what is recorded while it is handled.
 type call struct {
 	request *briarferry.Request
@@ -104,10 +108,13 @@
 		return
 	}
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
+	ctx, leave := context.WithCancelCause(ctx)
+	defer leave(nil)
+	c.request.CallerLeft = func() bool { return c.checkCaller(r.Context(), leave) }
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
 	answer, err := n.forward(ctx, c)
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), errCallerLeft) {
 		n.logRequest(c, "caller_left", 0, nil)
 		panic(http.ErrAbortHandler)
 	}
@@ -124,6 +131,18 @@
 	writeAnswer(w, answer)
 }
 
+// checkCaller reports whether the caller has left, and ends the request if so.
+func (c *call) checkCaller(ctx context.Context, leave context.CancelCauseFunc) bool {
+	if !bfcaller.HasLeft(ctx) {
+		return false
+	}
+	if c.leftBeforeDispatch.CompareAndSwap(false, true) {
+		counters.leftBeforeDispatch.Add(1)
+	}
+	leave(errCallerLeft)
+	return true
+}
+
 // streamAnswer sends an answer while it is received. If its body does not become complete,
 // the caller's connection is closed before the announced length.
 func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, c *call, a *briarferry.Answer) {
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -23,7 +23,7 @@
 
 		tries expvar.Map
 	}
-	latencies   latencyHistograms
+	latencies latencyHistograms
 	// withdrawals holds the times from the end of a caller's connection to the end of a try.
 	withdrawals latencyHistograms
 	publishOnce sync.Once
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -51,6 +51,9 @@
 	// ErrWithdrawn is returned if the server must not get requests any more. Nothing was
 	// sent.
 	ErrWithdrawn = errors.New("server was withdrawn before the request was sent")
+	// ErrCallerLeft is returned if the caller no longer waits for the answer. Nothing was
+	// sent.
+	ErrCallerLeft = errors.New("caller left before the request was sent")
 	// ErrConnectionLimit is returned if a try needs a new connection but the server's
 	// limit is reached.
 	ErrConnectionLimit = errors.New("connection limit of the server is reached")
@@ -117,7 +120,7 @@
 			Backend: b.ID(), ServerRefusedConnection: isRefused(err), TimedOut: isTimeout(ctx, err), Err: err,
 		}
 	}
-	if err := c.checkChoice(ctx, b); err != nil {
+	if err := c.checkChoice(ctx, b, r); err != nil {
 		conn.release(false)
 		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: err}
 	}
@@ -132,10 +135,13 @@
 }
 
 // checkChoice returns an error if the request must not be sent any more.
-func (c *Client) checkChoice(ctx context.Context, b briarferry.Backend) error {
+func (c *Client) checkChoice(ctx context.Context, b briarferry.Backend, r *briarferry.Request) error {
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
+	if r.CallerLeft != nil && r.CallerLeft() {
+		return ErrCallerLeft
+	}
 	if c.MayUse != nil && !c.MayUse(b) {
 		return ErrWithdrawn
 	}
--- a/request.go
+++ b/request.go
@@ -52,6 +52,8 @@
 		// OnHead, if set, allows an answer to be streamed: it is called with an answer that
 		// has a Stream, before the try has ended.
 		OnHead func(*Answer)
+		// CallerLeft, if set, reports whether the caller no longer waits for the answer.
+		CallerLeft func() bool
 	}
 
 	// Answer is a backend server's complete answer.
