--- a/internal/transport/bfcaller/conn.go
+++ b/internal/transport/bfcaller/conn.go
@@ -1,39 +1,214 @@
 package bfcaller
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-// Conn is a caller's connection that records when its end was read.
-type Conn struct {
-	net.Conn
-	endedAt atomic.Pointer[time.Time]
-}
+const (
+	// maxAheadBytes limits the bytes of a connection that are kept while its request is
+	// handled. A caller that has sent more than that isn't noticed when it leaves.
+	maxAheadBytes = 16 << 10
+	// aheadChunkBytes is the size of one read of such bytes.
+	aheadChunkBytes = 4 << 10
+)
+
+// longAgo is a deadline that ends a pending read.
+var longAgo = time.Unix(1, 0)
+
+type (
+	// Conn is a caller's connection that notices its end while a request is handled. net/http
+	// reads one byte at most until then, and misses the end behind bytes of a further request.
+	Conn struct {
+		net.Conn
+		// reading is held while a goroutine reads from the wrapped connection.
+		reading sync.Mutex
+
+		mu sync.Mutex
+		// onEnd is called at the end of the connection. It is nil unless a request is watched.
+		onEnd   func()
+		endedAt time.Time
+		// ahead are the bytes that were read but not returned yet.
+		ahead []byte
+		// returnedByte is true if the last read was for one byte and returned it. Those of
+		// net/http while a request is handled are; it reads no further until the request's end.
+		returnedByte bool
+	}
+
+	// aheadReader is a goroutine that reads ahead because net/http doesn't read. Its fields are
+	// guarded by the connection's mu.
+	aheadReader struct {
+		// active is true once it may read, and interrupted once the watch has ended.
+		active, interrupted bool
+		// done is closed at its end.
+		done chan struct{}
+	}
+)
 
 // Wrap returns the connection as a Conn.
 func Wrap(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Read reads from the connection.
+// Watch calls onEnd once the caller has left, unless the returned function is called before.
+// The whole request must have been read. Watch does nothing if the request did not arrive on
+// a Conn.
+func Watch(ctx context.Context, onEnd func()) (stop func()) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return func() {}
+	}
+	return c.watch(onEnd)
+}
+
+func (c *Conn) watch(onEnd func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.endedAt.IsZero() {
+		go onEnd()
+		return func() {}
+	}
+	c.onEnd = onEnd
+	if !c.returnedByte {
+		return func() { c.stopWatching(nil) }
+	}
+	a := &aheadReader{done: make(chan struct{})}
+	go c.runAheadReader(a)
+	return func() { c.stopWatching(a) }
+}
+
+// stopWatching ends the watch and its reader, if there is one.
+func (c *Conn) stopWatching(a *aheadReader) {
+	c.mu.Lock()
+	c.onEnd = nil
+	active := a != nil && a.active
+	if a != nil {
+		a.interrupted = true
+	}
+	c.mu.Unlock()
+	if !active {
+		return
+	}
+	// A deadline that is reset before the reader has noticed it has no effect.
+	_ = c.SetReadDeadline(longAgo)
+	<-a.done
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+// runAheadReader reads ahead until the watch ends. A read of net/http that was about to begin
+// waits until then.
+func (c *Conn) runAheadReader(a *aheadReader) {
+	defer close(a.done)
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.setActive(a) {
+		c.readAhead()
+	}
+}
+
+// setActive returns false if the watch has already ended.
+func (c *Conn) setActive(a *aheadReader) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.active = !a.interrupted
+	return a.active
+}
+
+// Read reads from the connection. Bytes that arrive while a request is watched are returned
+// when the connection ends, when the read's deadline passes or when maxAheadBytes are kept.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.setReturnedByte(false)
+	n, err := c.read(b)
+	c.setReturnedByte(n == 1 && len(b) == 1)
+	return n, err
+}
+
+func (c *Conn) setReturnedByte(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.returnedByte = v
+}
+
+func (c *Conn) read(b []byte) (int, error) {
+	if n := c.takeAhead(b); n > 0 {
+		return n, nil
+	}
 	n, err := c.Conn.Read(b)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		now := time.Now()
-		c.endedAt.CompareAndSwap(nil, &now)
+	if n == 0 || !c.isWatched() {
+		c.noteEnd(err)
+		return n, err
+	}
+	if c.keep(b[:n], err) {
+		c.readAhead()
+	}
+	return c.takeAhead(b), nil
+}
+
+// readAhead keeps what the caller sends until the connection ends, the read's deadline passes
+// or maxAheadBytes are kept.
+func (c *Conn) readAhead() {
+	buf := make([]byte, aheadChunkBytes)
+	for {
+		n, err := c.Conn.Read(buf)
+		if !c.keep(buf[:n], err) {
+			return
+		}
+	}
+}
+
+// keep adds bytes to those that were read ahead, and reports whether to read more.
+func (c *Conn) keep(b []byte, err error) bool {
+	c.noteEnd(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = append(c.ahead, b...)
+	return err == nil && c.onEnd != nil && len(c.ahead) < maxAheadBytes
+}
+
+// takeAhead moves bytes that were read ahead to b.
+func (c *Conn) takeAhead(b []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(b, c.ahead)
+	c.ahead = c.ahead[n:]
+	if len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n
+}
+
+// noteEnd records the end of the connection if the error is one.
+func (c *Conn) noteEnd(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	if c.endedAt.IsZero() {
+		c.endedAt = time.Now()
+	}
+	onEnd := c.onEnd
+	c.onEnd = nil
+	c.mu.Unlock()
+	if onEnd != nil {
+		onEnd()
 	}
-	return n, err
+}
+
+func (c *Conn) isWatched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.onEnd != nil
 }
 
 // EndedAt returns when the end of the connection was read, and false if it was not.
 func (c *Conn) EndedAt() (time.Time, bool) {
-	at := c.endedAt.Load()
-	if at == nil {
-		return time.Time{}, false
-	}
-	return *at, true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endedAt, !c.endedAt.IsZero()
 }
 
 // NetConn returns the wrapped connection.
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -110,6 +110,7 @@
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
 	ctx, leave := context.WithCancelCause(ctx)
 	defer leave(nil)
+	defer bfcaller.Watch(r.Context(), func() { leave(errCallerLeft) })()
 	c.request.CallerLeft = func() bool { return c.checkCaller(r.Context(), leave) }
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
