--- a/internal/transport/bfcaller/conn.go
+++ b/internal/transport/bfcaller/conn.go
@@ -49,13 +49,24 @@
 	}
 )
 
+// Listener returns its connections as Conns.
+type Listener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(c), nil
+}
+
 // Wrap returns the connection as a Conn.
 func Wrap(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Watch calls onEnd once the caller has left, unless the returned function is called before.
-// The whole request must have been read. Watch does nothing if the request did not arrive on
-// a Conn.
-func Watch(ctx context.Context, onEnd func()) (stop func()) {
+// watch calls onEnd once the caller has left, unless the returned function is called before.
+// It does nothing if the request did not arrive on a Conn.
+func watch(ctx context.Context, onEnd func()) (stop func()) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return func() {}
--- a/internal/transport/bfcaller/left.go
+++ b/internal/transport/bfcaller/left.go
@@ -8,6 +8,9 @@
 	"syscall"
 )
 
+// ErrLeft is the cause of the end of a context whose caller has left.
+var ErrLeft = errors.New("bfcaller: caller has left")
+
 // connKey is the context key of the connection on which a request arrived.
 type connKey struct{}
 
@@ -23,6 +26,22 @@
 	return c
 }
 
+// Follow returns a context that ends when the caller of the request leaves. HasLeft asks the
+// caller's socket, and ends the context too. The whole request must have been read, and stop
+// must be called when it has been handled.
+func Follow(ctx context.Context) (following context.Context, hasLeft func() bool, stop func()) {
+	following, cancel := context.WithCancelCause(ctx)
+	stopWatching := watch(ctx, func() { cancel(ErrLeft) })
+	hasLeft = func() bool {
+		if !HasLeft(following) {
+			return false
+		}
+		cancel(ErrLeft)
+		return true
+	}
+	return following, hasLeft, func() { stopWatching(); cancel(nil) }
+}
+
 // HasLeft reports whether the caller has given up the request: its context was cancelled, or
 // the other end has closed the connection. It asks the socket, as net/http ends the context only
 // some time after the end of the connection has arrived, and a process that was frozen finds
--- a/internal/transport/bfentry/request.go
+++ b/internal/transport/bfentry/request.go
@@ -10,6 +10,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfcaller"
 )
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -41,6 +42,11 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := tracer.Start(ctx, "request")
 	defer span.End()
+	ctx, hasLeft, stop := bfcaller.Follow(ctx)
+	defer stop()
+	if req.Key == "" {
+		req.CallerLeft = hasLeft
+	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	var a *briarferry.Answer
@@ -49,8 +55,9 @@
 	} else {
 		a, err = e.Pipeline.Refuse(ctx, s, req, lease)
 	}
-	if errors.Is(err, context.Canceled) {
-		return
+	if errors.Is(err, context.Canceled) || errors.Is(err, bfcaller.ErrLeft) {
+		// A return would send an empty answer with status 200.
+		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
 		bfapi.WriteError(w, req.ID, err)
--- a/internal/transport/bfentry/server.go
+++ b/internal/transport/bfentry/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry/internal/protocol/bfapi"
+	"briarferry/internal/transport/bfcaller"
 	"briarferry/internal/transport/bflistener"
 	"briarferry/internal/transport/bftls"
 )
@@ -50,6 +51,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    bfapi.MaxHeaderBytes,
+		ConnContext:       bfcaller.WithConn,
 	}
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
@@ -69,7 +71,7 @@
 // cleartext.
 func (s *Server) serve(srv *http.Server, ln net.Listener) error {
 	if s.TLS == nil {
-		return srv.Serve(ln)
+		return srv.Serve(bfcaller.Listener{Listener: ln})
 	}
 	srv.Protocols = new(http.Protocols)
 	srv.Protocols.SetHTTP1(true)
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -38,9 +38,6 @@
 	tracerName        = "briarferry/internal/transport/bfgateway"
 )
 
-// errCallerLeft is the cause of the end of a request whose caller has closed the connection.
-var errCallerLeft = errors.New("bfgateway: caller has left")
-
 // call is one request of a caller and what is recorded while it is handled.
 type call struct {
 	request *briarferry.Request
@@ -108,14 +105,13 @@
 		return
 	}
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
-	ctx, leave := context.WithCancelCause(ctx)
-	defer leave(nil)
-	defer bfcaller.Watch(r.Context(), func() { leave(errCallerLeft) })()
-	c.request.CallerLeft = func() bool { return c.checkCaller(r.Context(), leave) }
+	ctx, hasLeft, stop := bfcaller.Follow(ctx)
+	defer stop()
+	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
 	answer, err := n.forward(ctx, c)
-	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), errCallerLeft) {
+	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), bfcaller.ErrLeft) {
 		n.logRequest(c, "caller_left", 0, nil)
 		panic(http.ErrAbortHandler)
 	}
@@ -132,16 +128,12 @@
 	writeAnswer(w, answer)
 }
 
-// checkCaller reports whether the caller has left, and ends the request if so.
-func (c *call) checkCaller(ctx context.Context, leave context.CancelCauseFunc) bool {
-	if !bfcaller.HasLeft(ctx) {
-		return false
-	}
-	if c.leftBeforeDispatch.CompareAndSwap(false, true) {
+// countIfLeft counts a request whose caller has left before a try, and returns its argument.
+func (c *call) countIfLeft(left bool) bool {
+	if left && c.leftBeforeDispatch.CompareAndSwap(false, true) {
 		counters.leftBeforeDispatch.Add(1)
 	}
-	leave(errCallerLeft)
-	return true
+	return left
 }
 
 // streamAnswer sends an answer while it is received. If its body does not become complete,
