--- a/internal/protocol/bfwire/fleet.go
+++ b/internal/protocol/bfwire/fleet.go
@@ -62,6 +62,9 @@
 		Revision uint64 `cbor:"1,keyasint"`
 		// IncludeEntries also asks for the live entries.
 		IncludeEntries bool `cbor:"2,keyasint,omitempty"`
+		// AcceptsRouteChange allows the reply to have a RouteChange. Entries of earlier
+		// versions don't know it.
+		AcceptsRouteChange bool `cbor:"3,keyasint,omitempty"`
 	}
 
 	// FleetReply answers a FleetQuery.
--- a/internal/state/bffleet/machine.go
+++ b/internal/state/bffleet/machine.go
@@ -122,6 +122,7 @@
 	}
 	next := *old
 	next.Revision, next.RoutesRevision, next.Routes = index, index, &p.Table
+	next.routeHistory = old.routeHistory.add(old, &next)
 	m.source = p.Source
 	m.accepted.put(string(p.Digest), p.Table.Version)
 	m.publish(&next)
--- a/internal/state/bffleet/machine_test.go
+++ b/internal/state/bffleet/machine_test.go
@@ -235,8 +235,8 @@
 	for _, c := range []Command{put(0, 1, "a"), register(instance("a", "10.0.0.1:80", 1, 1)), {Evacuate: &Evacuate{FailureDomain: "a"}}} {
 		old := entry
 		apply(t, m, &index, c)
-		entry, _ = entry.Apply(m.State().UpdateSince(entry.Revision))
-		if same, newer := entry.Apply(old.UpdateSince(0)); newer || same.Revision != entry.Revision {
+		entry, _ = entry.Apply(m.State().UpdateSince(entry.Revision, true))
+		if same, newer := entry.Apply(old.UpdateSince(0, true)); newer || same.Revision != entry.Revision {
 			t.Fatal("an older update was applied")
 		}
 	}
@@ -256,7 +256,7 @@
 			if rapid.IntRange(0, 3).Draw(r, "missed") > 0 {
 				continue
 			}
-			u := m.State().UpdateSince(entry.Revision)
+			u := m.State().UpdateSince(entry.Revision, true)
 			if entry.Revision > 0 && u.Servers != nil {
 				r.Fatal("the whole list was sent")
 			}
@@ -273,13 +273,13 @@
 func TestManyRemovals(t *testing.T) {
 	m, index := New(), uint64(0)
 	apply(t, m, &index, register(instance("kept", "10.0.0.1:80", 1, 1), instance("a", "10.0.0.2:80", 1, 1)))
-	entry, _ := (&State{}).Apply(m.State().UpdateSince(0))
+	entry, _ := (&State{}).Apply(m.State().UpdateSince(0, true))
 	apply(t, m, &index, Command{Leave: &Leave{ID: "a"}})
 	for i := range maxRemoved {
 		id := fmt.Sprint("x", i)
 		apply(t, m, &index, register(instance(id, "10.0.0.3:80", int64(i+1), 1)), Command{Leave: &Leave{ID: id}})
 	}
-	entry, _ = entry.Apply(m.State().UpdateSince(entry.Revision))
+	entry, _ = entry.Apply(m.State().UpdateSince(entry.Revision, true))
 	if len(entry.Servers) != 1 || entry.Servers[0].ID != "kept" {
 		t.Errorf("entry has %v", entry.Servers)
 	}
--- a/internal/state/bffleet/state.go
+++ b/internal/state/bffleet/state.go
@@ -37,6 +37,8 @@
 		// removals after the revision RemovedSince.
 		Removed      []Removal `cbor:"8,keyasint,omitempty"`
 		RemovedSince uint64    `cbor:"9,keyasint,omitempty"`
+
+		routeHistory routeHistory
 	}
 
 	// Server is a registered instance.
@@ -67,6 +69,8 @@
 		Servers        *[]Server `cbor:"4,keyasint,omitempty"`
 		ChangedServers []Server  `cbor:"5,keyasint,omitempty"`
 		RemovedServers []string  `cbor:"6,keyasint,omitempty"`
+		// RouteChange replaces Routes where the state before it has the table Base.
+		RouteChange *RouteChange `cbor:"7,keyasint,omitempty"`
 	}
 )
 
@@ -103,11 +107,17 @@
 	s.Servers = slices.Delete(s.Servers, i, i+1)
 }
 
-// UpdateSince returns the changes after the given revision.
-func (s *State) UpdateSince(revision uint64) *Update {
+// UpdateSince returns the changes after the given revision. It has the whole route table
+// unless the receiver accepts a RouteChange.
+func (s *State) UpdateSince(revision uint64, acceptsRouteChange bool) *Update {
 	u := &Update{Revision: s.Revision}
 	if s.RoutesRevision > revision {
-		u.Routes = s.Routes
+		if acceptsRouteChange {
+			u.RouteChange = s.routeChangeSince(revision)
+		}
+		if u.RouteChange == nil {
+			u.Routes = s.Routes
+		}
 	}
 	if s.EvacuatedRevision > revision {
 		u.Evacuated = &s.Evacuated
@@ -138,16 +148,18 @@
 	return changed, removed
 }
 
-// Apply returns the state after the update. For an update that is not newer it returns s
-// and false.
+// Apply returns the state after the update. For an update that is not newer, or that changes
+// another route table, it returns s and false.
 func (s *State) Apply(u *Update) (*State, bool) {
-	if u.Revision <= s.Revision {
+	if u.Revision <= s.Revision || u.RouteChange != nil && u.RouteChange.Base != s.RoutesVersion() {
 		return s, false
 	}
 	next := *s
 	next.Revision = u.Revision
 	if u.Routes != nil {
 		next.Routes, next.RoutesRevision = u.Routes, u.Revision
+	} else if u.RouteChange != nil {
+		next.Routes, next.RoutesRevision = u.RouteChange.apply(s.Routes), u.Revision
 	}
 	if u.Evacuated != nil {
 		next.Evacuated, next.EvacuatedRevision = *u.Evacuated, u.Revision
@@ -186,6 +198,9 @@
 	if u.Routes != nil {
 		f.Merge("routes", u.Routes.Validate())
 	}
+	if u.RouteChange != nil {
+		f.Merge("route_change", u.RouteChange.Validate())
+	}
 	if u.Evacuated != nil && len(*u.Evacuated) > maxFailureDomains {
 		f.Add("evacuated", "must have at most %d entries", maxFailureDomains)
 	}
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -58,6 +58,9 @@
 		// fetchNow and heartbeatNow are signals to fetch and to send a heartbeat.
 		fetchNow     chan struct{}
 		heartbeatNow chan struct{}
+		// needsWholeTable is true after a reply with a change of another route table. Only the
+		// fetch loop uses it.
+		needsWholeTable bool
 
 		mu       sync.Mutex
 		sequence uint64
@@ -235,14 +238,20 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	started := time.Now()
-	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: current.Revision, IncludeEntries: true})
+	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: current.Revision, IncludeEntries: true, AcceptsRouteChange: !f.needsWholeTable})
 	if err != nil {
 		f.fetchFailed(from, err)
 		return true
 	}
-	if next, newer := current.Apply(&reply.Update); newer {
+	next, newer := current.Apply(&reply.Update)
+	// A change of another table than this entry's can't be applied.
+	f.needsWholeTable = !newer && reply.Update.RouteChange != nil && reply.Update.Revision > current.Revision
+	if f.needsWholeTable {
+		f.log.Warn().Str("control", from.String()).Uint64("version", current.RoutesVersion()).Uint64("base", reply.Update.RouteChange.Base).Msg("change of another route table ignored; fetching the whole table")
+	}
+	if newer {
 		f.log.Info().Str("control", from.String()).Uint64("from", current.Revision).Uint64("to", next.Revision).Uint64("version", next.RoutesVersion()).
-			Int("servers", len(next.Servers)).Strs("evacuated", next.Evacuated).Dur("took_ms", time.Since(started)).Msg("fleet state updated")
+			Int("servers", len(next.Servers)).Strs("evacuated", next.Evacuated).Bool("whole_table", reply.Update.Routes != nil).Dur("took_ms", time.Since(started)).Msg("fleet state updated")
 		f.state.Store(next)
 		f.onChange(next)
 	}
--- a/internal/transport/bfgateway/fleet_sync_test.go
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"briarferry"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 	"briarferry/internal/transport/bfrpc"
@@ -30,7 +31,7 @@
 // Query returns the changes since the revision.
 func (c *fakeControl) Query(_ context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
 	c.queries.Add(1)
-	return &bfwire.FleetReply{Update: *c.state.UpdateSince(q.Revision), Entries: c.entries}, nil
+	return &bfwire.FleetReply{Update: *c.state.UpdateSince(q.Revision, q.AcceptsRouteChange), Entries: c.entries}, nil
 }
 
 // startControl serves the fleet procedures at a loopback address.
@@ -99,3 +100,38 @@
 		t.Errorf("logged %q", line)
 	}
 }
+
+// wrongBaseControl sends a change of a route table that entries don't have, unless they ask
+// for the whole table.
+type wrongBaseControl struct{ *fakeControl }
+
+func (c wrongBaseControl) Query(ctx context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
+	reply, err := c.fakeControl.Query(ctx, q)
+	if q.AcceptsRouteChange {
+		reply.Update.Routes, reply.Update.RouteChange = nil, &bffleet.RouteChange{Base: 7, Version: 8}
+	}
+	return reply, err
+}
+
+// TestChangeOfUnknownTable guards against an entry that stays behind because it can't apply
+// the changes that it gets, and against one that asks for them without pause.
+func TestChangeOfUnknownTable(t *testing.T) {
+	c := &fakeControl{state: bffleet.State{Revision: 9, RoutesRevision: 9, Routes: &briarferry.RouteTable{Version: 3}}}
+	mux := http.NewServeMux()
+	bfrpc.HandleFleet(mux, wrongBaseControl{c})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	c.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	f := &fleetSync{onChange: func(*bffleet.State) {}, log: zerolog.Nop()}
+	f.setup()
+	f.state.Store(&bffleet.State{Revision: 2, RoutesRevision: 2, Routes: &briarferry.RouteTable{Version: 1}})
+	f.controls[c.address] = &controlState{revision: 9, lastHeartbeat: time.Now()}
+	for range 2 {
+		if !f.fetch(t.Context()) {
+			t.Error("no fetch although a control VM has a newer state")
+		}
+	}
+	if got := f.state.Load(); got.RoutesVersion() != 3 || f.fetch(t.Context()) {
+		t.Errorf("the entry has version %d, want 3 and no further fetch", got.RoutesVersion())
+	}
+}
--- a/route.go
+++ b/route.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	maxRoutes       = 20_000
+	// MaxRoutes is the maximum number of routes of a table.
+	MaxRoutes       = 20_000
 	maxHostLength   = 253
 	maxPrefixLength = 2048
 	maxWeight       = 1_000_000
@@ -97,8 +98,8 @@
 	if len(t.Services) > maxServices {
 		f.Add("services", "must have at most %d entries", maxServices)
 	}
-	if len(t.Routes) > maxRoutes {
-		f.Add("routes", "must have at most %d entries", maxRoutes)
+	if len(t.Routes) > MaxRoutes {
+		f.Add("routes", "must have at most %d entries", MaxRoutes)
 	}
 	if len(f) > 0 {
 		return f
