--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -29,6 +29,9 @@
 	shedRetryAfter = 250 * time.Millisecond
 )
 
+// errStopping is the cause of the end of requests that are open at the end of a stop.
+var errStopping = errors.New("bfgateway: entry stops")
+
 type (
 	// forwarder sends one request to backend servers, with retries and hedging, until a
 	// try returns the answer.
@@ -125,7 +128,7 @@
 	now := time.Now()
 	try, err := f.node.steering.Choose(now, bfsteering.Request{
 		Route: f.call.route.Route, Service: f.call.service, Key: f.call.affinityKey,
-		Remaining: time.Until(f.call.request.Deadline), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
+		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
 	})
 	if err != nil {
 		return err
@@ -250,6 +253,9 @@
 		return f.serverError, nil
 	}
 	if f.pending > 0 || f.mayHaveRun {
+		if errors.Is(context.Cause(f.ctx), errStopping) {
+			return nil, &briarferry.Refusal{Status: http.StatusBadGateway, Outcome: briarferry.OutcomeUnknown, Reason: "the entry stops before a backend server has answered"}
+		}
 		return nil, &briarferry.Refusal{Status: http.StatusGatewayTimeout, Outcome: briarferry.OutcomeUnknown, Reason: "no backend server answered in time"}
 	}
 	return nil, &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "no backend server was free in time", RetryAfter: shedRetryAfter}
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -108,6 +108,9 @@
 	ctx, hasLeft, stop := bfcaller.Follow(ctx)
 	defer stop()
 	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(n.aborting, func() { abort(errStopping) })()
 	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
 	defer cancel()
 	answer, err := n.forward(ctx, c)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -31,9 +31,13 @@
 )
 
 const (
-	// stopMargin is the part of the grace period that is left after open requests are
-	// aborted.
-	stopMargin = 400 * time.Millisecond
+	// abortMargin is the part of the grace period that is left when open requests are
+	// answered without a server's answer, and closeMargin when their connections are closed.
+	abortMargin = 400 * time.Millisecond
+	closeMargin = 200 * time.Millisecond
+	// stopTimeFactor is how many times a try's expected time must fit into the time until
+	// open requests are aborted. Single tries take longer than expected.
+	stopTimeFactor = 2
 	// probeInterval is the interval at which the entry looks for servers that are due for a
 	// probe, and probeTimeout the time limit of one probe.
 	probeInterval = 100 * time.Millisecond
@@ -84,6 +88,11 @@
 		routes     atomic.Pointer[bfroute.Table]
 		active     atomic.Int64
 		stopPhase  atomic.Int32
+		// abortsAt is when open requests are aborted; it is nil unless the entry stops.
+		abortsAt atomic.Pointer[time.Time]
+		// aborting ends when open requests are aborted.
+		aborting   context.Context
+		abort      context.CancelFunc
 		logSampler logSampler
 		// invalidLoads logs invalid load reports.
 		invalidLoads invalidHeaderLog
@@ -106,6 +115,7 @@
 func (n *Node) isReady() bool { return n.routes.Load() != nil && !n.stopping() }
 
 func (n *Node) setup() {
+	n.aborting, n.abort = context.WithCancel(context.Background())
 	n.fleet = &fleetSync{
 		self: bfwire.EntryInfo{
 			Name: n.VM.Name, Region: n.VM.Region, FailureDomain: n.VM.FailureDomain,
@@ -204,6 +214,8 @@
 // then waits for the requests in flight.
 func (n *Node) drain(ctx context.Context) {
 	started := time.Now()
+	abortsAt := started.Add(n.GracePeriod - abortMargin)
+	n.abortsAt.Store(&abortsAt)
 	n.Log.Info().Int64("active", n.active.Load()).Dur("drain_for_ms", n.DrainTime).Dur("grace_ms", n.GracePeriod).Msg("draining entry")
 	n.stopPhase.Store(draining)
 	n.fleet.announce()
@@ -213,11 +225,23 @@
 	}
 	n.stopPhase.Store(refusing)
 	n.server.stopAccepting(n.listener)
-	end, cancel := context.WithDeadline(context.Background(), started.Add(n.GracePeriod-stopMargin))
+	timer := time.AfterFunc(time.Until(abortsAt), n.abort)
+	defer timer.Stop()
+	end, cancel := context.WithDeadline(context.Background(), started.Add(n.GracePeriod-closeMargin))
 	defer cancel()
 	n.server.shutdown(end)
 }
 
+// timeForTry limits the time that a try may be expected to take, so that it ends before open
+// requests are aborted.
+func (n *Node) timeForTry(left time.Duration) time.Duration {
+	abortsAt := n.abortsAt.Load()
+	if abortsAt == nil {
+		return left
+	}
+	return min(left, time.Until(*abortsAt)/stopTimeFactor)
+}
+
 func (n *Node) listen(ctx context.Context, group *errgroup.Group, address netip.AddrPort, s *http.Server) {
 	s.ErrorLog = discardLog()
 	group.Go(func() error {
