--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -86,6 +86,7 @@
 		t.eject(now, "connection refused")
 	case Unreachable:
 		if !t.steering.link.connectTimedOut(now, srv.FailureDomain) {
+			t.steering.noteUnreachable(srv)
 			t.eject(now, "connection timed out")
 		}
 	case ConnectionLost:
@@ -182,6 +183,14 @@
 		Int("in_flight", srv.inFlight).Dur("pause_ms", srv.ejectedUntil.Sub(now)).Msg("backend server ejected")
 }
 
+// noteUnreachable marks an unreachable server as restarted if no control VM can tell whether it
+// was: it may have lost its power, and would then return cold.
+func (s *Steering) noteUnreachable(srv *server) {
+	if s.InContact != nil && !s.InContact() {
+		srv.restarted = true
+	}
+}
+
 // ServersToCheck returns the servers to be checked now: ejected ones, and those suspected
 // because of an overdue answer.
 func (s *Steering) ServersToCheck(now time.Time) []briarferry.Backend {
@@ -217,8 +226,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, srv := range v.servers {
+		if srv.ID != b.InstanceID {
+			continue
+		}
+		switch {
+		case o == Refused:
+			srv.restarted = true
+		case o == Unreachable && !linkCongested:
+			s.noteUnreachable(srv)
+		}
 		switch {
-		case srv.ID != b.InstanceID:
 		case !alive && !srv.ejected() && !linkCongested:
 			s.eject(now, srv, "no connection")
 		case alive && srv.ejected():
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -79,8 +79,9 @@
 		ejectedUntil    time.Time
 		ejections       int
 		availability    availability
-		// restarted marks a server that has probably restarted: it refused a connection, or
-		// maxLostConnections in a row were lost.
+		// restarted marks a server that has probably restarted: it refused a connection,
+		// maxLostConnections in a row were lost, or it was unreachable while no control VM
+		// could be heard.
 		restarted bool
 
 		errorRate decayingAverage
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -39,6 +39,9 @@
 		// Connected reports whether there is an idle connection to a server; nil means that
 		// there always is one.
 		Connected func(address netip.AddrPort) bool
+		// InContact reports whether control VMs can be heard, which tell when servers turn cold;
+		// nil means that they can.
+		InContact func() bool
 		Limits    Limits
 		Log       zerolog.Logger
 		// Counts counts the notices of servers.
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -131,6 +131,7 @@
 		Entries: func() int { return len(n.fleet.Live()) }, RegionPeers: n.fleet.regionPeerCount,
 	}
 	n.fleet.onRTT = n.steering.SetRoundTripTime
+	n.steering.InContact = n.fleet.Connected
 	n.steering.Connected = func(address netip.AddrPort) bool { return n.upstream.HasIdle(address) }
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.fleet, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
