--- a/internal/coordination/bfroute/table.go
+++ b/internal/coordination/bfroute/table.go
@@ -3,8 +3,6 @@
 package bfroute
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"sync"
 
@@ -17,7 +15,13 @@
 		Version uint64
 		Limits  briarferry.EntryLimits
 
-		hosts map[string][]*Route
+		hosts map[string]*hostRoutes
+	}
+
+	// hostRoutes are the routes of a host by their prefix, and the length of the longest one.
+	hostRoutes struct {
+		byPrefix map[string]*Route
+		longest  int
 	}
 
 	// Route is a route with the state of its traffic split.
@@ -31,22 +35,32 @@
 
 // New prepares a route table for look-ups.
 func New(t *briarferry.RouteTable) *Table {
-	table := &Table{Version: t.Version, Limits: t.Limits, hosts: map[string][]*Route{}}
+	table := &Table{Version: t.Version, Limits: t.Limits, hosts: map[string]*hostRoutes{}}
 	for i := range t.Routes {
 		r := &Route{Route: &t.Routes[i], currentWeights: make([]int, len(t.Routes[i].Split))}
-		host := strings.ToLower(r.Host)
-		table.hosts[host] = append(table.hosts[host], r)
-	}
-	for _, routes := range table.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		name := strings.ToLower(r.Host)
+		host := table.hosts[name]
+		if host == nil {
+			host = &hostRoutes{byPrefix: map[string]*Route{}}
+			table.hosts[name] = host
+		}
+		host.byPrefix[r.Prefix] = r
+		host.longest = max(host.longest, len(r.Prefix))
 	}
 	return table
 }
 
-// Find returns the host's route with the longest prefix that matches the path, or nil.
+// Find returns the host's route with the longest prefix that matches the path, or nil. Every
+// prefix ends with a slash, so its time grows with the slashes of the path and not with the
+// number of routes.
 func (t *Table) Find(hostport, path string) *Route {
-	for _, r := range t.hosts[briarferry.HostName(hostport)] {
-		if strings.HasPrefix(path, r.Prefix) {
+	host := t.hosts[briarferry.HostName(hostport)]
+	if host == nil {
+		return nil
+	}
+	path = path[:min(len(path), host.longest)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := host.byPrefix[path[:end+1]]; r != nil {
 			return r
 		}
 	}
--- a/internal/coordination/bfroute/table_test.go
+++ b/internal/coordination/bfroute/table_test.go
@@ -1,8 +1,12 @@
 package bfroute
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"briarferry"
 )
 
@@ -31,6 +35,53 @@
 	}
 }
 
+// TestFindLongestPrefix guards against a request that takes another route than the one that a
+// comparison with all prefixes finds.
+func TestFindLongestPrefix(t *testing.T) {
+	paths := rapid.Custom(func(r *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"", "a", "b", "ab"}), 0, 4).Draw(r, "parts"), "/")
+	})
+	rapid.Check(t, func(r *rapid.T) {
+		prefixes := map[string]bool{}
+		var routes []briarferry.Route
+		for _, p := range rapid.SliceOfN(paths, 0, 8).Draw(r, "prefixes") {
+			if p = strings.TrimSuffix(p, "/") + "/"; !prefixes[p] {
+				prefixes[p] = true
+				routes = append(routes, route(p, "h", p))
+			}
+		}
+		path, want := paths.Draw(r, "path"), ""
+		for p := range prefixes {
+			if strings.HasPrefix(path, p) && len(p) > len(want) {
+				want = p
+			}
+		}
+		got := ""
+		if found := New(&briarferry.RouteTable{Routes: routes}).Find("h", path); found != nil {
+			got = found.Name
+		}
+		if got != want {
+			r.Fatalf("%q takes route %q, want %q of %v", path, got, want, prefixes)
+		}
+	})
+}
+
+// BenchmarkFind shows that the time of a look-up doesn't grow with the number of routes.
+func BenchmarkFind(b *testing.B) {
+	for _, n := range []int{10, 1_400, 20_000} {
+		var routes []briarferry.Route
+		for i := range n {
+			routes = append(routes, route("r", "shop.example", fmt.Sprintf("/p%d/x/", i)))
+		}
+		table := New(&briarferry.RouteTable{Routes: append(routes, route("all", "shop.example", "/"))})
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				table.Find("shop.example", "/q/other/path")
+			}
+		})
+	}
+}
+
 // TestNextServiceFollowsWeights guards against a traffic split that deviates from the
 // weights over few requests.
 func TestNextServiceFollowsWeights(t *testing.T) {
