--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -161,7 +161,10 @@
 	if r.Key == "" || !r.Route.Affinity {
 		return ""
 	}
-	return r.Route.Name + "\x00" + r.Key
+	if r.cacheKey == "" {
+		r.cacheKey = r.Route.Name + "\x00" + r.Key
+	}
+	return r.cacheKey
 }
 
 // Unwrap returns the underlying refusal.
@@ -186,10 +189,12 @@
 }
 
 // candidates returns the servers that may get the request now, or why there are none.
-// Ejected servers are only included if there are no others.
+// Ejected servers are only included if there are no others. The list is valid until the next
+// call.
 func (v *service) candidates(now time.Time, s *Steering, r *Request, m *routeModel) ([]candidate, noCandidate) {
 	none := noCandidate{reason: "no backend server is registered for the service"}
-	var eligible, ejected []candidate
+	eligible, ejected := v.eligible[:0], v.ejected[:0]
+	defer func() { v.eligible, v.ejected = eligible, ejected }()
 	entries := s.entries()
 	positions := v.positions(s, r)
 	for _, srv := range v.servers {
@@ -212,10 +217,11 @@
 		}
 		eligible = append(eligible, c)
 	}
-	if len(eligible) == 0 {
-		eligible = ejected
+	list := eligible
+	if len(list) == 0 {
+		list = ejected
 	}
-	return s.shift.filter(now, eligible), none
+	return s.shift.filter(now, list), none
 }
 
 // addPause records a server that asked for a pause and gets requests again at the given
--- a/internal/coordination/bfsteering/positions.go
+++ b/internal/coordination/bfsteering/positions.go
@@ -18,8 +18,13 @@
 		topInDomain bool
 	}
 
-	// topServers holds the primary and the secondary server of an area for a key.
-	topServers [2]*server
+	// topServers holds the primary and the secondary server of an area for a key, and their
+	// ranks.
+	topServers struct {
+		area    area
+		servers [2]*server
+		ranks   [2]uint64
+	}
 
 	// area is a region or, for routes with large answers, a failure domain. All entries of
 	// an area use the same few servers for a key. With failure domains a key is cached in
@@ -34,25 +39,37 @@
 	positions struct {
 		own      area
 		byDomain bool
-		areas    map[area]topServers
+		// areas are few: the regions, or the failure domains.
+		areas []topServers
 		// topInDomain is the highest-ranked server in this entry's failure domain.
 		topInDomain *server
+		domainRank  uint64
 		// remote is the highest-ranked server of all other regions together. One server
 		// there that has the key is better than one per region.
-		remote *server
+		remote     *server
+		remoteRank uint64
 	}
 )
 
-func (p topServers) order(srv *server) int {
+func (t *topServers) order(srv *server) int {
 	switch srv {
-	case p[0]:
+	case t.servers[0]:
 		return 0
-	case p[1]:
+	case t.servers[1]:
 		return 1
 	}
 	return 2
 }
 
+func (t *topServers) add(srv *server, rank uint64) {
+	switch {
+	case t.servers[0] == nil || rank > t.ranks[0]:
+		t.servers, t.ranks = [2]*server{srv, t.servers[0]}, [2]uint64{rank, t.ranks[0]}
+	case t.servers[1] == nil || rank > t.ranks[1]:
+		t.servers[1], t.ranks[1] = srv, rank
+	}
+}
+
 // positions ranks the servers that may get the request by its key.
 func (v *service) positions(s *Steering, r *Request) *positions {
 	key := r.key()
@@ -68,7 +85,7 @@
 }
 
 func (v *service) rank(s *Steering, r *Request, hash uint64, byDomain bool) *positions {
-	p := &positions{byDomain: byDomain, areas: map[area]topServers{}}
+	p := &positions{byDomain: byDomain}
 	p.own = p.areaOf(s.Region, s.FailureDomain)
 	for _, srv := range v.servers {
 		if srv.usable(r) && !srv.ejected() {
@@ -87,21 +104,24 @@
 
 func (p *positions) add(srv *server, hash uint64, s *Steering) {
 	rank := srv.rank(hash)
-	if srv.FailureDomain == s.FailureDomain && (p.topInDomain == nil || rank > p.topInDomain.rank(hash)) {
-		p.topInDomain = srv
+	if srv.FailureDomain == s.FailureDomain && (p.topInDomain == nil || rank > p.domainRank) {
+		p.topInDomain, p.domainRank = srv, rank
 	}
-	if srv.region != p.own.region && (p.remote == nil || rank > p.remote.rank(hash)) {
-		p.remote = srv
+	if srv.region != p.own.region && (p.remote == nil || rank > p.remoteRank) {
+		p.remote, p.remoteRank = srv, rank
 	}
-	in := p.areaOf(srv.region, srv.FailureDomain)
-	top := p.areas[in]
-	switch {
-	case top[0] == nil || rank > top[0].rank(hash):
-		top[0], top[1] = srv, top[0]
-	case top[1] == nil || rank > top[1].rank(hash):
-		top[1] = srv
+	p.topOf(p.areaOf(srv.region, srv.FailureDomain)).add(srv, rank)
+}
+
+// topOf returns the top servers of an area, which it adds if there are none yet.
+func (p *positions) topOf(a area) *topServers {
+	for i := range p.areas {
+		if p.areas[i].area == a {
+			return &p.areas[i]
+		}
 	}
-	p.areas[in] = top
+	p.areas = append(p.areas, topServers{area: a})
+	return &p.areas[len(p.areas)-1]
 }
 
 // of returns the position of a server.
@@ -110,7 +130,7 @@
 		return position{order: 2}
 	}
 	in := p.areaOf(srv.region, srv.FailureDomain)
-	order := p.areas[in].order(srv)
+	order := p.topOf(in).order(srv)
 	switch {
 	case srv == p.remote:
 		return position{missClass: missRemote}
--- a/internal/coordination/bfsteering/shift_limiter.go
+++ b/internal/coordination/bfsteering/shift_limiter.go
@@ -128,7 +128,7 @@
 		growth[region] = (float64(latest[region])+priorRequests*share+1)/float64(latestAll+priorRequests+1) - share
 		least = min(least, growth[region])
 	}
-	kept := make([]candidate, 0, len(list))
+	kept := list[:0]
 	for _, c := range list {
 		if growth[c.server.region] <= max(least, entryShiftShare*l.maxShift) {
 			kept = append(kept, c)
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -86,6 +86,9 @@
 		Retry bool
 		// OnTimeOnly requests a server only if one can answer within the target.
 		OnTimeOnly bool
+
+		// cacheKey is the result of key, which is needed for each server.
+		cacheKey string
 	}
 
 	// service holds the state of one service, guarded by its own mutex.
@@ -99,6 +102,9 @@
 		firstListAt time.Time
 		models      map[string]*routeModel
 		retries     retryBudget
+		// eligible and ejected are the memory for the lists of candidates, which every
+		// request would allocate otherwise.
+		eligible, ejected []candidate
 	}
 )
 
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -55,6 +55,8 @@
 		client *http.Client
 		state  atomic.Pointer[bffleet.State]
 		live   atomic.Pointer[[]briarferry.VM]
+		// regionPeers is the number of other entries in live that are in this entry's region.
+		regionPeers atomic.Int64
 		// fetchNow and heartbeatNow are signals to fetch and to send a heartbeat.
 		fetchNow     chan struct{}
 		heartbeatNow chan struct{}
@@ -339,6 +341,19 @@
 		return 1
 	})
 	f.live.Store(&vms)
+	f.regionPeers.Store(countRegionPeers(f.self, vms))
+}
+
+// countRegionPeers returns the number of other VMs in the entry's region. It is not counted for
+// each request and server, which would cost entries times servers.
+func countRegionPeers(self bfwire.EntryInfo, vms []briarferry.VM) int64 {
+	count := int64(0)
+	for _, vm := range vms {
+		if vm.Region == self.Region && vm.Name != self.Name {
+			count++
+		}
+	}
+	return count
 }
 
 // Self returns this entry.
@@ -348,15 +363,7 @@
 func (f *fleetSync) Live() []briarferry.VM { return *f.live.Load() }
 
 // regionPeerCount returns the number of other live entries in the region.
-func (f *fleetSync) regionPeerCount() int {
-	count := 0
-	for _, vm := range f.Live() {
-		if vm.Region == f.self.Region && vm.Name != f.self.Name {
-			count++
-		}
-	}
-	return count
-}
+func (f *fleetSync) regionPeerCount() int { return int(f.regionPeers.Load()) }
 
 // Connected reports whether heartbeats arrive from any control VM.
 func (f *fleetSync) Connected() bool {
