--- a/internal/transport/bfupstream/abandoned_test.go
+++ b/internal/transport/bfupstream/abandoned_test.go
@@ -1,6 +1,7 @@
 package bfupstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -47,6 +48,44 @@
 	}
 }
 
+// TestAcknowledgedRequestIsClosed guards against a reset, which may be lost for good, as the only
+// notice that a server gets of an abandoned request that it has received.
+func TestAcknowledgedRequestIsClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	ended := make(chan error, 1)
+	ctx, abandon := context.WithCancel(t.Context())
+	go func() {
+		server, err := ln.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = server.Close() }()
+		br := bufio.NewReader(server)
+		if _, err := http.ReadRequest(br); err != nil {
+			ended <- err
+			return
+		}
+		// The acknowledgement may be delayed.
+		time.Sleep(200 * time.Millisecond)
+		abandon()
+		_, err = br.ReadByte()
+		ended <- err
+	}()
+	c := New()
+	b := briarferry.Backend{Announcement: briarferry.Announcement{Address: netip.MustParseAddrPort(ln.Addr().String()), ConnectionLimit: 1}}
+	if _, err := c.Do(ctx, b, &briarferry.Request{ID: "q1", Method: http.MethodGet, Target: "/", Deadline: time.Now().Add(time.Minute)}); err == nil {
+		t.Error("the abandoned request was answered")
+	}
+	if err := <-ended; err != io.EOF {
+		t.Errorf("the server's connection ended with %v, want EOF", err)
+	}
+}
+
 // TestAnsweredConnectionIsClosed guards against a reset of connections that are closed after
 // their last answer, which servers would count as failures.
 func TestAnsweredConnectionIsClosed(t *testing.T) {
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 var errNoAnswer = errors.New("connection ended before its answer")
@@ -163,7 +165,7 @@
 	abandoned := !c.answered
 	c.mu.Unlock()
 	if abandoned {
-		discardUnsent(c.raw)
+		discardUnacknowledged(c.raw)
 	}
 	_ = c.raw.Close()
 	c.pool.remove(c)
@@ -173,18 +175,35 @@
 	}
 }
 
-// discardUnsent makes the next Close reset a TCP connection. Otherwise the operating system
-// goes on sending what the server has not acknowledged yet, so that an abandoned request
-// would reach the server after a partition has ended.
-func discardUnsent(c net.Conn) {
+// discardUnacknowledged makes the next Close reset a TCP connection if the server has not
+// acknowledged everything. Otherwise the operating system goes on sending the rest, so that an
+// abandoned request would reach the server after a partition has ended. A connection on which
+// all is acknowledged is closed in the ordinary way: the end of a connection is sent again
+// until it arrives, while a reset that is lost leaves the server at work.
+func discardUnacknowledged(c net.Conn) {
 	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = wrapper.NetConn()
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(*net.TCPConn); ok && !isAcknowledged(tcp) {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// isAcknowledged reports whether the other end has acknowledged all bytes that were written. It
+// returns false where the operating system doesn't tell.
+func isAcknowledged(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	acknowledged := false
+	err = raw.Control(func(fd uintptr) {
+		unacknowledged, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		acknowledged = err == nil && unacknowledged == 0
+	})
+	return err == nil && acknowledged
+}
+
 func (c *conn) usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
