--- a/internal/coordination/bfquarantine/quarantine.go
+++ b/internal/coordination/bfquarantine/quarantine.go
@@ -249,6 +249,8 @@
 		coordinator := q.coordinator(fingerprint)
 		ok, err := q.acquireLockAt(ctx, coordinator, r)
 		if err != nil {
+			// The lock may have been granted although no answer came.
+			go q.releaseLockAt(context.WithoutCancel(ctx), coordinator, r)
 			return nil, refuseSuspect("the entry that coordinates a suspect request can't be reached")
 		}
 		if ok {
--- a/internal/coordination/bfquarantine/quarantine_test.go
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -252,6 +252,52 @@
 	})
 }
 
+// lostGrants is a system in which locks are granted but the answer is lost.
+type lostGrants struct {
+	*fakeSystem
+	lost int
+}
+
+func (s *lostGrants) Lock(ctx context.Context, vm briarferry.VM, r LockRequest) (bool, error) {
+	if _, err := s.fakeSystem.Lock(ctx, vm, r); err != nil {
+		return false, err
+	}
+	s.lost++
+	return false, context.Canceled
+}
+
+// TestLostGrant guards against a lock that stays held, for as long as a request may take, after
+// its holder gave up before it learned that it had the lock.
+func TestLostGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSystem(7)
+		startRun(t, s.entry(0), 1, 0)(briarferry.RunCrashed)
+		faulty := &lostGrants{fakeSystem: s}
+		coordinator := s.entry(0).coordinator(1)
+		var holder, next *Quarantine
+		for _, q := range s.entries {
+			switch {
+			case q.Members.Self().Name == coordinator.Name:
+			case holder == nil:
+				holder = q
+			default:
+				next = q
+			}
+		}
+		holder.Peers = faulty
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if _, err := holder.StartRun(ctx, 1, server(2)); err == nil || faulty.lost == 0 {
+			t.Fatalf("the run started, %v; %d grants were lost", err, faulty.lost)
+		}
+		started := time.Now()
+		startRun(t, next, 1, 4)(briarferry.RunAnswered)
+		if waited := time.Since(started); waited > 2*time.Second {
+			t.Errorf("the next run waited %v for the lock", waited)
+		}
+	})
+}
+
 // TestCleanRunBetweenCrashes guards against refusing a harmless request that was alone in
 // flight at two servers that crashed for another reason, and ran well in between.
 func TestCleanRunBetweenCrashes(t *testing.T) {
