--- a/internal/transport/bfcontrol/order_test.go
+++ b/internal/transport/bfcontrol/order_test.go
@@ -108,7 +108,14 @@
 			t.Fatal(err)
 		}
 	}
+	catchUp := func() {
+		t.Helper()
+		if err := eventually(t, nodes[0].catchUp); err != nil {
+			t.Fatal(err)
+		}
+	}
 	evacuate(false)
+	catchUp()
 	base := nodes[0].machine.State().EvacuationOrders["a"]
 	evacuate(true)
 	evacuate(false)
@@ -121,6 +128,7 @@
 	if err != nil || r.Code != bffleet.CodeConflict {
 		t.Errorf("delayed withdrawal: code %q, error %v, want a conflict", r.Code, err)
 	}
+	catchUp()
 	if got := nodes[0].machine.State().Evacuated; !slices.Equal(got, []string{"a"}) {
 		t.Errorf("evacuated %v, want a", got)
 	}
