--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -35,6 +36,10 @@
 
 		mu      sync.Mutex
 		entries map[string]*entryState
+		// liveDigest identifies the live entries until liveDigestUntil, the next time at which
+		// one may expire. A zero time means that they have changed.
+		liveDigest      uint64
+		liveDigestUntil time.Time
 	}
 
 	entryState struct {
@@ -61,7 +66,7 @@
 	}
 	e := t.entries[b.Entry.Name]
 	switch {
-	case e == nil && len(t.entries) >= maxEntries:
+	case e == nil && len(t.entries) >= maxEntries && !t.forgetExpired(now):
 		return false
 	case e != nil && b.Entry.Incarnation < e.info.Incarnation && now.Sub(e.lastHeartbeat) <= entryExpiry:
 		return false
@@ -72,14 +77,28 @@
 		t.log.Info().Str("entry", b.Entry.Name).Bool("ready", b.Ready).Uint64("incarnation", b.Entry.Incarnation).
 			Uint64("revision", b.Revision).Msg("entry added or changed")
 	}
+	if e == nil || !t.isLive(now, e) || e.info.HTTP != b.Entry.HTTP {
+		t.liveDigestUntil = time.Time{}
+	}
 	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, utilization: b.Load, sequence: b.Sequence, lastHeartbeat: now}
 	return true
 }
 
+// forgetExpired deletes the entries that have expired. It returns false if there are none.
+func (t *entryTable) forgetExpired(now time.Time) bool {
+	before := len(t.entries)
+	maps.DeleteFunc(t.entries, func(_ string, e *entryState) bool { return !t.isLive(now, e) })
+	return len(t.entries) < before
+}
+
 // live returns the entries that have not expired, sorted by name.
 func (t *entryTable) live(now time.Time) []bfwire.EntryInfo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.liveLocked(now)
+}
+
+func (t *entryTable) liveLocked(now time.Time) []bfwire.EntryInfo {
 	var out []bfwire.EntryInfo
 	for _, e := range t.entries {
 		if t.isLive(now, e) {
@@ -104,15 +123,27 @@
 	return false
 }
 
-// digest identifies the set of live entries.
+// digest identifies the set of live entries. It is part of each heartbeat to each entry, so it
+// is only computed when the set may have changed.
 func (t *entryTable) digest(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.liveDigestUntil) {
+		return t.liveDigest
+	}
 	d := xxhash.New()
-	for _, e := range t.live(now) {
+	t.liveDigestUntil = now.Add(entryExpiry)
+	for _, e := range t.liveLocked(now) {
 		_, _ = d.WriteString(e.Name)
 		_, _ = d.Write([]byte{0})
 		_, _ = d.WriteString(e.HTTP.String())
+		// A live entry counts for entryExpiry after its heartbeat, that moment included.
+		if expires := t.entries[e.Name].lastHeartbeat.Add(entryExpiry + 1); expires.Before(t.liveDigestUntil) {
+			t.liveDigestUntil = expires
+		}
 	}
-	return d.Sum64()
+	t.liveDigest = d.Sum64()
+	return t.liveDigest
 }
 
 // lookup returns the entries for a caller in a failure domain: the ready ones there, or
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -205,22 +205,24 @@
 		return
 	}
 	if n.entries.heartbeat(time.Now(), heartbeat) {
-		n.sendHeartbeat(heartbeat.Entry.Gossip, heartbeat.Sequence)
+		if data, ok := n.encodeHeartbeat(heartbeat.Sequence); ok {
+			n.gossip.Send(heartbeat.Entry.Gossip, data)
+		}
 	}
 }
 
-// sendHeartbeat sends an entry this VM's revision and its digest of the live entries. Echo
-// is the sequence of the entry's heartbeat that it answers, or 0.
-func (n *Node) sendHeartbeat(to netip.AddrPort, echo uint64) {
+// encodeHeartbeat returns a message with this VM's revision and its digest of the live entries.
+// Echo is the sequence of the entry's heartbeat that it answers, or 0.
+func (n *Node) encodeHeartbeat(echo uint64) ([]byte, bool) {
 	data, err := bfwire.Encode(&bfwire.ControlHeartbeat{
 		From: n.RPC, FailureDomain: n.FailureDomain, Revision: n.machine.State().Revision, EchoSequence: echo,
 		ControlAddrs: n.memberAddresses(), EntriesDigest: n.entries.digest(time.Now()),
 	})
 	if err != nil {
 		n.Log.Error().Err(err).Msg("encoding heartbeat failed")
-		return
+		return nil, false
 	}
-	n.gossip.Send(to, data)
+	return data, true
 }
 
 // memberAddresses returns the addresses of the Raft group's members.
@@ -239,8 +241,10 @@
 func (n *Node) notify(ctx context.Context) {
 	for {
 		changed := n.machine.Changed()
-		for _, to := range n.entries.live(time.Now()) {
-			n.sendHeartbeat(to.Gossip, 0)
+		if data, ok := n.encodeHeartbeat(0); ok {
+			for _, to := range n.entries.live(time.Now()) {
+				n.gossip.Send(to.Gossip, data)
+			}
 		}
 		select {
 		case <-ctx.Done():
