--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -105,14 +105,8 @@
 		return
 	}
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
-	ctx, hasLeft, stop := bfcaller.Follow(ctx)
+	ctx, stop := n.requestContext(ctx, c)
 	defer stop()
-	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
-	ctx, abort := context.WithCancelCause(ctx)
-	defer abort(nil)
-	defer context.AfterFunc(n.aborting, func() { abort(errStopping) })()
-	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
-	defer cancel()
 	answer, err := n.forward(ctx, c)
 	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), bfcaller.ErrLeft) {
 		n.logRequest(c, "caller_left", 0, nil)
@@ -131,6 +125,22 @@
 	writeAnswer(w, answer)
 }
 
+// requestContext returns the context of a request's tries. It ends when the caller leaves, at
+// the request's deadline, and when open requests are aborted.
+func (n *Node) requestContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+	ctx, hasLeft, stopFollowing := bfcaller.Follow(ctx)
+	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
+	ctx, abort := context.WithCancelCause(ctx)
+	stopAborting := context.AfterFunc(n.aborting, func() { abort(errStopping) })
+	ctx, cancel := context.WithDeadline(ctx, c.request.Deadline)
+	return ctx, func() {
+		cancel()
+		stopAborting()
+		abort(nil)
+		stopFollowing()
+	}
+}
+
 // countIfLeft counts a request whose caller has left before a try, and returns its argument.
 func (c *call) countIfLeft(left bool) bool {
 	if left && c.leftBeforeDispatch.CompareAndSwap(false, true) {
