--- a/internal/transport/bfgateway/download_test.go
+++ b/internal/transport/bfgateway/download_test.go
@@ -50,6 +50,12 @@
 	if err != nil || got.status != 200 || len(got.body) != downloadBytes || got.header.Get("X-Signature") != "1" {
 		t.Fatalf("status %d, %d bytes, %v", got.status, len(got.body), err)
 	}
+	// The caller has the whole body before the entry logs the request.
+	waitFor(t, func() bool {
+		e.node.logSampler.mu.Lock()
+		defer e.node.logSampler.mu.Unlock()
+		return e.node.logSampler.lines > 0
+	})
 	e.node.logSampler.mu.Lock()
 	if lines := e.node.logSampler.lines; lines != 1 {
 		t.Errorf("%d log lines for an ordinary download that comes first, want 1", lines)
