--- a/internal/transport/bfcaller/conn.go
+++ b/internal/transport/bfcaller/conn.go
@@ -34,8 +34,8 @@
 		endedAt time.Time
 		// ahead are the bytes that were read but not returned yet.
 		ahead []byte
-		// returnedByte is true if the last read was for one byte and returned it. Those of
-		// net/http while a request is handled are; it reads no further until the request's end.
+		// returnedByte is true if the last read asked for one byte and got it, as net/http does
+		// while it handles a request. It then reads no further until the request has ended.
 		returnedByte bool
 	}
 
@@ -102,7 +102,7 @@
 	if !active {
 		return
 	}
-	// A deadline that is reset before the reader has noticed it has no effect.
+	// The deadline must stay until the reader has noticed it.
 	_ = c.SetReadDeadline(longAgo)
 	<-a.done
 	_ = c.SetReadDeadline(time.Time{})
