--- a/interfaces.go
+++ b/interfaces.go
@@ -124,6 +124,21 @@
 		StartRun(ctx context.Context, fingerprint uint64, b Backend) (done func(result RunResult), err error)
 	}
 
+	// Quotas admits requests of organisations within their quotas, which hold for all
+	// entries together.
+	Quotas interface {
+		// Acquire takes a token of the organisation's quota, and waits for one only while
+		// the answer of the quota's owner is under way. It returns a *Refusal with the time
+		// at which a token will be there if the quota is used up.
+		Acquire(ctx context.Context, organisation string) (QuotaToken, error)
+	}
+
+	// QuotaToken is the right to run one request.
+	QuotaToken interface {
+		// Return gives the token back. It is called for a request that certainly didn't run.
+		Return()
+	}
+
 	// Members provides the membership of the system's VMs.
 	Members interface {
 		// Self returns this VM.
--- a/internal/protocol/bfapi/dialect.go
+++ b/internal/protocol/bfapi/dialect.go
@@ -19,6 +19,11 @@
 	ParseRemainingTime  func(text string) (time.Duration, bool)
 	// AffinityCookie is the name of the cookie that carries the session affinity key.
 	AffinityCookie string
+	// KeyHeader carries the caller's organisation key, and OrganisationHeader the name of
+	// the organisation, which the entry sets for servers. If they are empty, requests have
+	// no organisation.
+	KeyHeader          string
+	OrganisationHeader string
 	// ExpectedInstanceHeader carries the ID of the only instance that may run the
 	// request. Any other instance answers 421 without running it.
 	ExpectedInstanceHeader string
--- a/request.go
+++ b/request.go
@@ -43,6 +43,8 @@
 		Body   []byte
 		// Key is the idempotency key; it is empty for an idempotent request.
 		Key string
+		// Organisation is the name of the caller's organisation, or empty.
+		Organisation string
 		// Class is the priority class, after the caller's requested urgency was applied.
 		Class    PriorityClass
 		Caller   netip.Addr
--- a/route.go
+++ b/route.go
@@ -31,6 +31,11 @@
 		Services []RouteService `json:"services" cbor:"2,keyasint"`
 		Routes   []Route        `json:"routes" cbor:"3,keyasint"`
 		Limits   EntryLimits    `json:"limits" cbor:"4,keyasint"`
+		// Organisations are the callers that have keys. Without any, callers need none.
+		Organisations []Organisation `json:"organisations,omitempty" cbor:"5,keyasint,omitempty"`
+		// KeySalt is the salt of the organisations' key digests. A later table keeps it, so
+		// that unchanged keys have unchanged digests.
+		KeySalt []byte `json:"key_salt,omitempty" cbor:"6,keyasint,omitempty"`
 	}
 
 	// RouteService is a group of backend servers to which routes send requests.
@@ -80,6 +85,11 @@
 		// LargeAnswers marks routes of downloads, whose answers have tens of kilobytes or
 		// more.
 		LargeAnswers bool `json:"large_answers,omitempty" cbor:"12,keyasint,omitempty"`
+		// LargeBodies marks routes of uploads, whose requests have bodies of tens of
+		// kilobytes or more.
+		LargeBodies bool `json:"large_bodies,omitempty" cbor:"13,keyasint,omitempty"`
+		// Open allows requests without an organisation's key.
+		Open bool `json:"open,omitempty" cbor:"14,keyasint,omitempty"`
 	}
 
 	// SplitPart is a service with the weight of its share of a route's requests.
@@ -129,6 +139,7 @@
 			paths[key] = true
 		}
 	}
+	t.validateOrganisations(&f)
 	f.Merge("limits", t.Limits.Validate())
 	return f
 }
