Send changed organisations with route changes

An entry that knew a table's organisations would have lost them with the next change of a route, as a RouteChange had none. It now has the organisations that changed, the names of those that are gone and the salt; tables without organisations are encoded as before. The rule for whole tables counts organisations as well as routes.

--- a/internal/state/bffleet/route_change.go
+++ b/internal/state/bffleet/route_change.go
@@ -1,19 +1,19 @@
 package bffleet
 
 import (
-	"reflect"
 	"slices"
 
 	"briarferry"
 )
 
 const (
-	// maxRouteHistory is the number of changes of the route table of which the routes are
-	// remembered, and maxRouteKeys the number of routes in them. An entry that has missed
-	// more gets the whole table.
+	// maxRouteHistory is the number of changes of the route table of which the routes and
+	// organisations are remembered, and maxRouteKeys the number of both in them. An entry that
+	// has missed more gets the whole table.
 	maxRouteHistory = 256
 	maxRouteKeys    = 16_384
-	// wholeTableShare is the share of changed routes from which the whole table is sent.
+	// wholeTableShare is the share of changed routes and organisations from which the whole
+	// table is sent.
 	wholeTableShare = 0.5
 )
 
@@ -35,13 +35,20 @@
 		// Services and Limits are those of the newer table.
 		Services []briarferry.RouteService `cbor:"5,keyasint"`
 		Limits   briarferry.EntryLimits    `cbor:"6,keyasint"`
+		// ChangedOrganisations were added or differ, and RemovedOrganisations are the names of
+		// those that are gone. KeySalt is that of the newer table.
+		ChangedOrganisations []briarferry.Organisation `cbor:"7,keyasint,omitempty"`
+		RemovedOrganisations []string                  `cbor:"8,keyasint,omitempty"`
+		KeySalt              []byte                    `cbor:"9,keyasint,omitempty"`
 	}
 
-	// pastChange names the routes that a change of the table added, changed or removed.
+	// pastChange names the routes and organisations that a change of the table added, changed
+	// or removed.
 	pastChange struct {
 		// revision is the log index of the change, and base the version before it.
 		revision, base uint64
 		keys           []RouteKey
+		organisations  []string
 	}
 
 	// routeHistory holds the latest changes of the route table, oldest first. It is not
@@ -50,40 +57,16 @@
 		// since is the revision of the table before the oldest change.
 		since   uint64
 		changes []pastChange
-		// keys is the number of keys in all changes.
+		// keys is the number of routes and organisations in all changes.
 		keys int
 	}
 )
 
 func keyOf(r *briarferry.Route) RouteKey { return RouteKey{Host: r.Host, Prefix: r.Prefix} }
 
-func routesByKey(t *briarferry.RouteTable) map[RouteKey]*briarferry.Route {
-	routes := make(map[RouteKey]*briarferry.Route, len(t.Routes))
-	for i := range t.Routes {
-		routes[keyOf(&t.Routes[i])] = &t.Routes[i]
-	}
-	return routes
-}
+func nameOf(o *briarferry.Organisation) string { return o.Name }
 
-// changedRoutes returns the keys of the routes that are not the same in both tables.
-func changedRoutes(from, to *briarferry.RouteTable) []RouteKey {
-	old := routesByKey(from)
-	var keys []RouteKey
-	for i := range to.Routes {
-		r := &to.Routes[i]
-		key := keyOf(r)
-		if before := old[key]; before == nil || !reflect.DeepEqual(before, r) {
-			keys = append(keys, key)
-		}
-		delete(old, key)
-	}
-	for i := range from.Routes {
-		if key := keyOf(&from.Routes[i]); old[key] != nil {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
+func (c *pastChange) size() int { return len(c.keys) + len(c.organisations) }
 
 // add returns the history with the change from one state to the next. The old history stays
 // unchanged, as published states share it.
@@ -91,15 +74,18 @@
 	if from.Routes == nil {
 		return routeHistory{since: to.RoutesRevision}
 	}
-	c := pastChange{revision: to.RoutesRevision, base: from.Routes.Version, keys: changedRoutes(from.Routes, to.Routes)}
+	c := pastChange{
+		revision: to.RoutesRevision, base: from.Routes.Version, keys: changedKeys(from.Routes.Routes, to.Routes.Routes, keyOf),
+		organisations: changedKeys(from.Routes.Organisations, to.Routes.Organisations, nameOf),
+	}
 	if len(h.changes) == 0 {
 		h.since = from.RoutesRevision
 	}
 	h.changes = append(slices.Clone(h.changes), c)
-	h.keys += len(c.keys)
+	h.keys += c.size()
 	for len(h.changes) > maxRouteHistory || h.keys > maxRouteKeys {
 		h.since = h.changes[0].revision
-		h.keys -= len(h.changes[0].keys)
+		h.keys -= h.changes[0].size()
 		h.changes = h.changes[1:]
 	}
 	return h
@@ -116,23 +102,16 @@
 	if first < 0 {
 		return nil
 	}
-	change := &RouteChange{Base: h.changes[first].base, Version: s.Routes.Version, Services: s.Routes.Services, Limits: s.Routes.Limits}
-	routes := routesByKey(s.Routes)
-	seen := map[RouteKey]bool{}
+	change := &RouteChange{Base: h.changes[first].base, Version: s.Routes.Version, Services: s.Routes.Services, Limits: s.Routes.Limits, KeySalt: s.Routes.KeySalt}
+	var keys []RouteKey
+	var names []string
 	for _, past := range h.changes[first:] {
-		for _, key := range past.keys {
-			if seen[key] {
-				continue
-			}
-			seen[key] = true
-			if r := routes[key]; r != nil {
-				change.Changed = append(change.Changed, *r)
-			} else {
-				change.Removed = append(change.Removed, key)
-			}
-		}
-	}
-	if float64(len(change.Changed)) > wholeTableShare*float64(len(s.Routes.Routes)) {
+		keys, names = append(keys, past.keys...), append(names, past.organisations...)
+	}
+	change.Changed, change.Removed = split(s.Routes.Routes, keys, keyOf)
+	change.ChangedOrganisations, change.RemovedOrganisations = split(s.Routes.Organisations, names, nameOf)
+	size, whole := len(change.Changed)+len(change.ChangedOrganisations), len(s.Routes.Routes)+len(s.Routes.Organisations)
+	if float64(size) > wholeTableShare*float64(whole) {
 		return nil
 	}
 	return change
@@ -140,31 +119,11 @@
 
 // apply returns the table after the change. The given table stays unchanged.
 func (c *RouteChange) apply(t *briarferry.RouteTable) *briarferry.RouteTable {
-	changed := make(map[RouteKey]*briarferry.Route, len(c.Changed))
-	for i := range c.Changed {
-		changed[keyOf(&c.Changed[i])] = &c.Changed[i]
-	}
-	removed := make(map[RouteKey]bool, len(c.Removed))
-	for _, key := range c.Removed {
-		removed[key] = true
-	}
-	next := &briarferry.RouteTable{Version: c.Version, Services: c.Services, Limits: c.Limits, Routes: make([]briarferry.Route, 0, len(t.Routes)+len(c.Changed))}
-	for i := range t.Routes {
-		key := keyOf(&t.Routes[i])
-		switch r := changed[key]; {
-		case r != nil:
-			next.Routes = append(next.Routes, *r)
-			delete(changed, key)
-		case !removed[key]:
-			next.Routes = append(next.Routes, t.Routes[i])
-		}
-	}
-	for i := range c.Changed {
-		if changed[keyOf(&c.Changed[i])] != nil {
-			next.Routes = append(next.Routes, c.Changed[i])
-		}
-	}
-	return next
+	return &briarferry.RouteTable{
+		Version: c.Version, Services: c.Services, Limits: c.Limits, KeySalt: c.KeySalt,
+		Routes:        merge(t.Routes, c.Changed, c.Removed, keyOf),
+		Organisations: merge(t.Organisations, c.ChangedOrganisations, c.RemovedOrganisations, nameOf),
+	}
 }
 
 // Validate reports every field that is out of range. The table that results is checked by
@@ -177,7 +136,12 @@
 	if len(c.Removed) > briarferry.MaxRoutes {
 		f.Add("removed", "must have at most %d entries", briarferry.MaxRoutes)
 	}
-	table := briarferry.RouteTable{Version: c.Version, Services: c.Services, Routes: c.Changed, Limits: c.Limits}
+	if len(c.RemovedOrganisations) > briarferry.MaxOrganisations {
+		f.Add("removed_organisations", "must have at most %d entries", briarferry.MaxOrganisations)
+	}
+	table := briarferry.RouteTable{
+		Version: c.Version, Services: c.Services, Routes: c.Changed, Limits: c.Limits, Organisations: c.ChangedOrganisations, KeySalt: c.KeySalt,
+	}
 	f.Merge("changed", table.Validate())
 	return f
 }
--- a/internal/state/bffleet/route_change_test.go
+++ b/internal/state/bffleet/route_change_test.go
@@ -1,6 +1,7 @@
 package bffleet
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"fmt"
 	"reflect"
@@ -43,14 +44,25 @@
 		route.Timeout *= briarferry.Duration(rapid.IntRange(1, 2).Draw(r, "timeout"))
 		t.Routes = append(t.Routes, route)
 	}
+	drawOrganisations(r, &t)
 	t.Services[0].ConnectionLimit = rapid.IntRange(1, 2).Draw(r, "connections")
 	t.Limits.MaxBodyBytes = rapid.Int64Range(0, 1).Draw(r, "body")
 	return t
 }
 
+// drawOrganisations adds some of a few organisations, each of which has one of two keys.
+func drawOrganisations(r *rapid.T, t *briarferry.RouteTable) {
+	for _, i := range rapid.Permutation([]int{0, 1, 2, 3}).Draw(r, "organisation order")[:rapid.IntRange(0, 4).Draw(r, "organisations")] {
+		t.KeySalt = testSalt
+		key := fmt.Sprint("key", i, rapid.IntRange(1, 2).Draw(r, "key"))
+		t.Organisations = append(t.Organisations, briarferry.Organisation{Name: fmt.Sprint("org", i), Keys: []briarferry.KeyDigest{briarferry.DigestKey(testSalt, key)}})
+	}
+}
+
 func sameTables(a, b *briarferry.RouteTable) bool {
 	return a.Version == b.Version && len(a.Routes) == len(b.Routes) && reflect.DeepEqual(a.Services, b.Services) && a.Limits == b.Limits &&
-		reflect.DeepEqual(routesByKey(a), routesByKey(b))
+		reflect.DeepEqual(byKey(a.Routes, keyOf), byKey(b.Routes, keyOf)) &&
+		reflect.DeepEqual(byKey(a.Organisations, nameOf), byKey(b.Organisations, nameOf)) && bytes.Equal(a.KeySalt, b.KeySalt)
 }
 
 // TestRouteChangeUpdates guards against an entry whose route table differs from that of the
--- a/organisation.go
+++ b/organisation.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"fmt"
@@ -47,6 +48,13 @@
 	}
 )
 
+// NewKeySalt returns a random salt for the key digests of a table.
+func NewKeySalt() []byte {
+	salt := make([]byte, KeySaltBytes)
+	_, _ = rand.Read(salt)
+	return salt
+}
+
 // DigestKey returns the digest of a key under a table's salt.
 func DigestKey(salt []byte, key string) KeyDigest {
 	mac := hmac.New(sha256.New, salt)
@@ -62,9 +70,24 @@
 // Limited reports whether the quota sets a limit.
 func (q Quota) Limited() bool { return q.Rate > 0 }
 
-// ServesIn reports whether servers in the region may handle the organisation's requests.
+// ServesIn reports whether servers in the region may handle the organisation's requests. For
+// nil, the requests of anonymous callers, every region may.
 func (o *Organisation) ServesIn(region string) bool {
-	return len(o.HomeRegions) == 0 || slices.Contains(o.HomeRegions, region)
+	return o == nil || len(o.HomeRegions) == 0 || slices.Contains(o.HomeRegions, region)
+}
+
+// SharesRegion reports whether the home regions leave a region in which the organisation's
+// requests on the route may run.
+func (o *Organisation) SharesRegion(r *Route) bool {
+	return o == nil || len(o.HomeRegions) == 0 || len(r.HomeRegions) == 0 || slices.ContainsFunc(o.HomeRegions, r.ServesIn)
+}
+
+// UrgencyOn returns the urgency of the organisation's requests on the route.
+func (o *Organisation) UrgencyOn(r *Route) int {
+	if o == nil || o.Urgency == nil {
+		return r.Urgency
+	}
+	return *o.Urgency
 }
 
 // Validate reports every field that is out of range.
@@ -105,7 +128,7 @@
 		f.Add("organisations", "must have at most %d entries", MaxOrganisations)
 		return
 	}
-	if len(t.Organisations) > 0 && len(t.KeySalt) != KeySaltBytes {
+	if len(t.Organisations)+len(t.KeySalt) > 0 && len(t.KeySalt) != KeySaltBytes {
 		f.Add("key_salt", "must have %d bytes", KeySaltBytes)
 	}
 	names, owners := map[string]bool{}, map[KeyDigest]string{}
--- a/route_test.go
+++ b/route_test.go
@@ -66,3 +66,68 @@
 		}
 	}
 }
+
+// TestOrganisationFindings guards against a table in which a key names two organisations, and
+// against findings that don't name the organisation.
+func TestOrganisationFindings(t *testing.T) {
+	salt := NewKeySalt()
+	cases := map[string]struct {
+		change func(t *RouteTable)
+		place  string
+	}{
+		"valid":                 {func(*RouteTable) {}, ""},
+		"shared key":            {func(t *RouteTable) { t.Organisations[1].Keys[0] = t.Organisations[0].Keys[1] }, "organisations[1].keys[0]"},
+		"key stands twice":      {func(t *RouteTable) { t.Organisations[0].Keys[1] = t.Organisations[0].Keys[0] }, "organisations[0].keys[1]"},
+		"name stands twice":     {func(t *RouteTable) { t.Organisations[1].Name = "one" }, "organisations[1].name"},
+		"no name":               {func(t *RouteTable) { t.Organisations[1].Name = "" }, "organisations[1].name"},
+		"name with a line end":  {func(t *RouteTable) { t.Organisations[1].Name = "two\r\nX: y" }, "organisations[1].name"},
+		"negative urgency":      {func(t *RouteTable) { u := -1; t.Organisations[1].Urgency = &u }, "organisations[1].urgency"},
+		"negative rate":         {func(t *RouteTable) { t.Organisations[0].Quota.Rate = -1 }, "organisations[0].quota.rate"},
+		"negative burst":        {func(t *RouteTable) { t.Organisations[0].Quota.Burst = -1 }, "organisations[0].quota.burst"},
+		"no salt":               {func(t *RouteTable) { t.KeySalt = nil }, "key_salt"},
+		"short salt":            {func(t *RouteTable) { t.KeySalt = salt[1:] }, "key_salt"},
+		"too many":              {func(t *RouteTable) { t.Organisations = make([]Organisation, MaxOrganisations+1) }, "organisations"},
+		"too many keys":         {func(t *RouteTable) { t.Organisations[0].Keys = make([]KeyDigest, maxOrganisationKeys+1) }, "organisations[0].keys"},
+		"too many home regions": {func(t *RouteTable) { t.Organisations[0].HomeRegions = make([]string, maxHomeRegions+1) }, "organisations[0].home_regions"},
+	}
+	for name, c := range cases {
+		table := validTable()
+		table.KeySalt = salt
+		table.Organisations = []Organisation{
+			{Name: "one", Keys: []KeyDigest{DigestKey(salt, "a"), DigestKey(salt, "b")}}, {Name: "two", Keys: []KeyDigest{DigestKey(salt, "c")}},
+		}
+		c.change(&table)
+		f := table.Validate()
+		if c.place == "" && len(f) > 0 {
+			t.Errorf("%s: %v", name, f)
+		}
+		if c.place != "" && (len(f) == 0 || !strings.Contains(f.Error(), c.place+":")) {
+			t.Errorf("%s: findings %q do not name %s", name, f, c.place)
+		}
+	}
+}
+
+// TestSharesRegion guards against homes of an organisation and its route that don't both bind,
+// and against a refusal of requests that have a region in both.
+func TestSharesRegion(t *testing.T) {
+	for _, c := range []struct {
+		route, organisation []string
+		shares              bool
+		servesA             bool
+	}{
+		{nil, nil, true, true}, {[]string{"a"}, nil, true, true}, {nil, []string{"a"}, true, true}, {[]string{"a", "b"}, []string{"b", "c"}, true, false},
+		{[]string{"a"}, []string{"b"}, false, false}, {[]string{"b"}, []string{"a"}, false, false},
+	} {
+		r, o := &Route{HomeRegions: c.route}, &Organisation{HomeRegions: c.organisation}
+		if got := o.SharesRegion(r); got != c.shares {
+			t.Errorf("route %v, organisation %v: share a region %v", c.route, c.organisation, got)
+		}
+		if got := o.ServesIn("a") && r.ServesIn("a"); got != c.servesA {
+			t.Errorf("route %v, organisation %v: served in a %v", c.route, c.organisation, got)
+		}
+	}
+	var anonymous *Organisation
+	if !anonymous.SharesRegion(&Route{HomeRegions: []string{"a"}}) || !anonymous.ServesIn("a") || anonymous.UrgencyOn(&Route{Urgency: 3}) != 3 {
+		t.Error("an anonymous caller is limited")
+	}
+}
