Identify callers by the keys of organisations

Callers had no identity. Where a table has organisations, an entry now answers 401 before it reads the body unless the request has the key of one or its route is open. The newest table is loaded for each request, so a withdrawn key ends with it on open connections too.

The key header is never forwarded, nor are other headers that repeat its value; the organisation header is set to the name or removed, also in spellings with underscores. Keys appear in no log line, span or metric. Home regions of route and organisation both bind, and look-ups for hosts that organisations with home regions may use stay in their region. A control VM examines each table once for this instead of all routes for each look-up.

--- a/internal/coordination/bfroute/table.go
+++ b/internal/coordination/bfroute/table.go
@@ -16,6 +16,8 @@
 		Limits  briarferry.EntryLimits
 
 		hosts map[string]*hostRoutes
+		// organisations is nil if the table has none.
+		organisations *organisations
 	}
 
 	// hostRoutes are the routes of a host by their prefix, and the length of the longest one.
@@ -35,7 +37,7 @@
 
 // New prepares a route table for look-ups.
 func New(t *briarferry.RouteTable) *Table {
-	table := &Table{Version: t.Version, Limits: t.Limits, hosts: map[string]*hostRoutes{}}
+	table := &Table{Version: t.Version, Limits: t.Limits, hosts: map[string]*hostRoutes{}, organisations: newOrganisations(t)}
 	for i := range t.Routes {
 		r := &Route{Route: &t.Routes[i], currentWeights: make([]int, len(t.Routes[i].Split))}
 		name := strings.ToLower(r.Host)
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -192,7 +192,7 @@
 
 // usable reports whether the server may get the request at all.
 func (s *server) usable(r *Request) bool {
-	return !s.withdrawn() && r.Route.ServesIn(s.region)
+	return !s.withdrawn() && r.ServesIn(s.region)
 }
 
 // withdrawn reports whether the server gets no new requests any more.
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -74,8 +74,10 @@
 
 	// Request describes a request for which a server is chosen.
 	Request struct {
-		Route   *briarferry.Route
-		Service string
+		Route *briarferry.Route
+		// Organisation is that of the caller; nil means an anonymous caller.
+		Organisation *briarferry.Organisation
+		Service      string
 		// Key names the object that the request concerns; it may be empty.
 		Key string
 		// Remaining is the time left until the request must be answered.
@@ -108,6 +110,15 @@
 	}
 )
 
+// ServesIn reports whether servers in the region may handle the request: the home regions of
+// its route and of its organisation both apply.
+func (r *Request) ServesIn(region string) bool {
+	return r.Route.ServesIn(region) && r.Organisation.ServesIn(region)
+}
+
+// Urgency returns the request's urgency: that of its organisation, or else of its route.
+func (r *Request) Urgency() int { return r.Organisation.UrgencyOn(r.Route) }
+
 // Update applies a new fleet state.
 func (s *Steering) Update(now time.Time, state *bffleet.State) {
 	s.shift.configure(s.Limits.MaxShift)
--- a/internal/transport/bfcommand/generate.go
+++ b/internal/transport/bfcommand/generate.go
@@ -95,7 +95,7 @@
 	case isJSON && probe.Format != "":
 		err = bfapi.DecodeJSON(data, &bfconfig.Answers{})
 	case isJSON && probe.Hosts != nil:
-		_, err = platform.ParseConfig(data)
+		_, err = platform.ParseConfig(data, briarferry.NewKeySalt())
 	default:
 		err = bfapi.DecodeJSON(data, &briarferry.Config{})
 	}
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -75,6 +75,7 @@
 		cold    coldTracker
 		reports reportTimes
 		clients fleetClients
+		homes   homeHosts
 	}
 )
 
--- a/internal/transport/bfcontrol/operator.go
+++ b/internal/transport/bfcontrol/operator.go
@@ -10,7 +10,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"time"
 
 	"briarferry"
@@ -53,6 +52,16 @@
 	return source, version, err
 }
 
+// KeySalt returns the salt of the newest route table known to this VM, or a new random one
+// where that has none. An older salt is safe too: the digests of all keys change with it, so
+// that the next change of the table is larger.
+func (n *Node) KeySalt() []byte {
+	if t := n.machine.State().Routes; t != nil && len(t.KeySalt) > 0 {
+		return t.KeySalt
+	}
+	return briarferry.NewKeySalt()
+}
+
 // Lookup returns the entries for a caller of the host in the region and failure domain,
 // and how long the caller may cache them.
 func (n *Node) Lookup(host, region, domain string) ([]netip.AddrPort, time.Duration) {
@@ -61,15 +70,7 @@
 	if n.LookupTTL > 0 {
 		ttl = min(ttl, n.LookupTTL)
 	}
-	return n.entries.lookup(time.Now(), region, domain, n.hasHomeRegions(host)), ttl
-}
-
-// hasHomeRegions reports whether a route of the host is limited to some regions.
-func (n *Node) hasHomeRegions(host string) bool {
-	routes := n.machine.State().Routes
-	return routes != nil && slices.ContainsFunc(routes.Routes, func(r briarferry.Route) bool {
-		return r.Host == host && len(r.HomeRegions) > 0
-	})
+	return n.entries.lookup(time.Now(), region, domain, n.homes.bound(n.machine.State().Routes, host)), ttl
 }
 
 // HTTPStatus returns the HTTP status for an error of this package.
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -127,7 +127,7 @@
 func (f *forwarder) startTry(hedge bool) error {
 	now := time.Now()
 	try, err := f.node.steering.Choose(now, bfsteering.Request{
-		Route: f.call.route.Route, Service: f.call.service, Key: f.call.affinityKey,
+		Route: f.call.route.Route, Organisation: f.call.organisation, Service: f.call.service, Key: f.call.affinityKey,
 		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
 	})
 	if err != nil {
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -13,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"briarferry"
@@ -42,7 +41,10 @@
 type call struct {
 	request *briarferry.Request
 	route   *bfroute.Route
-	service string
+	// organisation is that of the caller, or nil. keys are the keys that it presented.
+	organisation *briarferry.Organisation
+	keys         presentedKeys
+	service      string
 	// affinityKey is the value of the affinity cookie.
 	affinityKey string
 	received    time.Time
@@ -90,8 +92,7 @@
 // ServeHTTP handles a caller's request.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := otel.Tracer(tracerName).Start(n.traceContext(r), "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	n.active.Add(1)
 	defer n.active.Add(-1)
@@ -104,7 +105,8 @@
 		n.writeRefusal(w, c, refusal)
 		return
 	}
-	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
+	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID), attribute.String("organisation", c.request.Organisation))
+	// A token of the organisation's quota is acquired here, before any try.
 	ctx, stop := n.requestContext(ctx, c)
 	defer stop()
 	answer, err := n.forward(ctx, c)
@@ -172,7 +174,7 @@
 // readRequest reads a request with its body and finds its route. It always returns a call,
 // so that a refused request can be logged too.
 func (n *Node) readRequest(w http.ResponseWriter, r *http.Request, received time.Time) (*call, *briarferry.Refusal) {
-	c := &call{received: received, releaseBody: func() {}, request: &briarferry.Request{ID: r.Header.Get(n.Dialect.RequestIDHeader)}}
+	c := &call{received: received, releaseBody: func() {}, keys: n.presentedKeys(r.Header), request: &briarferry.Request{ID: n.requestID(r)}}
 	table := n.routes.Load()
 	if table == nil {
 		return c, &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "no route table is known yet", RetryAfter: startRetryAfter}
@@ -191,9 +193,13 @@
 	if c.route == nil {
 		return c, &briarferry.Refusal{Status: http.StatusNotFound, Outcome: briarferry.OutcomeNotRun, Reason: "no route matches the request"}
 	}
+	if refusal := n.identify(c, table, r); refusal != nil {
+		return c, refusal
+	}
 	c.service = c.route.NextService()
 	c.request.Service, c.request.Method = c.service, r.Method
 	c.request.Header = bfapi.ForwardHeader(r.Header)
+	n.setOrganisation(c.request.Header, c.keys, c.request.Organisation)
 	c.request.Caller = bfapi.CallerAddr(r)
 	c.request.Deadline = received.Add(n.remaining(r, c.route))
 	if cookie, err := r.Cookie(n.Dialect.AffinityCookie); err == nil {
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -32,6 +32,7 @@
 
 var testDialect = &bfapi.Dialect{
 	RequestIDHeader: "X-Id", RemainingTimeHeader: "X-Left", ExpectedInstanceHeader: "X-Expected", NotRunHeader: "X-Not-Run", ServerSignatureHeader: "X-Signature", AffinityCookie: "affinity",
+	KeyHeader: "X-Key", OrganisationHeader: "X-Org",
 	AllowCloseDelimited: true, DiscardMismatched: true,
 	FormatRemainingTime: func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) },
 	ParseRemainingTime: func(text string) (time.Duration, bool) {
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch, keyRefusals expvar.Int
 
 		tries expvar.Map
 	}
@@ -89,6 +89,7 @@
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
+		m.Set("refused_keys", &counters.keyRefusals)
 		m.Set("withdrawals", expvar.Func(withdrawals.summary))
 		m.Set("revision", expvar.Func(func() any { return n.fleet.state.Load().Revision }))
 		m.Set("live_entries", expvar.Func(func() any { return len(n.fleet.Live()) }))
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -124,6 +124,9 @@
 	}
 	line := n.Log.Info().Str("request_id", c.request.ID).Str("route", route).Uint64("version", c.tableVersion).Str("service", c.service).
 		Str("outcome", result).Int("status", status).Dur("took_ms", took).Bool("late", late)
+	if c.request.Organisation != "" {
+		line = line.Str("organisation", c.request.Organisation)
+	}
 	if ordinary {
 		line = line.Int("stands_for", sampleEvery)
 	}
@@ -131,7 +134,7 @@
 		line = line.Str("reason", r.Reason).Str("claim", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter)
 	}
 	if c.route == nil {
-		line = line.Str("host", c.request.Host).Str("target", c.request.Target)
+		line = line.Str("host", c.keys.hide(c.request.Host)).Str("target", c.keys.hide(c.request.Target))
 	}
 	if s := c.noServer; s != nil {
 		line = line.Str("fastest", s.Instance).Dur("estimate_ms", s.Estimate).Dur("limit_ms", s.Limit).Float64("load", s.Load).
