--- a/internal/coordination/bfsteering/steering_test.go
+++ b/internal/coordination/bfsteering/steering_test.go
@@ -254,6 +254,33 @@
 	}
 }
 
+// TestHomesOfRouteAndOrganisation guards against requests to servers outside the home regions
+// of the route or of the organisation, with and without a key that has its own servers.
+func TestHomesOfRouteAndOrganisation(t *testing.T) {
+	f := newFleet(t, 1, map[string]int{"r1-a": 2, "r1-b": 2, "r2-a": 2}, 8)
+	for _, c := range []struct {
+		route, organisation []string
+		want                string
+	}{
+		{nil, []string{"r2"}, "r2"}, {[]string{"r2"}, nil, "r2"}, {[]string{"r1", "r2"}, []string{"r2", "r3"}, "r2"}, {[]string{"r1"}, []string{"r1", "r2"}, "r1"},
+		{[]string{"r1"}, []string{"r2"}, ""}, {nil, []string{"r3"}, ""},
+	} {
+		for k := range 10 {
+			r := request(fmt.Sprint("k", k/2))
+			r.Route.Affinity = k%2 == 0
+			r.Route.HomeRegions, r.Organisation = c.route, &briarferry.Organisation{HomeRegions: c.organisation}
+			got := ""
+			if try, err := f.steering[0].Choose(f.now, r); err == nil {
+				got = try.Backend.Region
+				try.Done(f.now, Report{Outcome: Cancelled})
+			}
+			if got != c.want {
+				t.Errorf("route %v, organisation %v: chose region %q, want %q", c.route, c.organisation, got, c.want)
+			}
+		}
+	}
+}
+
 // TestMayUse guards against sending a request to a server that was chosen before it began to
 // drain, left, was evacuated, or was replaced at its address.
 func TestMayUse(t *testing.T) {
--- a/internal/transport/bfcommand/command.go
+++ b/internal/transport/bfcommand/command.go
@@ -44,7 +44,7 @@
 	c.Register(c.HelpCommand(), "")
 	for _, cmd := range []*command{serveCommand(), entryCommand(), controlCommand(), explainCommand(), standinCommand(), loadCommand(), lookupCommand(),
 		answersCommand(), generateCommand(), checkCommand(), applyCommand(), drainCommand(), statusCommand(),
-		certificatesCommand(),
+		certificatesCommand(), keysCommand(),
 	} {
 		c.Register(cmd, "")
 	}
--- a/internal/transport/bfgateway/fleet_sync_test.go
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -83,6 +83,36 @@
 	}
 }
 
+// TestOlderTableAfterRestart guards against a withdrawn key that is in use again because a
+// control VM with an older table, such as one whose disk was restored, answers first.
+func TestOlderTableAfterRestart(t *testing.T) {
+	e := newOrganisationEntry(t, answer(200, "X-Signature"))
+	older := startControl(t, 2)
+	older.state.Routes, older.state.RoutesRevision = e.state.Routes, 2
+	e.changeTable(func(table *briarferry.RouteTable) { table.Organisations = table.Organisations[1:] })
+	f := e.node.fleet
+	f.state.Store(e.state)
+	f.onChange = e.node.update
+	f.controls[older.address] = &controlState{rtt: time.Millisecond, lastHeartbeat: time.Now()}
+	c := e.dial()
+	for _, announced := range []uint64{2, e.state.Revision, e.state.Revision + 7} {
+		data, err := bfwire.Encode(&bfwire.ControlHeartbeat{From: older.address, Revision: announced, EntriesDigest: announced})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.receive(data)
+		for range 2 {
+			f.fetch(t.Context())
+		}
+		if resp := c.send("/read/1", "X-Key: "+northKey); resp.StatusCode != 401 {
+			t.Errorf("revision %d announced: status %d with a withdrawn key", announced, resp.StatusCode)
+		}
+	}
+	if older.queries.Load() == 0 || f.state.Load().RoutesVersion() != e.state.Routes.Version {
+		t.Errorf("%d queries, version %d, want version %d", older.queries.Load(), f.state.Load().RoutesVersion(), e.state.Routes.Version)
+	}
+}
+
 // TestLateHeartbeats guards against an entry that has too little processor time to keep its
 // state up to date without a line in its log that says so.
 func TestLateHeartbeats(t *testing.T) {
