Double the time limit of fetches that time out

5,000 organisations with two keys each make a table of 560,136 bytes, which takes a second at 4.7 Mbit/s: an entry with such a link could never have fetched it within the limit of 0.8 s. The limit is now doubled after each timeout in a row, up to 3.2 s. go test -race of bfgateway passes.

--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -20,9 +21,12 @@
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
-	// fetchTimeout limits one fetch. It leaves time to transfer a large route table over a
-	// slow link. A control VM from which a fetch failed is skipped for the same time.
-	fetchTimeout = 800 * time.Millisecond
+	// fetchTimeout limits one fetch. A control VM from which a fetch failed is skipped for the
+	// same time. After a timeout the limit is doubled, up to fetchTimeout<<maxFetchDoublings:
+	// the table of 5,000 organisations with two keys each has 560 KB, which take a second at
+	// 4.7 Mbit/s.
+	fetchTimeout      = 800 * time.Millisecond
+	maxFetchDoublings = 2
 	// controlExpiry is the time without a heartbeat after which a control VM counts as lost.
 	controlExpiry = 1800 * time.Millisecond
 	// maxHeartbeatDelay is the delay of a heartbeat from which it is logged. The process then
@@ -63,6 +67,8 @@
 		// needsWholeTable is true after a reply with a change of another route table. Only the
 		// fetch loop uses it.
 		needsWholeTable bool
+		// timeouts is the number of fetches in a row that timed out. Only the fetch loop uses it.
+		timeouts int
 
 		mu       sync.Mutex
 		sequence uint64
@@ -237,14 +243,18 @@
 		return false
 	}
 	current := f.state.Load()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout<<min(f.timeouts, maxFetchDoublings))
 	defer cancel()
 	started := time.Now()
 	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: current.Revision, IncludeEntries: true, AcceptsRouteChange: !f.needsWholeTable})
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			f.timeouts++
+		}
 		f.fetchFailed(from, err)
 		return true
 	}
+	f.timeouts = 0
 	next, newer := current.Apply(&reply.Update)
 	// A change of another table than this entry's can't be applied.
 	f.needsWholeTable = !newer && reply.Update.RouteChange != nil && reply.Update.Revision > current.Revision
--- a/internal/transport/bfgateway/fleet_sync_test.go
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -113,6 +113,40 @@
 	}
 }
 
+// slowControl takes a time for each reply, as a large table on a narrow link does.
+type slowControl struct {
+	*fakeControl
+	delay time.Duration
+}
+
+func (c slowControl) Query(ctx context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
+	select {
+	case <-time.After(c.delay):
+	case <-ctx.Done():
+	}
+	return c.fakeControl.Query(ctx, q)
+}
+
+// TestLargeTableOnNarrowLink guards against an entry that never gets a large table, as each
+// fetch ends before the table has arrived.
+func TestLargeTableOnNarrowLink(t *testing.T) {
+	c := &fakeControl{state: bffleet.State{Revision: 9, RoutesRevision: 9, Routes: &briarferry.RouteTable{Version: 3}}}
+	mux := http.NewServeMux()
+	bfrpc.HandleFleet(mux, slowControl{c, fetchTimeout + fetchTimeout/2})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	c.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	f := &fleetSync{onChange: func(*bffleet.State) {}, log: zerolog.Nop()}
+	f.setup()
+	for range 2 {
+		f.controls[c.address] = &controlState{revision: 9, lastHeartbeat: time.Now()}
+		f.fetch(t.Context())
+	}
+	if got := f.state.Load().RoutesVersion(); got != 3 || f.timeouts != 0 {
+		t.Errorf("version %d after two fetches, %d timeouts", got, f.timeouts)
+	}
+}
+
 // TestLateHeartbeats guards against an entry that has too little processor time to keep its
 // state up to date without a line in its log that says so.
 func TestLateHeartbeats(t *testing.T) {
