--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -37,8 +37,8 @@
 
 	// maxMessageBytes limits the entries of one message, and a snapshot chunk.
 	maxMessageBytes = 1 << 20
-	// maxCommandBytes limits a command; a claim with its answer is far smaller (16 KB).
-	maxCommandBytes = 1 << 20
+	// MaxCommandBytes limits a command; a claim with its answer is far smaller (16 KB).
+	MaxCommandBytes = 1 << 20
 	// maxInflightAppends covers a round trip of 110 ms for a leader that syncs its log,
 	// and so sends an append, every 1 ms.
 	maxInflightAppends = 128
@@ -54,7 +54,7 @@
 	// ErrOutcomeUnknown is returned for a command that may or may not be committed, as the
 	// replica lost leadership or stopped after appending it.
 	ErrOutcomeUnknown = eris.New("bfreplica: fate of the command is unknown")
-	// ErrTooLarge is returned for a command above maxCommandBytes; nothing was appended.
+	// ErrTooLarge is returned for a command above MaxCommandBytes; nothing was appended.
 	ErrTooLarge = eris.New("bfreplica: command is too large")
 	// ErrUnavailable is returned for a read that no leader confirmed, and by a replica that
 	// has stopped.
--- a/internal/coordination/bfreplica/propose.go
+++ b/internal/coordination/bfreplica/propose.go
@@ -46,7 +46,7 @@
 // is applied here. The command must not be changed afterwards.
 func (n *Node) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
 	n.setup()
-	if len(cmd) > maxCommandBytes {
+	if len(cmd) > MaxCommandBytes {
 		return nil, ErrTooLarge
 	}
 	p := &proposal{ctx: ctx, cmd: cmd, done: make(chan outcome, 1)}
--- a/internal/state/bfstorage/fs.go
+++ b/internal/state/bfstorage/fs.go
@@ -47,7 +47,7 @@
 // Lock locks a file until the returned closer is closed. It fails if another process
 // holds the lock.
 func (OSFS) Lock(name string) (io.Closer, error) {
-	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, 0o644)
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +81,7 @@
 
 // Create creates an empty file, replacing an existing file of that name.
 func (OSFS) Create(name string) (File, error) {
-	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/bfcontrol/propose.go
+++ b/internal/transport/bfcontrol/propose.go
@@ -77,14 +77,15 @@
 	if err != nil {
 		return bffleet.Result{}, err
 	}
+	if len(cmd) > bfreplica.MaxCommandBytes {
+		// The leader's refusal would look like a failed call.
+		return bffleet.Result{}, ErrTooLarge
+	}
 	for {
 		r, err := n.proposeOnce(ctx, cmd)
 		if err == nil {
 			return r, nil
 		}
-		if errors.Is(err, bfreplica.ErrTooLarge) {
-			return r, ErrTooLarge
-		}
 		select {
 		case <-ctx.Done():
 			counters.unconfirmed.Add(1)
