--- a/internal/coordination/bfroute/organisations_test.go
+++ b/internal/coordination/bfroute/organisations_test.go
@@ -40,14 +40,14 @@
 // the first bytes of the digests are the same.
 func TestDigestsWithOnePrefix(t *testing.T) {
 	salt := briarferry.NewKeySalt()
-	real := briarferry.DigestKey(salt, "key")
-	similar := real
+	digest := briarferry.DigestKey(salt, "key")
+	similar := digest
 	similar[len(similar)-1]++
 	table := &briarferry.RouteTable{KeySalt: salt, Organisations: []briarferry.Organisation{{Name: "other", Keys: []briarferry.KeyDigest{similar}}}}
 	if o := New(table).Organisation("key"); o != nil {
 		t.Errorf("the key names %s", o.Name)
 	}
-	table.Organisations = append(table.Organisations, briarferry.Organisation{Name: "owner", Keys: []briarferry.KeyDigest{real}})
+	table.Organisations = append(table.Organisations, briarferry.Organisation{Name: "owner", Keys: []briarferry.KeyDigest{digest}})
 	if o := New(table).Organisation("key"); o == nil || o.Name != "owner" {
 		t.Errorf("the key names %v", o)
 	}
--- a/internal/transport/bfcontrol/home_hosts_test.go
+++ b/internal/transport/bfcontrol/home_hosts_test.go
@@ -3,10 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
+	"net/netip"
 	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/state/bffleet"
 )
 
 // TestHomeHosts guards against callers that are sent to entries of other regions although
@@ -34,6 +40,47 @@
 	}
 }
 
+// TestLookupOfBoundHost guards against a look-up that names entries of other regions for a
+// host that an organisation with home regions may use, while the links of the region are busy,
+// and against one that names none where the region has no entry.
+func TestLookupOfBoundHost(t *testing.T) {
+	address := netip.MustParseAddr("127.0.0.1")
+	n := &Node{Address: address, Seeds: func() []netip.Addr { return []netip.Addr{address} }, DataDir: t.TempDir(), Regions: map[string]string{"a": "r", "c": "q"}, Log: zerolog.Nop()}
+	n.Setup()
+	near, far := testHeartbeat("one", "r", "a", 1, true), testHeartbeat("two", "q", "c", 1, true)
+	near.Load = 1
+	n.entries.heartbeat(time.Now(), near)
+	n.entries.heartbeat(time.Now(), far)
+	n.entries.spillover.randomFloat = func() float64 { return 0 }
+	for version, homes := range [][]string{nil, {"r"}} {
+		table := testTable(uint64(version) + 1)
+		table.KeySalt = bytes.Repeat([]byte{1}, briarferry.KeySaltBytes)
+		table.Organisations = []briarferry.Organisation{{Name: "one", HomeRegions: homes}}
+		table.Routes = []briarferry.Route{{
+			Name: "read", Host: "shop.example", Prefix: "/", Timeout: briarferry.Duration(time.Second), MaxAttempts: 1, Split: []briarferry.SplitPart{{Service: "s", Weight: 1}},
+		}}
+		digest := sha256.Sum256([]byte{byte(version)})
+		c := bffleet.Command{PutRoutes: &bffleet.PutRoutes{Base: uint64(version), Table: *table, Digest: digest[:]}}
+		cmd, err := c.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.machine.Apply(uint64(version)+1, cmd)
+		want := far.Entry.HTTP
+		if homes != nil {
+			want = near.Entry.HTTP
+		}
+		for caller, want := range map[string]netip.AddrPort{"a": want, "c": far.Entry.HTTP} {
+			if got, _ := n.Lookup("Shop.example", "", caller); len(got) != 1 || got[0] != want {
+				t.Errorf("homes %v, caller in %s: %v, want %v", homes, caller, got, want)
+			}
+		}
+		if got, _ := n.Lookup("shop.example", "none", "none"); len(got) != 2 {
+			t.Errorf("homes %v, region without entries: %v, want both", homes, got)
+		}
+	}
+}
+
 // BenchmarkHomeHosts shows that the time of a look-up doesn't grow with the routes and
 // organisations.
 func BenchmarkHomeHosts(b *testing.B) {
--- a/internal/transport/bfgateway/organisation_test.go
+++ b/internal/transport/bfgateway/organisation_test.go
@@ -162,7 +162,7 @@
 }
 
 // TestKeyIsCheckedBeforeBody guards against reading the body of a request that has no valid
-// key, as its caller may be anyone.
+// key, as its caller may be anyone, and against another order of the checks before it.
 func TestKeyIsCheckedBeforeBody(t *testing.T) {
 	e := newOrganisationEntry(t, answer(200, "X-Signature"))
 	c := e.dial()
@@ -171,6 +171,12 @@
 	if resp.StatusCode != 401 || time.Since(started) > testTimeout {
 		t.Errorf("status %d after %v", resp.StatusCode, time.Since(started))
 	}
+	if resp := e.dial().send("/order/1", "Content-Length: 5000", "Expect: 100-continue"); resp.StatusCode != 401 {
+		t.Errorf("status %d for a body above the limit without a key", resp.StatusCode)
+	}
+	if resp := e.dial().send("/order/1", "X-Long: "+strings.Repeat("x", defaultMaxHeaderBytes)); resp.StatusCode != 431 {
+		t.Errorf("status %d for headers above the limit without a key", resp.StatusCode)
+	}
 	e.node.stopPhase.Store(refusing)
 	if resp := e.dial().send("/order/1"); resp.StatusCode != 503 {
 		t.Errorf("status %d while the entry stops", resp.StatusCode)
