--- a/internal/transport/bfgateway/fleet_sync_test.go
+++ b/internal/transport/bfgateway/fleet_sync_test.go
@@ -83,6 +83,70 @@
 	}
 }
 
+// TestOlderTableAfterRestart guards against a withdrawn key that is in use again because a
+// control VM with an older table, such as one whose disk was restored, answers first.
+func TestOlderTableAfterRestart(t *testing.T) {
+	e := newOrganisationEntry(t, answer(200, "X-Signature"))
+	older := startControl(t, 2)
+	older.state.Routes, older.state.RoutesRevision = e.state.Routes, 2
+	e.changeTable(func(table *briarferry.RouteTable) { table.Organisations = table.Organisations[1:] })
+	f := e.node.fleet
+	f.state.Store(e.state)
+	f.onChange = e.node.update
+	f.controls[older.address] = &controlState{rtt: time.Millisecond, lastHeartbeat: time.Now()}
+	c := e.dial()
+	for _, announced := range []uint64{2, e.state.Revision, e.state.Revision + 7} {
+		data, err := bfwire.Encode(&bfwire.ControlHeartbeat{From: older.address, Revision: announced, EntriesDigest: announced})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.receive(data)
+		for range 2 {
+			f.fetch(t.Context())
+		}
+		if resp := c.send("/read/1", "X-Key: "+northKey); resp.StatusCode != 401 {
+			t.Errorf("revision %d announced: status %d with a withdrawn key", announced, resp.StatusCode)
+		}
+	}
+	if older.queries.Load() == 0 || f.state.Load().RoutesVersion() != e.state.Routes.Version {
+		t.Errorf("%d queries, version %d, want version %d", older.queries.Load(), f.state.Load().RoutesVersion(), e.state.Routes.Version)
+	}
+}
+
+// slowControl takes a time for each reply, as a large table on a narrow link does.
+type slowControl struct {
+	*fakeControl
+	delay time.Duration
+}
+
+func (c slowControl) Query(ctx context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
+	select {
+	case <-time.After(c.delay):
+	case <-ctx.Done():
+	}
+	return c.fakeControl.Query(ctx, q)
+}
+
+// TestLargeTableOnNarrowLink guards against an entry that never gets a large table, as each
+// fetch ends before the table has arrived.
+func TestLargeTableOnNarrowLink(t *testing.T) {
+	c := &fakeControl{state: bffleet.State{Revision: 9, RoutesRevision: 9, Routes: &briarferry.RouteTable{Version: 3}}}
+	mux := http.NewServeMux()
+	bfrpc.HandleFleet(mux, slowControl{c, fetchTimeout + fetchTimeout/2})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	c.address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	f := &fleetSync{onChange: func(*bffleet.State) {}, log: zerolog.Nop()}
+	f.setup()
+	for range 2 {
+		f.controls[c.address] = &controlState{revision: 9, lastHeartbeat: time.Now()}
+		f.fetch(t.Context())
+	}
+	if got := f.state.Load().RoutesVersion(); got != 3 || f.timeouts != 0 {
+		t.Errorf("version %d after two fetches, %d timeouts", got, f.timeouts)
+	}
+}
+
 // TestLateHeartbeats guards against an entry that has too little processor time to keep its
 // state up to date without a line in its log that says so.
 func TestLateHeartbeats(t *testing.T) {
