Send entries the lists of entries and members only when they are new

Cause: each fetch of the fleet state carried all live entries, and each answer to a heartbeat all members of the group. With 109 entries and 11 control VMs the lists were most of an entry's control traffic: 594 KB of replies in 50 s at one entry with a link of 1.4 Mbit/s, and half of each answer. Change: an entry asks for the entries only if the announced digest differs from the one that it fetched.

--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -74,8 +74,10 @@
 		entries *entryTable
 		cold    coldTracker
 		reports reportTimes
-		clients fleetClients
-		homes   homeHosts
+		// memberNews decides which heartbeats list the members of the group.
+		memberNews memberNews
+		clients    fleetClients
+		homes      homeHosts
 	}
 )
 
@@ -215,10 +217,15 @@
 // encodeHeartbeat returns a message with this VM's revision and its digest of the live entries.
 // Echo is the sequence of the entry's heartbeat that it answers, or 0.
 func (n *Node) encodeHeartbeat(echo uint64) ([]byte, bool) {
-	data, err := bfwire.Encode(&bfwire.ControlHeartbeat{
+	now := time.Now()
+	h := &bfwire.ControlHeartbeat{
 		From: n.RPC, FailureDomain: n.FailureDomain, Revision: n.machine.State().Revision, EchoSequence: echo,
-		ControlAddrs: n.memberAddresses(), EntriesDigest: n.entries.digest(time.Now()),
-	})
+		EntriesDigest: n.entries.digest(now),
+	}
+	if members := n.memberAddresses(); n.memberNews.due(now, echo, members) {
+		h.ControlAddrs = members
+	}
+	data, err := bfwire.Encode(h)
 	if err != nil {
 		n.Log.Error().Err(err).Msg("encoding heartbeat failed")
 		return nil, false
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -246,7 +246,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout<<min(f.timeouts, maxFetchDoublings))
 	defer cancel()
 	started := time.Now()
-	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: current.Revision, IncludeEntries: true, AcceptsRouteChange: !f.needsWholeTable})
+	entriesChanged := f.entriesDiffer(announced)
+	reply, err := bfrpc.QueryFleet(ctx, f.client, from, &bfwire.FleetQuery{Revision: current.Revision, IncludeEntries: entriesChanged, AcceptsRouteChange: !f.needsWholeTable})
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			f.timeouts++
@@ -270,13 +271,24 @@
 	if !f.replyIsAsAnnounced(from, announced, reply.Update.Revision) {
 		return true
 	}
-	f.setLiveEntries(reply.Entries)
-	f.mu.Lock()
-	f.entriesDigest = announced.entriesDigest
-	f.mu.Unlock()
+	if entriesChanged {
+		f.setLiveEntries(reply.Entries)
+		f.mu.Lock()
+		f.entriesDigest = announced.entriesDigest
+		f.mu.Unlock()
+	}
 	return true
 }
 
+// entriesDiffer reports whether the control VM announced other live entries than those that
+// were fetched last. The list is only fetched then, as it is most of a reply on large
+// deployments.
+func (f *fleetSync) entriesDiffer(a announcedState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return a.entriesDigest != f.entriesDigest
+}
+
 // replyIsAsAnnounced reports whether the reply has the revision that the control VM's heartbeats
 // announced. A control VM that has restarted since may have an older state, or none after the
 // loss of its disk, until it has caught up. It is not asked again before it announces more, as
