Add request bodies that are sent while they arrive

A route with large bodies sends them over links on which they take most of the target twice if an entry holds them whole. Request.Stream replaces Body, and bfupstream sends it; an answer that comes before the whole body ends the connection. Steering adds the transfer time to the estimate of such a request, measures servers from the end of the body, and bounds the uploads that an entry has at a server to its share of the slots.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -79,6 +79,10 @@
 		missClass missClass
 		// slowdown is the factor of Expected that is due to the server's reported slowdown.
 		slowdown float64
+		// transfer is the part of Expected in which a streamed body arrives.
+		transfer time.Duration
+		// upload is true if the try counts as an upload of the server.
+		upload bool
 	}
 
 	// NoServerError refuses a request for which no server could be chosen. It names the
@@ -206,6 +210,10 @@
 			none.addPause(srv.availability.opensAt(srv.coldPhase))
 			continue
 		}
+		if r.Route.LargeBodies && srv.uploads >= uploadLimit(srv.Slots, s.regionPeers()) {
+			none.reason = "the backend servers have as many uploads as they may get"
+			continue
+		}
 		if srv.tooCold(now, &v.config, entries) {
 			none.reason = "the backend servers are cold"
 			continue
@@ -268,8 +276,9 @@
 		// Opening a connection takes a round trip.
 		c.network *= 2
 	}
-	c.estimate = c.network + time.Duration(float64(work+wait)*slowdown)
-	c.nearLimitIfWarm = c.network+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
+	fixed := c.network + s.transferTime(r)
+	c.estimate = fixed + time.Duration(float64(work+wait)*slowdown)
+	c.nearLimitIfWarm = fixed+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
 	c.cost = c.estimate
 	if !connected {
 		c.cost += newConnectionCost
@@ -356,6 +365,9 @@
 	srv := c.server
 	srv.inFlight++
 	srv.sent++
+	if r.Route.LargeBodies {
+		srv.uploads++
+	}
 	if now.Before(srv.coldUntil) {
 		srv.coldSentAt = now
 	}
@@ -369,6 +381,6 @@
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
 		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples,
 		Reliable: srv.errorRate.get(now, errorHalfLife) <= reliableErrorRate, missClass: c.missClass,
-		slowdown: srv.currentSlowdown(now),
+		slowdown: srv.currentSlowdown(now), transfer: s.transferTime(r), upload: r.Route.LargeBodies,
 	}
 }
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -53,6 +53,11 @@
 		Notice briarferry.ServerNotice
 		// Bytes is the size of the request with its answer.
 		Bytes int
+		// BodySentAt is when a streamed body had been sent, or zero.
+		BodySentAt time.Time
+		// AwaitedCaller reports whether the try ended before it had the whole body from its
+		// caller. Such a try says nothing about the server's speed.
+		AwaitedCaller bool
 	}
 )
 
@@ -62,14 +67,20 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	srv.inFlight--
+	if t.upload {
+		srv.uploads--
+	}
 	t.steering.note(now, srv, r.Notice)
 	if r.HasLoad {
 		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Load.Running+r.Load.Waiting-srv.inFlight)), now
 		srv.reportedSlowdown = r.Load.Slowdown
 	}
+	if r.AwaitedCaller && (r.Outcome == TimedOut || r.Outcome == Cancelled) {
+		return
+	}
 	switch r.Outcome {
 	case Answered, Failed:
-		t.learnAnswer(now, r.Outcome == Failed, r.Bytes)
+		t.learnAnswer(now, &r)
 	case Shed:
 		srv.answeredAt = now
 		srv.lostConnections = 0
@@ -97,13 +108,13 @@
 			t.eject(now, "connections die")
 		}
 	case TimedOut:
-		t.learnTimeout(now)
+		t.learnTimeout(now, &r)
 		srv.errorRate.add(now, errorHalfLife, 1)
 		srv.suspect = srv.suspect || srv.answeredAt.Before(t.started)
 	case InvalidAnswer:
 		srv.errorRate.add(now, errorHalfLife, 1)
 	case Cancelled:
-		t.learnCancellation(now)
+		t.learnCancellation(now, &r)
 	}
 }
 
@@ -118,34 +129,37 @@
 
 // learnTimeout records the duration of a timed-out try as a cold server's time, which is at
 // least that long.
-func (t *Try) learnTimeout(now time.Time) {
+func (t *Try) learnTimeout(now time.Time, r *Report) {
 	if t.key != "" && !t.Warm && !t.queued {
-		t.model.cold.add(now.Sub(t.started) - t.network)
+		t.model.cold.add(now.Sub(t.workBegan(r)) - t.networkTime(r))
 	}
 }
 
 // learnCancellation records the slowness shown by a cancelled try: its answer would have
 // taken at least as long.
-func (t *Try) learnCancellation(now time.Time) {
-	if ratio := float64(now.Sub(t.started)) / float64(max(t.Expected, time.Millisecond)); ratio > slowRatio {
+func (t *Try) learnCancellation(now time.Time, r *Report) {
+	if ratio := float64(now.Sub(t.workBegan(r))) / float64(max(t.Expected-t.transfer, time.Millisecond)); ratio > slowRatio {
 		t.server.slowness.add(now, slownessHalfLife, min(maxSlowness, ratio-1))
 	}
 }
 
 // learnAnswer records a complete answer.
-func (t *Try) learnAnswer(now time.Time, failed bool, bytes int) {
+func (t *Try) learnAnswer(now time.Time, r *Report) {
 	srv := t.server
 	srv.answeredAt, srv.lostConnections, srv.ejections, srv.ejectedUntil = now, 0, 0, time.Time{}
-	if failed {
+	if r.Outcome == Failed {
 		srv.errorRate.add(now, errorHalfLife, 1)
 		return
 	}
 	srv.errorRate.add(now, errorHalfLife, 0)
-	t.model.kilobytes.add(float64(bytes) / kilobyte)
-	took := now.Sub(t.started)
-	work := max(time.Millisecond, took-t.network)
+	if r.AwaitedCaller {
+		return
+	}
+	t.model.kilobytes.add(float64(r.Bytes) / kilobyte)
+	took := now.Sub(t.workBegan(r))
+	work := max(time.Millisecond, took-t.networkTime(r))
 	cold := t.started.Before(srv.coldUntil)
-	expected := max(t.Expected, time.Millisecond)
+	expected := max(t.Expected-t.transfer, time.Millisecond)
 	slow := srv.slowness.get(now, slownessHalfLife)
 	// A slowdown that the server reports is temporary and doesn't count as slowness.
 	reported := max(1, srv.currentSlowdown(now)/t.slowdown)
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -52,6 +52,8 @@
 
 		inFlight int
 		sent     uint64
+		// uploads counts the tries in flight of routes with large bodies.
+		uploads int
 		// othersLoad is the load caused by other entries at the time of the last load
 		// report.
 		othersLoad     float64
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -42,8 +42,11 @@
 		// InContact reports whether control VMs can be heard, which tell when servers turn cold;
 		// nil means that they can.
 		InContact func() bool
-		Limits    Limits
-		Log       zerolog.Logger
+		// LinkBandwidth is the bandwidth of this VM's link in each direction, in bytes per
+		// second; zero means unknown.
+		LinkBandwidth float64
+		Limits        Limits
+		Log           zerolog.Logger
 		// Counts counts the notices of servers.
 		Counts NoticeCounts
 
@@ -86,6 +89,8 @@
 		Retry bool
 		// OnTimeOnly requests a server only if one can answer within the target.
 		OnTimeOnly bool
+		// StreamedBytes is the size of a body that is sent to the server while it arrives.
+		StreamedBytes int64
 
 		// cacheKey is the result of key, which is needed for each server.
 		cacheKey string
--- /dev/null
+++ b/internal/coordination/bfsteering/upload.go
@@ -0,0 +1,38 @@
+package bfsteering
+
+import "time"
+
+// uploadLimit returns how many uploads this entry may have in flight at a server: its share
+// of the server's slots. Requests that wait at a server occupy its memory with their bodies,
+// and a server whose memory is used up crashes.
+func uploadLimit(slots, regionPeers int) int {
+	entries := regionPeers + 1
+	return max(1, (slots+entries-1)/entries)
+}
+
+// transferTime returns how long a streamed body takes over this VM's link. Receiving and
+// sending overlap, so the link's time counts once.
+func (s *Steering) transferTime(r *Request) time.Duration {
+	if s.LinkBandwidth <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.StreamedBytes) / s.LinkBandwidth * float64(time.Second))
+}
+
+// workBegan returns the time from which on the try waited for the server alone: the end of a
+// streamed body, whose sending takes as long as the caller needs, or the start of the try.
+func (t *Try) workBegan(r *Report) time.Time {
+	if r.BodySentAt.After(t.started) {
+		return r.BodySentAt
+	}
+	return t.started
+}
+
+// networkTime returns the part of the time since workBegan that the network took. A streamed
+// body is sent after the connection was opened.
+func (t *Try) networkTime(r *Report) time.Duration {
+	if r.BodySentAt.After(t.started) {
+		return t.steering.rtts.get(t.server.region, t.steering.Region)
+	}
+	return t.network
+}
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -125,7 +125,13 @@
 		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: err}
 	}
 	s := newStreamer(r.OnHead)
-	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s})
+	t := try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s}
+	var a *briarferry.Answer
+	if r.Stream != nil {
+		a, err = c.exchangeStream(ctx, conn, t, r)
+	} else {
+		a, err = c.exchange(ctx, conn, t)
+	}
 	s.end(err)
 	if err != nil {
 		c.checkServer(ctx, p, b, err)
@@ -396,13 +402,19 @@
 	if dialect.ExpectedInstanceHeader != "" && b.InstanceID != "" {
 		out.Header.Set(dialect.ExpectedInstanceHeader, b.InstanceID)
 	}
+	c.setRemainingTime(ctx, out, r)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
+	return out, nil
+}
+
+// setRemainingTime tells the server how much time is left for the request.
+func (c *Client) setRemainingTime(ctx context.Context, out *http.Request, r *briarferry.Request) {
 	deadline := r.Deadline
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	out.Header.Set(dialect.RemainingTimeHeader, dialect.FormatRemainingTime(time.Until(deadline)))
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
-	return out, nil
+	d := c.dialect()
+	out.Header.Set(d.RemainingTimeHeader, d.FormatRemainingTime(time.Until(deadline)))
 }
 
 // setTarget sets the path and query of a request so that they are written as the caller sent
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -66,25 +66,38 @@
 // send writes the request. The answer arrives on the returned channel, possibly before the
 // whole request is written.
 func (c *conn) send(t try) (<-chan result, error) {
-	r := t.request
-	p := &pendingRequest{request: r, id: t.id, streamer: t.streamer, results: make(chan result, 1)}
+	p := c.expect(t)
+	if p == nil {
+		return nil, net.ErrClosed
+	}
+	return p.results, c.write(p)
+}
+
+// expect makes the reader expect the answer to the try's request. It returns nil if the
+// connection can't be used any more.
+func (c *conn) expect(t try) *pendingRequest {
+	p := &pendingRequest{request: t.request, id: t.id, streamer: t.streamer, results: make(chan result, 1)}
 	c.written.Store(0)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.unusable {
-		c.mu.Unlock()
-		return nil, net.ErrClosed
+		return nil
 	}
 	c.pending, c.answered = p, false
-	c.mu.Unlock()
-	err := r.Write(c.writer)
+	return p
+}
+
+// write writes the whole request.
+func (c *conn) write(p *pendingRequest) error {
+	err := p.request.Write(c.writer)
 	if err == nil {
 		err = c.writer.Flush()
 	}
 	p.sent.Store(err == nil)
 	if err != nil {
-		return p.results, fmt.Errorf("bfupstream: send: %w", err)
+		return fmt.Errorf("bfupstream: send: %w", err)
 	}
-	return p.results, nil
+	return nil
 }
 
 // read delivers answers until the connection ends. Bytes that arrive while no request is
--- /dev/null
+++ b/internal/transport/bfupstream/request_body.go
@@ -0,0 +1,120 @@
+package bfupstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"briarferry"
+)
+
+// earlyAnswerWait is how long the answer of a server may still arrive after writing to its
+// connection has failed. The answer precedes the end of the connection, so it has usually
+// arrived already.
+const earlyAnswerWait = 100 * time.Millisecond
+
+var (
+	// ErrRequestBody is returned if the caller's body did not become complete. The server may
+	// have got a part of the request.
+	ErrRequestBody = errors.New("body of the request is not complete")
+
+	errAnswered = errors.New("server answered before it had the whole request")
+)
+
+// streamReader reads a BodyStream. Reads end with its context.
+type streamReader struct {
+	ctx    context.Context
+	stream briarferry.BodyStream
+	rest   []byte
+	// err is the error with which the stream ended, or nil.
+	err error
+}
+
+// Read returns further bytes of the body.
+func (s *streamReader) Read(b []byte) (int, error) {
+	if len(s.rest) == 0 {
+		if s.rest, s.err = s.stream.Next(s.ctx); s.err != nil {
+			return 0, s.err
+		}
+	}
+	n := copy(b, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+// exchangeStream is exchange for a request whose body is sent while it arrives. It returns
+// when nothing reads the body any more.
+func (c *Client) exchangeStream(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
+	sending, stopSending := context.WithCancelCause(ctx)
+	defer stopSending(nil)
+	body := &streamReader{ctx: sending, stream: r.Stream}
+	t.request.Body, t.request.ContentLength = io.NopCloser(body), r.Stream.Length()
+	p := conn.expect(t)
+	if p == nil {
+		conn.discard(ctx)
+		return nil, t.failure(ctx, conn, net.ErrClosed)
+	}
+	stop := context.AfterFunc(ctx, conn.close)
+	// The time left is that at the start of the request, after the wait for a connection.
+	c.setRemainingTime(ctx, t.request, r)
+	sent := make(chan error, 1)
+	go func() { sent <- conn.write(p) }()
+	var got result
+	select {
+	case err := <-sent:
+		got = t.awaitAnswer(conn, p, body, err)
+	case got = <-p.results:
+		if !p.sent.Load() {
+			// The server must get nothing else where the rest of the body is due.
+			conn.close()
+		}
+		stopSending(errAnswered)
+		if err := <-sent; err != nil && got.err != nil && isBodyFailure(ctx, body) {
+			got.err = bodyFailure(body)
+		}
+	}
+	if !stop() && got.err == nil {
+		// The answer arrived when the context ended. It counts as late.
+		got.memory.release()
+		got.err = context.Cause(ctx)
+	}
+	if got.err == nil {
+		return t.accept(conn, got)
+	}
+	conn.discard(ctx)
+	failure := t.failure(ctx, conn, got.err)
+	if errors.Is(got.err, ErrRequestBody) {
+		failure.ConnectionLost = false
+	}
+	return nil, failure
+}
+
+// awaitAnswer waits for the answer after sending has ended with the given error.
+func (t try) awaitAnswer(conn *conn, p *pendingRequest, body *streamReader, err error) result {
+	if err == nil {
+		return <-p.results
+	}
+	if body.err != nil && !errors.Is(body.err, io.EOF) {
+		// Closing the connection shows the server that the body is not complete.
+		conn.close()
+		releaseLater(p.results)
+		return result{err: bodyFailure(body)}
+	}
+	timer := time.AfterFunc(earlyAnswerWait, conn.close)
+	defer timer.Stop()
+	got := <-p.results
+	if got.err != nil {
+		got.err = err
+	}
+	return got
+}
+
+// isBodyFailure reports whether sending ended because of the caller's body.
+func isBodyFailure(ctx context.Context, body *streamReader) bool {
+	return ctx.Err() == nil && body.err != nil && !errors.Is(body.err, io.EOF) && !errors.Is(body.err, errAnswered)
+}
+
+func bodyFailure(body *streamReader) error { return fmt.Errorf("%w: %w", ErrRequestBody, body.err) }
--- a/request.go
+++ b/request.go
@@ -1,6 +1,7 @@
 package briarferry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,6 +42,8 @@
 		Target string
 		Header http.Header
 		Body   []byte
+		// Stream, if set, replaces Body while the body is being received.
+		Stream BodyStream
 		// Key is the idempotency key; it is empty for an idempotent request.
 		Key string
 		// Organisation is the name of the caller's organisation, or empty.
@@ -58,6 +61,20 @@
 		CallerLeft func() bool
 	}
 
+	// BodyStream is a request's body that is sent to a server while it arrives from the
+	// caller. Only one try at a time may read it.
+	BodyStream interface {
+		// Length returns the size of the whole body in bytes.
+		Length() int64
+		// Next waits for further bytes, which are valid until the next call. It returns
+		// io.EOF after the last byte, and another error if the body can't become complete
+		// or the context has ended.
+		Next(ctx context.Context) ([]byte, error)
+		// Rewind lets the next try read the body from its start. It returns false if the
+		// first bytes are no longer held.
+		Rewind() bool
+	}
+
 	// Answer is a backend server's complete answer.
 	Answer struct {
 		Status int         `json:"status"`
