Send the bodies of uploads to servers while they arrive

An entry held each body whole, which took the time of a narrow link twice and the memory of all bodies at once. Callers that send or read nothing for some time are given up.

--- a/internal/transport/bfgateway/body.go
+++ b/internal/transport/bfgateway/body.go
@@ -29,21 +29,14 @@
 }
 
 func (b *bodyMemory) reserve(n int64) bool {
-	if b.limit <= 0 {
-		return true
-	}
-	if b.used.Add(n) <= b.limit {
+	if b.used.Add(n) <= b.limit || b.limit <= 0 {
 		return true
 	}
 	b.used.Add(-n)
 	return false
 }
 
-func (b *bodyMemory) release(n int64) {
-	if b.limit > 0 {
-		b.used.Add(-n)
-	}
-}
+func (b *bodyMemory) release(n int64) { b.used.Add(-n) }
 
 // readBody reads the caller's body within its size limit and the memory for bodies. The
 // returned function releases the memory reserved for it.
--- a/internal/transport/bfgateway/caller_server.go
+++ b/internal/transport/bfgateway/caller_server.go
@@ -112,7 +112,7 @@
 		current := cs.listener
 		cs.mu.Unlock()
 		select {
-		case current.conns <- bfcaller.Wrap(cs.meter.wrap(c)):
+		case current.conns <- bfcaller.Wrap(&progressConn{Conn: cs.meter.wrap(c), stall: answerStall}):
 		case <-current.closed:
 			_ = c.Close()
 		}
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -125,10 +125,14 @@
 
 // startTry sends the request to a server that has not been chosen for it before.
 func (f *forwarder) startTry(hedge bool) error {
+	if err := f.rewindUpload(); err != nil {
+		return err
+	}
 	now := time.Now()
 	try, err := f.node.steering.Choose(now, bfsteering.Request{
 		Route: f.call.route.Route, Service: f.call.service, Key: f.call.affinityKey,
 		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
+		StreamedBytes: f.call.streamedBytes(),
 	})
 	if err != nil {
 		return err
@@ -143,7 +147,7 @@
 	request := *f.call.request
 	// An incomplete answer can't be replaced by that of another server once it is streamed,
 	// so only answers of reliable servers are.
-	if f.call.route.LargeAnswers && try.Reliable {
+	if f.call.route.LargeAnswers && try.Reliable && request.Stream == nil {
 		request.OnHead = func(answer *briarferry.Answer) {
 			try.Note(time.Now(), f.node.parseNotice(answer.Status, answer.Header))
 			f.results <- tryResult{outcome: bfsteering.Answered, answer: answer, streaming: a}
@@ -278,6 +282,7 @@
 		c.hold(answer)
 		report.Bytes = len(c.request.Body) + len(answer.Body)
 	}
+	c.reportUpload(&report)
 	t.Done(time.Now(), report)
 	done(runResult(report))
 	n.recordTry(c, t, report.Outcome)
@@ -334,7 +339,7 @@
 		r.Outcome = bfsteering.Shed
 	case errors.Is(err, bfupstream.ErrMisdirected):
 		r.Outcome = bfsteering.Misdirected
-	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn), errors.Is(err, bfupstream.ErrCallerLeft):
+	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn), errors.Is(err, bfupstream.ErrCallerLeft), errors.Is(err, bfupstream.ErrRequestBody):
 		r.Outcome = bfsteering.Cancelled
 	case !tryErr.Dispatched:
 		r.Outcome = bfsteering.Refused
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -61,6 +61,8 @@
 	leftBeforeDispatch atomic.Bool
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
+	// upload is the body if it is sent to a server while it arrives, or nil.
+	upload *callerBody
 	// releaseBody releases the memory reserved for the body.
 	releaseBody func()
 }
@@ -102,6 +104,7 @@
 	defer c.end()
 	if refusal != nil {
 		n.writeRefusal(w, c, refusal)
+		n.endUpload(w, r, c)
 		return
 	}
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
@@ -109,12 +112,15 @@
 	defer stop()
 	answer, err := n.forward(ctx, c)
 	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), bfcaller.ErrLeft) {
-		n.logRequest(c, "caller_left", 0, nil)
+		n.logRequest(c, c.abortUpload(), 0, nil)
 		panic(http.ErrAbortHandler)
 	}
 	if answer == nil {
 		errors.As(err, &c.noServer)
-		n.writeRefusal(w, c, asRefusal(err))
+		refusal := asRefusal(err)
+		c.countUpload(refusal)
+		n.writeRefusal(w, c, refusal)
+		n.endUpload(w, r, c)
 		return
 	}
 	if answer.Stream != nil {
@@ -123,12 +129,13 @@
 	}
 	n.logRequest(c, "answered", answer.Status, nil)
 	writeAnswer(w, answer)
+	n.endUpload(w, r, c)
 }
 
 // requestContext returns the context of a request's tries. It ends when the caller leaves, at
 // the request's deadline, and when open requests are aborted.
 func (n *Node) requestContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	ctx, hasLeft, stopFollowing := bfcaller.Follow(ctx)
+	ctx, hasLeft, stopFollowing := c.follow(ctx)
 	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
 	ctx, abort := context.WithCancelCause(ctx)
 	stopAborting := context.AfterFunc(n.aborting, func() { abort(errStopping) })
@@ -203,7 +210,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, release, refusal := n.readBody(w, r, limit)
+	if streamsBody(r, c.route) {
+		return c, n.startUpload(w, r, c, limit)
+	}
+	read := n.readBody
+	if c.route.LargeBodies {
+		read = n.readHeldUpload
+	}
+	body, release, refusal := read(w, r, limit)
 	c.releaseBody = release
 	if refusal != nil {
 		return c, refusal
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,9 +19,10 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch, uploadsStreamed, callersStalled expvar.Int
 
-		tries expvar.Map
+		// uploadsAborted counts uploads that no server answered, by cause.
+		tries, uploadsAborted expvar.Map
 	}
 	latencies latencyHistograms
 	// withdrawals holds the times from the end of a caller's connection to the end of a try.
@@ -75,6 +76,7 @@
 func publishMetrics(n *Node) {
 	publishOnce.Do(func() {
 		counters.tries.Init()
+		counters.uploadsAborted.Init()
 		m := expvar.NewMap("entry")
 		m.Set("bad_datagrams", &counters.badDatagrams)
 		m.Set("accept_errors", &counters.acceptErrors)
@@ -93,6 +95,10 @@
 		m.Set("revision", expvar.Func(func() any { return n.fleet.state.Load().Revision }))
 		m.Set("live_entries", expvar.Func(func() any { return len(n.fleet.Live()) }))
 		m.Set("link_utilization", expvar.Func(func() any { return n.meter.last() }))
+		m.Set("uploads_streamed", &counters.uploadsStreamed)
+		m.Set("uploads_aborted", &counters.uploadsAborted)
+		m.Set("callers_stalled", &counters.callersStalled)
+		m.Set("body_bytes_held", expvar.Func(func() any { return n.bodyMemory.used.Load() }))
 		m.Set("answer_bytes_held", expvar.Func(func() any { bytes, _ := n.upstream.HeldAnswers(); return bytes }))
 		m.Set("answers_dropped", expvar.Func(func() any { _, dropped := n.upstream.HeldAnswers(); return dropped }))
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -128,7 +128,8 @@
 	n.bodyMemory.limit = n.MaxBodyMemory
 	n.steering = &bfsteering.Steering{
 		Name: n.VM.Name, Region: n.VM.Region, FailureDomain: n.VM.FailureDomain, Regions: n.Regions, Limits: n.Limits, Log: n.Log,
-		Entries: func() int { return len(n.fleet.Live()) }, RegionPeers: n.fleet.regionPeerCount,
+		LinkBandwidth: n.LinkBandwidth,
+		Entries:       func() int { return len(n.fleet.Live()) }, RegionPeers: n.fleet.regionPeerCount,
 	}
 	n.fleet.onRTT = n.steering.SetRoundTripTime
 	n.steering.InContact = n.fleet.Connected
--- /dev/null
+++ b/internal/transport/bfgateway/progress.go
@@ -0,0 +1,82 @@
+package bfgateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// answerStall is the time without progress after which a caller that doesn't read its answer
+// is given up, as the answer occupies memory. It is longer than callers wait for an answer.
+const answerStall = 5 * time.Second
+
+// progressConn is a caller's connection whose writes fail when the caller has taken nothing
+// for some time. Writes to a slow caller continue as long as it takes anything.
+type progressConn struct {
+	net.Conn
+	stall time.Duration
+}
+
+// Write writes all bytes, or fails when there is no progress.
+func (c *progressConn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		queued := queuedBytes(c.Conn)
+		_ = c.SetWriteDeadline(time.Now().Add(c.stall))
+		n, err := c.Conn.Write(b[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		// A caller that reads slowly may have taken bytes of the socket's queue, but not
+		// enough of them for another write.
+		if n == 0 && queuedBytes(c.Conn) >= queued {
+			counters.callersStalled.Add(1)
+			return written, err
+		}
+	}
+}
+
+// NetConn returns the wrapped connection.
+func (c *progressConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite lets the HTTP server shut down its sending side before it closes the
+// connection. Otherwise unread bytes of the caller's request would reset the connection
+// before the caller has read the answer.
+func (c *progressConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// queuedBytes returns how many written bytes the other end has not acknowledged, or 0 where
+// the operating system doesn't tell.
+func queuedBytes(c net.Conn) int {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = wrapper.NetConn()
+	}
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	queued := 0
+	_ = raw.Control(func(fd uintptr) {
+		if v, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			queued = v
+		}
+	})
+	return queued
+}
