--- a/internal/protocol/bfapi/problem.go
+++ b/internal/protocol/bfapi/problem.go
@@ -1,6 +1,7 @@
 package bfapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math"
@@ -34,9 +35,13 @@
 	if p.RequestID != "" {
 		w.Header().Set(HeaderRequestID, p.RequestID)
 	}
+	var body bytes.Buffer
+	_ = json.NewEncoder(&body).Encode(p)
 	w.Header().Set("Content-Type", TypeProblem)
+	// The length makes the document complete for a caller whose connection is closed after it.
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(body.Bytes())
 }
 
 // WriteError writes the problem that ProblemOf returns for an error.
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -70,7 +71,7 @@
 	if p == nil {
 		return nil, net.ErrClosed
 	}
-	return p.results, c.write(p)
+	return p.results, c.write(p, c.writer)
 }
 
 // expect makes the reader expect the answer to the try's request. It returns nil if the
@@ -87,9 +88,9 @@
 	return p
 }
 
-// write writes the whole request.
-func (c *conn) write(p *pendingRequest) error {
-	err := p.request.Write(c.writer)
+// write writes the whole request to w, which is the connection's writer or is based on it.
+func (c *conn) write(p *pendingRequest, w io.Writer) error {
+	err := p.request.Write(w)
 	if err == nil {
 		err = c.writer.Flush()
 	}
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -1,6 +1,7 @@
 package bfupstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -45,6 +46,42 @@
 	return n, nil
 }
 
+// streamWriter writes a request whose body arrives slowly: each part of the body is sent at
+// once instead of when the buffer is full.
+type streamWriter struct{ *bufio.Writer }
+
+// ReadFrom sends the body, which net/http copies after it has written the head.
+func (w streamWriter) ReadFrom(r io.Reader) (int64, error) {
+	if err := w.Flush(); err != nil {
+		return 0, err
+	}
+	sent := int64(0)
+	for {
+		// Read may return the last bytes together with io.EOF.
+		n, err := r.Read(w.AvailableBuffer()[:w.Available()])
+		if n > 0 {
+			if err := w.send(n); err != nil {
+				return sent, err
+			}
+			sent += int64(n)
+		}
+		if err == io.EOF {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+	}
+}
+
+// send sends the first n bytes of the available buffer.
+func (w streamWriter) send(n int) error {
+	if _, err := w.Write(w.AvailableBuffer()[:n]); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // exchangeStream is exchange for a request whose body is sent while it arrives. It returns
 // when nothing reads the body any more.
 func (c *Client) exchangeStream(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
@@ -61,7 +98,7 @@
 	// The time left is that at the start of the request, after the wait for a connection.
 	c.setRemainingTime(ctx, t.request, r)
 	sent := make(chan error, 1)
-	go func() { sent <- conn.write(p) }()
+	go func() { sent <- conn.write(p, streamWriter{conn.writer}) }()
 	var got result
 	select {
 	case err := <-sent:
