Give up callers that don't read their answers

A caller that stopped reading kept its answer in the memory for answers until its connection ended, and answers to other callers were dropped when that was used up.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,13 @@
 bench-downloads:
 	$(GO) test -run '^$$' -bench '^BenchmarkDownloads$$' -benchtime 3x ./internal/transport/bfgateway
 
+bench: bench-uploads
+
+# Measures 30 uploads at once through an entry, held until complete and passed on.
+.PHONY: bench-uploads
+bench-uploads:
+	$(GO) test -run '^$$' -bench '^BenchmarkUploads$$' -benchtime 3x ./internal/transport/bfgateway
+
 bench: bench-paths
 
 # Measures the request path through real processes of the system. PARTS selects among
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -48,13 +48,15 @@
 	received    time.Time
 	// tableVersion is the version of the route table used for the request.
 	tableVersion uint64
-	// mu guards tries, answers and ended, since a try may end after the request was
+	// mu guards tries, answers, ended and drop, since a try may end after the request was
 	// answered, such as the slower one of a hedged request.
 	mu    sync.Mutex
 	tries []tryRecord
 	// answers are the servers' answers, which are released when the request has ended.
 	answers []*briarferry.Answer
 	ended   bool
+	// drop closes the caller's connection. It is set when the sending of an answer begins.
+	drop func()
 	// tryEnded is closed at the end of the try whose answer is streamed.
 	tryEnded <-chan struct{}
 	// leftBeforeDispatch is true if the caller had closed its connection before a try.
@@ -76,6 +78,24 @@
 		return
 	}
 	c.answers = append(c.answers, a)
+	if c.drop != nil {
+		a.Deliver(c.drop)
+	}
+}
+
+// deliver begins the sending of an answer to the caller, whose connection may be closed if it
+// takes the answer too slowly.
+func (c *call) deliver(ctx context.Context) {
+	conn := bfcaller.FromContext(ctx)
+	if conn == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop = func() { _ = conn.Close() }
+	for _, a := range c.answers {
+		a.Deliver(c.drop)
+	}
 }
 
 // end releases all memory that is held for the request.
@@ -123,6 +143,7 @@
 		n.endUpload(w, r, c)
 		return
 	}
+	c.deliver(r.Context())
 	if answer.Stream != nil {
 		n.streamAnswer(w, r, c, answer)
 		return
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -233,6 +233,7 @@
 		return a, err
 	}
 	a.OnRelease(got.memory.release)
+	a.OnDeliver(got.memory.deliver)
 	return a, nil
 }
 
--- a/request.go
+++ b/request.go
@@ -86,6 +86,7 @@
 		Length int64       `json:"-" cbor:"-"`
 
 		release func()
+		deliver func(drop func())
 	}
 
 	// Refusal is the error for a request that gets no answer from a backend server.
@@ -122,6 +123,17 @@
 	}
 }
 
+// OnDeliver sets the function that Deliver calls.
+func (a *Answer) OnDeliver(f func(drop func())) { a.deliver = f }
+
+// Deliver must be called when the answer is sent to its caller. If the caller takes it slowly
+// and its memory is needed, drop is called, which must end the sending.
+func (a *Answer) Deliver(drop func()) {
+	if a.deliver != nil {
+		a.deliver(drop)
+	}
+}
+
 // Error returns the outcome and the reason.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("briarferry: %s: %s", r.Outcome, r.Reason)
