--- a/internal/transport/bfupstream/answer_memory.go
+++ b/internal/transport/bfupstream/answer_memory.go
@@ -30,7 +30,7 @@
 		reading map[*reservation]bool
 		// delivering holds when the sending of each answer to its caller began.
 		delivering map[*reservation]time.Time
-		dropped uint64
+		dropped    uint64
 	}
 
 	// reservation is the memory of one answer.
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -48,7 +48,10 @@
 
 // streamWriter writes a request whose body arrives slowly: each part of the body is sent at
 // once instead of when the buffer is full.
-type streamWriter struct{ *bufio.Writer }
+type streamWriter struct {
+	*bufio.Writer
+	pending *pendingRequest
+}
 
 // ReadFrom sends the body, which net/http copies after it has written the head.
 func (w streamWriter) ReadFrom(r io.Reader) (int64, error) {
@@ -64,6 +67,8 @@
 				return sent, err
 			}
 			sent += int64(n)
+			// The answer may arrive before Read returns io.EOF.
+			w.pending.sent.Store(sent == w.pending.request.ContentLength)
 		}
 		if err == io.EOF {
 			return sent, nil
@@ -98,7 +103,7 @@
 	// The time left is that at the start of the request, after the wait for a connection.
 	c.setRemainingTime(ctx, t.request, r)
 	sent := make(chan error, 1)
-	go func() { sent <- conn.write(p, streamWriter{conn.writer}) }()
+	go func() { sent <- conn.write(p, streamWriter{conn.writer, p}) }()
 	var got result
 	select {
 	case err := <-sent:
