--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -75,7 +75,7 @@
 		srv.othersLoad, srv.loadReportedAt = max(0, float64(r.Load.Running+r.Load.Waiting-srv.inFlight)), now
 		srv.reportedSlowdown = r.Load.Slowdown
 	}
-	if r.AwaitedCaller && (r.Outcome == TimedOut || r.Outcome == Cancelled) {
+	if r.isCallersDoing() {
 		return
 	}
 	switch r.Outcome {
--- a/internal/coordination/bfsteering/upload.go
+++ b/internal/coordination/bfsteering/upload.go
@@ -36,3 +36,15 @@
 	}
 	return t.network
 }
+
+// isCallersDoing reports whether the try ended without an answer because its caller did not
+// send the body in time. A server may close a connection on which it waits for long.
+func (r *Report) isCallersDoing() bool {
+	switch r.Outcome {
+	case TimedOut, Cancelled:
+		return r.AwaitedCaller
+	case ConnectionLost:
+		return r.AwaitedCaller && !r.ServerRefusedConnection
+	}
+	return false
+}
--- a/internal/transport/bfgateway/caller_body.go
+++ b/internal/transport/bfgateway/caller_body.go
@@ -34,6 +34,10 @@
 	length int64
 	// setDeadline sets the deadline of reads from the caller's connection.
 	setDeadline func(time.Time) error
+	// ctx is the context of the caller's request, and expectsContinue is true if the caller
+	// waits for status 100 before it sends the body.
+	ctx             context.Context
+	expectsContinue bool
 	// received is closed when the whole body was read.
 	received chan struct{}
 	// freed and filled wake the reader of the caller's connection and that of the stream.
@@ -51,6 +55,10 @@
 	next int64
 	// err is the error with which reading ended: io.EOF after the whole body.
 	err error
+	// readUntil is the deadline of the last read, and stalled is true if it passed without a
+	// byte.
+	readUntil time.Time
+	stalled   bool
 	// drainUntil is set when the rest of the body is discarded.
 	drainUntil time.Time
 	closed     bool
@@ -182,6 +190,7 @@
 		}
 	}
 	if len(space) > 0 {
+		b.readUntil = until
 		_ = b.setDeadline(until)
 	}
 	return space, nil
@@ -196,6 +205,7 @@
 	}
 	if err != nil {
 		b.err = err
+		b.stalled = errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(b.readUntil)
 		if errors.Is(err, io.EOF) {
 			close(b.received)
 		}
@@ -206,19 +216,16 @@
 
 // hasStalled reports whether the caller stopped sending.
 func (b *callerBody) hasStalled() bool {
-	if b == nil {
-		return false
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.closed && b.drainUntil.IsZero() && errors.Is(b.err, os.ErrDeadlineExceeded)
+	return b.stalled
 }
 
-// hasStarted reports whether anything was read from the caller.
-func (b *callerBody) hasStarted() bool {
+// canDrain reports whether the rest of the body can be expected from the caller.
+func (b *callerBody) canDrain() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.started
+	return b.ctx.Err() == nil && (b.started || !b.expectsContinue)
 }
 
 // isComplete reports whether the whole body was read.
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -124,7 +124,6 @@
 	defer c.end()
 	if refusal != nil {
 		n.writeRefusal(w, c, refusal)
-		n.endUpload(w, r, c)
 		return
 	}
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
@@ -140,7 +139,6 @@
 		refusal := asRefusal(err)
 		c.countUpload(refusal)
 		n.writeRefusal(w, c, refusal)
-		n.endUpload(w, r, c)
 		return
 	}
 	c.deliver(r.Context())
@@ -150,7 +148,7 @@
 	}
 	n.logRequest(c, "answered", answer.Status, nil)
 	writeAnswer(w, answer)
-	n.endUpload(w, r, c)
+	c.endUpload(w)
 }
 
 // requestContext returns the context of a request's tries. It ends when the caller leaves, at
@@ -311,6 +309,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(max(0.01, after.Seconds()), 'f', 2, 64))
 	}
 	bfapi.WriteProblem(w, bfapi.Problem{Status: r.Status, Detail: r.Reason, Outcome: r.Outcome}, 0)
+	c.endUpload(w)
 }
 
 func asRefusal(err error) *briarferry.Refusal {
--- a/internal/transport/bfgateway/upload.go
+++ b/internal/transport/bfgateway/upload.go
@@ -38,6 +38,7 @@
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex()
 	c.upload = newCallerBody(r.Body, r.ContentLength, control.SetReadDeadline)
+	c.upload.ctx, c.upload.expectsContinue = r.Context(), r.Header.Get("Expect") != ""
 	if r.ContentLength > limit {
 		return bodyRefusal(&http.MaxBytesError{Limit: limit})
 	}
@@ -84,14 +85,12 @@
 // endUpload reads the rest of a streamed body after the request was answered, so that the
 // caller gets the answer before its connection ends. It panics with http.ErrAbortHandler to
 // close a connection on which the rest can't be read.
-func (n *Node) endUpload(w http.ResponseWriter, r *http.Request, c *call) {
+func (c *call) endUpload(w http.ResponseWriter) {
 	if c.upload == nil || c.upload.isComplete() {
 		return
 	}
 	_ = http.NewResponseController(w).Flush()
-	expects := r.Header.Get("Expect") != ""
-	// A caller that still waits for status 100 sends no body.
-	if (!expects || c.upload.hasStarted()) && r.Context().Err() == nil && c.upload.drain() {
+	if c.upload.canDrain() && c.upload.drain() {
 		return
 	}
 	c.upload.close()
@@ -104,14 +103,14 @@
 	if c.upload == nil {
 		return "caller_left"
 	}
+	if !c.upload.isComplete() {
+		c.upload.close()
+	}
 	result := "caller_left"
 	if c.upload.hasStalled() {
 		result = "caller_stalled"
 	}
 	counters.uploadsAborted.Add(result, 1)
-	if !c.upload.isComplete() {
-		c.upload.close()
-	}
 	return result
 }
 
