Let an entry exceed its share of uploads while a server reports free slots

An entry whose region's callers all use it would have refused uploads while servers were free.

go test ./internal/coordination/bfsteering ./internal/transport/bfgateway -run Upload: ok

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -210,7 +210,7 @@
 			none.addPause(srv.availability.opensAt(srv.coldPhase))
 			continue
 		}
-		if r.Route.LargeBodies && srv.uploads >= uploadLimit(srv.Slots, s.regionPeers()) {
+		if r.Route.LargeBodies && !srv.takesUpload(now, s.regionPeers()) {
 			none.reason = "the backend servers have as many uploads as they may get"
 			continue
 		}
--- a/internal/coordination/bfsteering/upload.go
+++ b/internal/coordination/bfsteering/upload.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// uploadLimit returns how many uploads this entry may have in flight at a server: its share
-// of the server's slots. Requests that wait at a server occupy its memory with their bodies,
-// and a server whose memory is used up crashes.
-func uploadLimit(slots, regionPeers int) int {
+// takesUpload reports whether this entry may send a further upload to the server: as many as
+// its share of the server's slots, and more only while the last load report shows free slots.
+// Requests that wait at a server occupy its memory with their bodies, and a server whose
+// memory is used up crashes.
+func (s *server) takesUpload(now time.Time, regionPeers int) bool {
 	entries := regionPeers + 1
-	return max(1, (slots+entries-1)/entries)
+	share := max(1, (s.Slots+entries-1)/entries)
+	return s.uploads < share || s.load(now, regionPeers)+1 <= float64(s.Slots)
 }
 
 // transferTime returns how long a streamed body takes over this VM's link. Receiving and
--- a/internal/coordination/bfsteering/upload_test.go
+++ b/internal/coordination/bfsteering/upload_test.go
@@ -71,13 +71,23 @@
 }
 
 // TestUploadLimit guards against more uploads of an entry at a server than its share of the
-// server's slots, and against counting those that have ended.
+// server's slots, against counting those that have ended, and against refusing uploads while
+// the server reports free slots.
 func TestUploadLimit(t *testing.T) {
-	for _, c := range []struct{ entries, slots, want int }{{1, 8, 8}, {3, 8, 3}, {4, 3, 1}, {20, 3, 1}} {
+	cases := []struct {
+		entries, slots int
+		// reportedFree is true if the server reports that it has nothing to do.
+		reportedFree bool
+		want         int
+	}{{1, 8, false, 8}, {3, 8, false, 3}, {4, 3, false, 1}, {20, 3, false, 1}, {3, 8, true, 8}, {20, 3, true, 3}}
+	for _, c := range cases {
 		f, s, r := uploadFleet(t, c.entries, c.slots)
 		r.Route.Target = briarferry.Duration(2 * time.Second)
 		for range 3 {
 			var tries []*Try
+			if c.reportedFree {
+				s.service("prices").servers[0].loadReportedAt = f.now
+			}
 			for {
 				try, err := s.Choose(f.now, r)
 				if err != nil {
@@ -86,7 +96,7 @@
 				tries = append(tries, try)
 			}
 			if len(tries) != c.want {
-				t.Errorf("%d uploads of one of %d entries at a server with %d slots, want %d", len(tries), c.entries, c.slots, c.want)
+				t.Errorf("%d uploads of one of %d entries at a server with %d slots, want %d; reported free %v", len(tries), c.entries, c.slots, c.want, c.reportedFree)
 			}
 			for _, try := range tries {
 				try.Done(f.now, Report{Outcome: Cancelled})
