Write the parts of a body without copying them

Each part went through the writer's buffer of 4 KiB, with a system call for each 4 KiB. The end of a connection that was found by asking the socket counts as its end in the metrics too.

go test -race -count=3 ./internal/transport/bfupstream; -count=10 -run TestUploadsAtRandom ./internal/transport/bfgateway: ok

--- a/internal/transport/bfcaller/sending.go
+++ b/internal/transport/bfcaller/sending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 		if !HasLeft(following) && !isEnding(ctx) {
 			return false
 		}
+		if c := FromContext(ctx); c != nil && following.Err() == nil {
+			c.noteEnd(io.EOF)
+		}
 		cancel(ErrLeft)
 		return true
 	}
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -22,23 +22,35 @@
 	// have got a part of the request.
 	ErrRequestBody = errors.New("body of the request is not complete")
 
+	errTooLong  = errors.New("bfupstream: body of the request is longer than announced")
 	errAnswered = errors.New("server answered before it had the whole request")
 )
 
-// streamReader reads a BodyStream. Reads end with its context.
-type streamReader struct {
-	ctx    context.Context
-	stream briarferry.BodyStream
-	rest   []byte
-	// err is the error with which the stream ended, or nil.
-	err error
-}
+type (
+	// streamReader reads a BodyStream. Reads end with its context.
+	streamReader struct {
+		ctx    context.Context
+		stream briarferry.BodyStream
+		rest   []byte
+		// err is the error with which the stream ended, or nil.
+		err error
+	}
+
+	// streamWriter writes a request whose body arrives slowly: each part of the body is sent
+	// at once, and without a copy in the writer's buffer.
+	streamWriter struct {
+		*bufio.Writer
+		conn    *conn
+		body    *streamReader
+		pending *pendingRequest
+	}
+)
 
 // Read returns further bytes of the body.
 func (s *streamReader) Read(b []byte) (int, error) {
 	if len(s.rest) == 0 {
-		if s.rest, s.err = s.stream.Next(s.ctx); s.err != nil {
-			return 0, s.err
+		if err := s.next(); err != nil {
+			return 0, err
 		}
 	}
 	n := copy(b, s.rest)
@@ -46,47 +58,39 @@
 	return n, nil
 }
 
-// streamWriter writes a request whose body arrives slowly: each part of the body is sent at
-// once instead of when the buffer is full.
-type streamWriter struct {
-	*bufio.Writer
-	pending *pendingRequest
+func (s *streamReader) next() error {
+	s.rest, s.err = s.stream.Next(s.ctx)
+	return s.err
 }
 
-// ReadFrom sends the body, which net/http copies after it has written the head.
-func (w streamWriter) ReadFrom(r io.Reader) (int64, error) {
+// ReadFrom sends the body. net/http calls it when it has written the head, with a reader of
+// the same body.
+func (w streamWriter) ReadFrom(io.Reader) (int64, error) {
 	if err := w.Flush(); err != nil {
 		return 0, err
 	}
-	sent := int64(0)
+	sent, length := int64(0), w.pending.request.ContentLength
 	for {
-		// Read may return the last bytes together with io.EOF.
-		n, err := r.Read(w.AvailableBuffer()[:w.Available()])
-		if n > 0 {
-			if err := w.send(n); err != nil {
-				return sent, err
-			}
-			sent += int64(n)
-			// The answer may arrive before Read returns io.EOF.
-			w.pending.sent.Store(sent == w.pending.request.ContentLength)
-		}
+		err := w.body.next()
 		if err == io.EOF {
 			return sent, nil
 		}
 		if err != nil {
 			return sent, err
 		}
+		if sent+int64(len(w.body.rest)) > length {
+			return sent, errTooLong
+		}
+		n, err := w.conn.Write(w.body.rest)
+		sent += int64(n)
+		if err != nil {
+			return sent, err
+		}
+		// The answer may arrive before the stream returns io.EOF.
+		w.pending.sent.Store(sent == length)
 	}
 }
 
-// send sends the first n bytes of the available buffer.
-func (w streamWriter) send(n int) error {
-	if _, err := w.Write(w.AvailableBuffer()[:n]); err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
 // exchangeStream is exchange for a request whose body is sent while it arrives. It returns
 // when nothing reads the body any more.
 func (c *Client) exchangeStream(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
@@ -103,7 +107,7 @@
 	// The time left is that at the start of the request, after the wait for a connection.
 	c.setRemainingTime(ctx, t.request, r)
 	sent := make(chan error, 1)
-	go func() { sent <- conn.write(p, streamWriter{conn.writer, p}) }()
+	go func() { sent <- conn.write(p, streamWriter{Writer: conn.writer, conn: conn, body: body, pending: p}) }()
 	var got result
 	select {
 	case err := <-sent:
