Let the test of a leaving caller need the state of its socket

The server's socket took the whole body before, so that the end of the caller's connection was read in the ordinary way.

--- a/internal/transport/bfgateway/upload_test.go
+++ b/internal/transport/bfgateway/upload_test.go
@@ -74,6 +74,7 @@
 				r := s.head()
 				got <- "head"
 				if tc.readsNothing {
+					_ = s.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 					// The end of the connection is behind bytes of the body.
 					for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 						if _, err := s.Write([]byte("HTTP/1.1 102 Processing\r\n\r\n")); err != nil {
@@ -97,7 +98,7 @@
 			c.send(uploadHead("q1", len(uploadBody)))
 			receiveString(t, got)
 			if tc.readsNothing {
-				c.send(uploadBody[:90<<10])
+				c.send(uploadBody[:130<<10])
 			} else {
 				c.send(uploadBody[:len(uploadBody)-1])
 			}
