Refuse answers whose status is none of HTTP's

A backend server in trouble can send an answer with the status 000. The parser accepts any three characters that are a number of at least 0, so 000, 099, 600, 999 and "+20" counted as answers. With 000 and 099, WriteHeader panicked and the caller's connection closed without an answer; 600 and 999 reached the caller; an order whose answer said not-run beside such a status ran at a second server; and `serve` recorded such an answer as the completion of the claim. 101 was skipped like other informational answers, although no HTTP answer follows it, so that the request waited for its deadline.

bfupstream now returns ErrInvalidStatus for a status outside 100 to 599 and for 101, before it reads the body or streams it. The connection is closed, the try counts as an invalid answer of the server, and the request as one that may have run: an idempotent one is tried elsewhere, `entry` answers others with 502 and `serve` with 503, its status for each unknown outcome, both with the outcome unknown. A recorded answer of an earlier build with such a status ends as an unknown outcome, too. Probes only connect and read no answer.

The parser refuses 0200, 1000, 20, "+200", "-01", hexadecimal digits and a missing status already; a missing reason is valid, and a body after 204 or 304 only ends the use of the connection.

POST /s/orders/x: EOF http: panic serving: invalid WriteHeader code 0

--- a/internal/transport/bfentry/claims.go
+++ b/internal/transport/bfentry/claims.go
@@ -101,7 +101,8 @@
 func (p *Pipeline) ungrantedClaimResult(ctx context.Context, st *requestState, c briarferry.Claim, reply briarferry.ClaimReply) (*briarferry.Answer, error) {
 	switch reply.Result {
 	case briarferry.ClaimCompleted:
-		if reply.Answer != nil {
+		// Earlier builds recorded answers with any status.
+		if reply.Answer != nil && briarferry.IsFinalStatus(reply.Answer.Status) {
 			st.count(countReplayed)
 			return reply.Answer, nil
 		}
--- a/internal/transport/bfentry/counters.go
+++ b/internal/transport/bfentry/counters.go
@@ -22,6 +22,7 @@
 	countShed             = "shed"
 	countAnswerMismatch   = "crossed"
 	countTruncated        = "truncated"
+	countInvalidStatus    = "invalid_status"
 	countSilent           = "silent"
 	countConnectionDied   = "connection_died"
 	countNotSent          = "not_sent"
--- a/internal/transport/bfentry/try.go
+++ b/internal/transport/bfentry/try.go
@@ -218,6 +218,8 @@
 		st.count(countShed)
 	case errors.Is(err, bfupstream.ErrAnswerMismatch):
 		st.count(countAnswerMismatch)
+	case errors.Is(err, bfupstream.ErrInvalidStatus):
+		st.count(countInvalidStatus)
 	case errors.Is(err, bfupstream.ErrTruncated):
 		st.count(countTruncated)
 	case tryErr != nil && tryErr.TimedOut:
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -344,7 +344,7 @@
 		case tryErr.TimedOut:
 			r.Outcome = bfsteering.Unreachable
 		}
-	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
+	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge), errors.Is(err, bfupstream.ErrInvalidStatus):
 		// These come before the state of the context: an incomplete streamed answer ends the
 		// caller's request, and with it the context, before the try is recorded.
 		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
--- a/internal/transport/bfupstream/answer_reader.go
+++ b/internal/transport/bfupstream/answer_reader.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 
+	"briarferry"
 	"briarferry/internal/protocol/bfapi"
 )
 
@@ -91,7 +92,7 @@
 func (ar *answerReader) readNext(p *pendingRequest) result {
 	r := p.request
 	var resp *http.Response
-	for resp == nil || resp.StatusCode >= 100 && resp.StatusCode < 200 {
+	for resp == nil || isInformational(resp.StatusCode) {
 		err := ar.within(&ar.headBytes, func() (err error) {
 			resp, err = http.ReadResponse(ar.br, r)
 			return err
@@ -100,6 +101,10 @@
 			return result{err: err}
 		}
 	}
+	// The body isn't read: nothing that follows such a head can be trusted.
+	if !briarferry.IsFinalStatus(resp.StatusCode) {
+		return result{err: fmt.Errorf("%w: %03d", ErrInvalidStatus, resp.StatusCode)}
+	}
 	if !ar.dialect.AllowCloseDelimited && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
 		return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
 	}
@@ -119,6 +124,12 @@
 	return got
 }
 
+// isInformational reports whether a further answer follows one with this status. None follows
+// 101, as the server goes on in a protocol that entries never ask for.
+func isInformational(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
 // within calls read, which may consume at most *left bytes of the connection, and subtracts
 // those that it consumed.
 func (ar *answerReader) within(left *int64, read func() error) error {
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -37,6 +37,9 @@
 	// it ended early, was not valid HTTP, announced neither a length nor chunks although the
 	// dialect requires one of them, or the connection ended after an answer to another request.
 	ErrTruncated = errors.New("answer is not complete")
+	// ErrInvalidStatus is returned for an answer whose status is outside 100 to 599, or 101. It
+	// proves nothing about the request, whatever its headers say.
+	ErrInvalidStatus = errors.New("answer has an invalid status")
 	// ErrTooLarge is returned for an answer whose head or body exceeds its limit, or that was
 	// the largest one when the memory for answers was used up.
 	ErrTooLarge = errors.New("answer is too large")
@@ -268,7 +271,7 @@
 	e := &briarferry.TryError{
 		Backend:        t.backend,
 		Dispatched:     conn.written.Load() > 0,
-		ConnectionLost: ctxErr == nil && !errors.Is(err, ErrTooLarge),
+		ConnectionLost: ctxErr == nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrInvalidStatus),
 		TimedOut:       errors.Is(ctxErr, context.DeadlineExceeded),
 		Err:            err,
 	}
--- a/request.go
+++ b/request.go
@@ -95,6 +95,9 @@
 	}
 )
 
+// IsFinalStatus reports whether the status is one that a final HTTP answer can have.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // OnRelease sets the function that frees what is held for the answer.
 func (a *Answer) OnRelease(f func()) { a.release = f }
 
