--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -179,10 +179,11 @@
 	return joinErr
 }
 
-// runMaintenance is called on every tick and does its work on every tenth one, which is
-// every half second with the default tick. It fails expired reads and, on the leader,
-// proposes the next due membership change.
+// runMaintenance is called on every tick and repeats the requests of reads. On every tenth
+// one, which is every half second with the default tick, it fails expired reads and, on the
+// leader, proposes the next due membership change.
 func (n *Node) runMaintenance() {
+	n.repeatReads()
 	n.maintenanceTicks++
 	if n.maintenanceTicks%10 != 0 {
 		return
--- a/internal/coordination/bfreplica/propose.go
+++ b/internal/coordination/bfreplica/propose.go
@@ -9,6 +9,10 @@
 	"briarferry/internal/coordination/bfraft"
 )
 
+// readRetryInterval covers the request of a follower and the heartbeat round of the leader, each
+// with a round trip between the most distant regions.
+const readRetryInterval = 250 * time.Millisecond
+
 type (
 	// proposal is a command to append; term is the term in which it was appended. A proposal
 	// whose context has ended by then is not appended: a replica that was frozen would append
@@ -35,9 +39,12 @@
 		notFull chan struct{}
 	}
 
-	// read is a request for a read index; done receives the index, or 0 on failure.
+	// read is a request for a read index; done receives the index, or 0 on failure. The
+	// request was sent last at the time sent.
 	read struct {
+		ctx     context.Context
 		started time.Time
+		sent    time.Time
 		done    chan uint64
 	}
 )
@@ -186,7 +193,7 @@
 // asks the leader for it.
 func (n *Node) ReadIndex(ctx context.Context) (uint64, error) {
 	n.setup()
-	r := &read{started: time.Now(), done: make(chan uint64, 1)}
+	r := &read{ctx: ctx, started: time.Now(), done: make(chan uint64, 1)}
 	select {
 	case n.reads <- r:
 	case <-n.stopped:
@@ -210,9 +217,26 @@
 func (n *Node) startRead(r *read) {
 	n.lastReadID++
 	n.pendingReads[n.lastReadID] = r
+	r.sent = time.Now()
 	n.raft.ReadIndex(n.lastReadID)
 }
 
+// repeatReads sends the requests of reads again that have waited for readRetryInterval, since
+// their request or reply may be lost. Of several replies the first one counts, as each covers
+// what was committed before the read.
+func (n *Node) repeatReads() {
+	if n.raft.Leader() == "" {
+		return
+	}
+	now := time.Now()
+	for id, r := range n.pendingReads {
+		if r.ctx.Err() == nil && now.Sub(r.sent) >= readRetryInterval {
+			r.sent = now
+			n.raft.ReadIndex(id)
+		}
+	}
+}
+
 // expireReads fails the reads that are older than two election timeouts, since their
 // request or reply may be lost.
 func (n *Node) expireReads() {
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -66,8 +66,8 @@
 		// Resolve returns the address of a VM that is not in Peers; if it is nil, such
 		// VMs are unknown.
 		Resolve func(vm string) (netip.AddrPort, bool)
-		// AckTimeout is the time without an acknowledgement after which a connection is
-		// replaced; zero means 1 s.
+		// AckTimeout is the longest time without an acknowledgement after which a connection
+		// is replaced; zero means 1 s.
 		AckTimeout time.Duration
 		// QueueMessages and QueueBytes limit the queue of each peer; zero means 4,096
 		// messages and 32 MB.
--- a/internal/transport/bfrpc/raft_client_test.go
+++ b/internal/transport/bfrpc/raft_client_test.go
@@ -137,7 +137,11 @@
 }
 
 func startClient(t *testing.T, addr netip.AddrPort) *RaftClient {
-	c := &RaftClient{Peers: map[string]netip.AddrPort{"b": addr}, AckTimeout: 300 * time.Millisecond, QueueMessages: 1000}
+	return startClientWith(t, addr, 300*time.Millisecond)
+}
+
+func startClientWith(t *testing.T, addr netip.AddrPort, ackTimeout time.Duration) *RaftClient {
+	c := &RaftClient{Peers: map[string]netip.AddrPort{"b": addr}, AckTimeout: ackTimeout, QueueMessages: 1000}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
