Admit requests of organisations within their quotas

Entries report the demand of organisations with a quota to the leader of the control group and admit requests only with what it granted.

--- a/internal/coordination/bfquota/holder.go
+++ b/internal/coordination/bfquota/holder.go
@@ -25,7 +25,7 @@
 	idleTime = 10 * time.Second
 	// silenceLimit is the time without a reply from an owner after which requests no longer
 	// wait. It covers a leader election and the change to the new owner.
-	silenceLimit = 4 * time.Second
+	silenceLimit = 3 * time.Second
 	// termReset is the time without an owner after which one with an earlier term is
 	// accepted: the control group may have been formed anew.
 	termReset = 15 * time.Second
@@ -259,9 +259,7 @@
 	sentAt, ok := h.sent[g.Sequence]
 	newTerm := g.Term != h.term
 	h.term = g.Term
-	if newTerm || ok {
-		h.silentSince = 0
-	}
+	h.silentSince = 0
 	h.reportAll = h.reportAll || newTerm
 	states := make([]*held, len(g.Items))
 	for i := range g.Items {
@@ -331,3 +329,17 @@
 	}
 	return h.reportAll
 }
+
+// Limited reports whether any organisation has a quota.
+func (h *Holder) Limited() bool {
+	limited := h.limited.Load()
+	return limited != nil && len(*limited) > 0
+}
+
+// Probe returns a report without contents, which asks for the owner.
+func (h *Holder) Probe() Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	return Report{Entry: h.Entry, Incarnation: h.Incarnation, Sequence: h.sequence, Term: h.term, ReplyTo: h.ReplyTo}
+}
--- a/internal/coordination/bfquota/owner.go
+++ b/internal/coordination/bfquota/owner.go
@@ -121,12 +121,18 @@
 	if o.term == term {
 		return
 	}
+	o.Resign()
 	o.term, o.since = term, since
 	o.orgs, o.pairs = map[uint64]*ownedQuota{}, 0
 }
 
 // Resign ends the term.
-func (o *Owner) Resign() { o.term, o.orgs, o.pairs = 0, nil, 0 }
+func (o *Owner) Resign() {
+	for key, q := range o.orgs {
+		o.remove(key, q)
+	}
+	o.term, o.pairs = 0, 0
+}
 
 // Term returns the term, or 0 if the process isn't the owner.
 func (o *Owner) Term() uint64 { return o.term }
--- a/internal/coordination/bfquota/world_test.go
+++ b/internal/coordination/bfquota/world_test.go
@@ -47,8 +47,6 @@
 		cutUntil    time.Duration
 		flushing    bool
 		waiting     []simWaiter
-		// reportsTo is the owner that the entry last heard of.
-		reportsTo *simOwner
 	}
 
 	simWaiter struct {
--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -8,6 +8,7 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfmember"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfslot"
 	"briarferry/internal/state/bfbackend"
 	"briarferry/internal/state/bfcodec"
@@ -42,6 +43,10 @@
 	KindEntryHeartbeat
 	// KindControlHeartbeat marks a *ControlHeartbeat.
 	KindControlHeartbeat
+	// KindQuotaReport marks a *bfquota.Report.
+	KindQuotaReport
+	// KindQuotaGrant marks a *bfquota.Grant.
+	KindQuotaGrant
 )
 
 var (
@@ -196,6 +201,10 @@
 		m = new(EntryHeartbeat)
 	case KindControlHeartbeat:
 		m = new(ControlHeartbeat)
+	case KindQuotaReport:
+		m = new(bfquota.Report)
+	case KindQuotaGrant:
+		m = new(bfquota.Grant)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -223,6 +232,10 @@
 		return KindEntryHeartbeat, nil
 	case *ControlHeartbeat:
 		return KindControlHeartbeat, nil
+	case *bfquota.Report:
+		return KindQuotaReport, nil
+	case *bfquota.Grant:
+		return KindQuotaGrant, nil
 	}
 	return 0, ErrUnknownKind
 }
--- a/internal/protocol/bfwire/gossip_test.go
+++ b/internal/protocol/bfwire/gossip_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"briarferry/internal/coordination/bfmember"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfslot"
 	"briarferry/internal/state/bfbackend"
 )
@@ -24,6 +25,8 @@
 		&Page{From: "e1", Next: 5, Records: []bfbackend.Record{record}, More: true, Synced: true},
 		&bfslot.Request{From: "e1", To: "e2", Sequence: 1, Holdings: []bfslot.Holding{{Key: 1, Held: 2, InFlight: 1}}, Demands: []bfslot.Demand{{Service: "desk", Waiting: 4}}},
 		&bfslot.Grant{From: "e1", To: "e2", Sequence: 1, Revision: 2, Slots: []bfslot.GrantedSlots{{Key: 1, Slots: 2}}},
+		&bfquota.Report{Entry: "e1", Incarnation: 7, Sequence: 9, Term: 3, ReplyTo: addr, Items: []bfquota.Demand{{Key: 1 << 63, Born: 2, Ack: 8, RateMilli: 1500, Share: 40_000, Spent: 6, Returned: 1, Held: 1, Waiting: 2, Ahead: 1}}},
+		&bfquota.Grant{Sequence: 9, Owner: addr.Addr(), Term: 3, Items: []bfquota.Granted{{Key: 1 << 63, Share: 40_000, Rate: 12.5, Burst: 12.5, Tokens: 2, Keep: 1, TokenMillis: 1000, RetryMillis: 80}}},
 	}
 }
 
@@ -49,7 +52,8 @@
 			t.Errorf("%T: a datagram with an extra byte was accepted", m)
 		}
 	}
-	for _, m := range []any{&Pull{}, &bfslot.Request{From: "e1"}, &bfslot.Grant{From: "e1", To: "e2"}, &Heartbeat{}, &Page{From: "?"}} {
+	for _, m := range []any{&Pull{}, &bfslot.Request{From: "e1"}, &bfslot.Grant{From: "e1", To: "e2"}, &Heartbeat{}, &Page{From: "?"},
+		&bfquota.Report{Entry: "e1", Sequence: 1}, &bfquota.Grant{Items: []bfquota.Granted{{Rate: -1}}}, &bfquota.Grant{Items: make([]bfquota.Granted, bfquota.MaxItems+1)}} {
 		data, _ := Encode(m)
 		if _, err := Decode(data); err == nil {
 			t.Errorf("%T: an invalid message was accepted", m)
@@ -80,3 +84,19 @@
 		}
 	})
 }
+
+// TestQuotaDatagramSize guards against reports and grants that don't fit into one packet.
+func TestQuotaDatagramSize(t *testing.T) {
+	addr := netip.MustParseAddrPort("[2001:db8:1:2:3:4:5:6]:40000")
+	r := &bfquota.Report{Entry: "entry-of-a-long-name-0123456789", Incarnation: 1 << 60, Sequence: 1 << 28, Term: 1 << 20, ReplyTo: addr}
+	g := &bfquota.Grant{Sequence: 1 << 28, Owner: addr.Addr(), Term: 1 << 20}
+	for range bfquota.MaxItems {
+		r.Items = append(r.Items, bfquota.Demand{Key: 1 << 63, Born: 1 << 27, Ack: 1<<28 - 1, RateMilli: 1 << 20, Share: 100_000, Spent: 1 << 20, Returned: 1 << 16, Held: 30, Waiting: 300, Ahead: 30})
+		g.Items = append(g.Items, bfquota.Granted{Key: 1 << 63, Share: 100_000, Rate: 123.456, Burst: 123.456, Tokens: 300, Keep: 30, TokenMillis: 1000, RetryMillis: 1000})
+	}
+	for _, m := range []any{r, g} {
+		if data, err := Encode(m); err != nil || len(data) > 1400 {
+			t.Errorf("%T: %d bytes, %v; want at most 1,400", m, len(data), err)
+		}
+	}
+}
--- a/internal/transport/bfcontrol/metrics.go
+++ b/internal/transport/bfcontrol/metrics.go
@@ -8,6 +8,8 @@
 var (
 	counters struct {
 		badDatagrams, reports, lookups, unconfirmed, abandoned expvar.Int
+		// quotaLimited is the number of organisations that are limited now.
+		quotaReports, quotaRedirects, quotaTokens, quotaLimited expvar.Int
 	}
 	publishOnce sync.Once
 )
@@ -22,6 +24,11 @@
 		m.Set("lookups", &counters.lookups)
 		m.Set("unconfirmed_orders", &counters.unconfirmed)
 		m.Set("abandoned_orders", &counters.abandoned)
+		m.Set("quota_reports", &counters.quotaReports)
+		m.Set("quota_redirects", &counters.quotaRedirects)
+		m.Set("quota_single_tokens", &counters.quotaTokens)
+		m.Set("quota_limited_organisations", &counters.quotaLimited)
+		m.Set("quotas", expvar.Func(n.quotas.metrics))
 		m.Set("replica", expvar.Func(func() any { return n.replica.Status() }))
 		m.Set("revision", expvar.Func(func() any { return n.machine.State().Revision }))
 	})
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
@@ -75,6 +76,7 @@
 		cold    coldTracker
 		reports reportTimes
 		clients fleetClients
+		quotas  *quotaOwner
 	}
 )
 
@@ -96,6 +98,7 @@
 		Seeds: func() []string { return addressStrings(n.Seeds()) },
 		Dir:   n.DataDir, Machine: n.machine, Transport: network, Discovery: network, Log: n.Log,
 	}
+	n.quotas = newQuotaOwner(n)
 	publishMetrics(n)
 }
 
@@ -138,6 +141,7 @@
 	group.Go(func() error { return raft.Run(runCtx) })
 	group.Go(func() error { n.notify(runCtx); return nil })
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
+	group.Go(func() error { n.quotas.run(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -199,6 +203,10 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if r, ok := m.(*bfquota.Report); ok {
+		n.receiveReport(r)
+		return
+	}
 	heartbeat, ok := m.(*bfwire.EntryHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 	"briarferry/internal/transport/bfgossip"
@@ -49,7 +50,9 @@
 		// time to a region.
 		onChange func(s *bffleet.State)
 		onRTT    func(region string, rtt time.Duration)
-		log      zerolog.Logger
+		// onGrant is called with each grant of quotas.
+		onGrant func(g *bfquota.Grant)
+		log     zerolog.Logger
 
 		gossip *bfgossip.UDPNetwork
 		client *http.Client
@@ -186,6 +189,10 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if g, ok := m.(*bfquota.Grant); ok && f.onGrant != nil {
+		f.onGrant(g)
+		return
+	}
 	b, ok := m.(*bfwire.ControlHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -107,7 +107,7 @@
 	span.SetAttributes(attribute.String("route", c.route.Name), attribute.String("request_id", c.request.ID))
 	ctx, stop := n.requestContext(ctx, c)
 	defer stop()
-	answer, err := n.forward(ctx, c)
+	answer, err := n.forwardWithinQuota(ctx, c)
 	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), bfcaller.ErrLeft) {
 		n.logRequest(c, "caller_left", 0, nil)
 		panic(http.ErrAbortHandler)
@@ -270,7 +270,8 @@
 	}
 	if r.RetryAfter > 0 {
 		after := r.RetryAfter
-		if !c.request.Deadline.IsZero() {
+		// A token of a quota that is used up comes no earlier for a caller with less time.
+		if !c.request.Deadline.IsZero() && r.Status != http.StatusTooManyRequests {
 			after = min(after, time.Until(c.request.Deadline)/retryAfterDivisor)
 		}
 		h.Set("Retry-After", strconv.FormatFloat(max(0.01, after.Seconds()), 'f', 2, 64))
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch, quotaOwnerProbes expvar.Int
 
 		tries expvar.Map
 	}
@@ -95,6 +95,12 @@
 		m.Set("link_utilization", expvar.Func(func() any { return n.meter.last() }))
 		m.Set("answer_bytes_held", expvar.Func(func() any { bytes, _ := n.upstream.HeldAnswers(); return bytes }))
 		m.Set("answers_dropped", expvar.Func(func() any { _, dropped := n.upstream.HeldAnswers(); return dropped }))
+		m.Set("quota_admitted", expvar.Func(func() any { return n.quotas.holder.Admitted.Load() }))
+		m.Set("quota_waited", expvar.Func(func() any { return n.quotas.holder.Waited.Load() }))
+		m.Set("quota_refused", expvar.Func(func() any { return n.quotas.holder.Refused.Load() }))
+		m.Set("quota_without_owner", expvar.Func(func() any { return n.quotas.holder.Unowned.Load() }))
+		m.Set("quota_organisations", expvar.Func(func() any { return n.quotas.holder.Counts() }))
+		m.Set("quota_owner_probes", &counters.quotaOwnerProbes)
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
 	})
 }
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -80,6 +80,7 @@
 		bodyMemory bodyMemory
 		meter      linkMeter
 		fleet      *fleetSync
+		quotas     *quotaSync
 		steering   *bfsteering.Steering
 		quarantine *bfquarantine.Quarantine
 		upstream   *bfupstream.Client
@@ -123,6 +124,8 @@
 		},
 		regions: n.Regions, seeds: n.Seeds, controlPort: n.ControlGossipPort, isReady: n.isReady, linkUtilization: n.meter.sample, onChange: n.update, log: n.Log,
 	}
+	n.quotas = newQuotaSync(n)
+	n.fleet.onGrant = n.quotas.receive
 	n.meter.bandwidth = n.LinkBandwidth
 	n.fleet.setup()
 	n.bodyMemory.limit = n.MaxBodyMemory
@@ -162,6 +165,7 @@
 	if s.Routes != nil {
 		if old := n.routes.Load(); old == nil || old.Version != s.Routes.Version {
 			n.server.configure(n.listener.Addr(), s.Routes.Limits)
+			n.quotas.update(s.Routes)
 			n.routes.Store(bfroute.New(s.Routes))
 			if old == nil {
 				n.fleet.announce()
@@ -195,6 +199,7 @@
 	n.listen(runCtx, group, n.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout})
 	group.Go(func() error { return n.server.serve(n.listener) })
 	group.Go(func() error { n.fleet.run(runCtx); return nil })
+	group.Go(func() error { n.quotas.run(runCtx); return nil })
 	group.Go(func() error { return n.quarantine.Run(runCtx) })
 	group.Go(func() error { n.probeServers(runCtx); return nil })
 	group.Go(func() error { n.logSampler.run(runCtx); return nil })
