--- a/internal/transport/bfgateway/quota_test.go
+++ b/internal/transport/bfgateway/quota_test.go
@@ -72,9 +72,7 @@
 		}
 	})
 	s.setQuota(1, quota)
-	s.waitForOwner()
-	// Until leases of an earlier owner would have ended, a new one grants little.
-	time.Sleep(bfquota.LeaseDuration + bfquota.LeaseDuration/5)
+	s.waitUntilSettled(func() netip.Addr { return s.waitForOwner().Address })
 	for i := range entries {
 		s.startEntry(i, seeds, netip.AddrPortFrom(seeds[0], ports[2+i].Port()), ports[1].Port())
 	}
@@ -84,10 +82,7 @@
 // setQuota installs a route table in which the organisation "o" has the quota.
 func (s *quotaSystem) setQuota(version uint64, quota briarferry.Quota) {
 	s.t.Helper()
-	s.table = &briarferry.RouteTable{
-		Version: version, Services: []briarferry.RouteService{{Name: "s", ConnectionLimit: 1}}, KeySalt: make([]byte, briarferry.KeySaltBytes),
-		Organisations: []briarferry.Organisation{{Name: "o", Quota: quota}},
-	}
+	s.table = quotaTable(version, briarferry.Organisation{Name: "o", Quota: quota})
 	var err error
 	for range 30 {
 		ctx, cancel := context.WithTimeout(s.t.Context(), time.Second)
@@ -105,6 +100,13 @@
 	}
 }
 
+func quotaTable(version uint64, organisations ...briarferry.Organisation) *briarferry.RouteTable {
+	return &briarferry.RouteTable{
+		Version: version, Services: []briarferry.RouteService{{Name: "s", ConnectionLimit: 1}},
+		KeySalt: make([]byte, briarferry.KeySaltBytes), Organisations: organisations,
+	}
+}
+
 // startEntry starts the parts of an entry that exchange quotas.
 func (s *quotaSystem) startEntry(i int, seeds []netip.Addr, address netip.AddrPort, controlPort uint16) {
 	e := &quotaEntry{Node: &Node{
@@ -141,6 +143,7 @@
 
 // quotaLoad sends requests of the organisation through an entry and records those that may run.
 type quotaLoad struct {
+	organisation   string
 	mu             sync.Mutex
 	runs           []time.Time
 	refused, other int
@@ -164,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	started := time.Now()
-	_, err := e.quotas.Acquire(ctx, "o")
+	_, err := e.quotas.Acquire(ctx, l.organisation)
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -213,6 +216,25 @@
 // make windows look fuller: they are recorded late by the time until their goroutine runs.
 const measurementError = 15
 
+// waitUntilSettled waits until one VM has owned the quotas for longer than leases last: until then,
+// a new owner grants little.
+func (s *quotaSystem) waitUntilSettled(owner func() netip.Addr) {
+	s.t.Helper()
+	var last netip.Addr
+	since := time.Now()
+	for end := since.Add(time.Minute); time.Since(since) < bfquota.LeaseDuration+bfquota.LeaseDuration/5; time.Sleep(20 * time.Millisecond) {
+		if a := owner(); a != last {
+			last, since = a, time.Now()
+		}
+		if !last.IsValid() {
+			since = time.Now()
+		}
+		if time.Now().After(end) {
+			s.t.Fatal("no owner has stayed for long enough")
+		}
+	}
+}
+
 // waitForOwner waits until a control VM owns the quotas and returns it.
 func (s *quotaSystem) waitForOwner() (owner *quotaControl) {
 	s.t.Helper()
@@ -237,9 +259,10 @@
 // TestQuotaOverload guards against requests beyond the quota, and against an unused quota, while
 // the owner leaves and an entry is cut off under a load above the quota.
 func TestQuotaOverload(t *testing.T) {
+	t.Parallel()
 	quota := briarferry.Quota{Rate: 200, Burst: 200}
 	s := newQuotaSystem(t, 3, quota)
-	var load quotaLoad
+	load := quotaLoad{organisation: "o"}
 	var wg sync.WaitGroup
 	const d = 14 * time.Second
 	end := time.Now().Add(d)
@@ -264,9 +287,10 @@
 // TestQuotaOwnerLost guards against requests within the quota that are refused while the owner is
 // replaced.
 func TestQuotaOwnerLost(t *testing.T) {
+	t.Parallel()
 	quota := briarferry.Quota{Rate: 300, Burst: 300}
 	s := newQuotaSystem(t, 3, quota)
-	var load quotaLoad
+	load := quotaLoad{organisation: "o"}
 	var wg sync.WaitGroup
 	const d = 9 * time.Second
 	for i, e := range s.entries {
@@ -286,8 +310,9 @@
 
 // TestQuotaChange guards against a lower quota that binds late and a raised one that can't be used.
 func TestQuotaChange(t *testing.T) {
+	t.Parallel()
 	s := newQuotaSystem(t, 2, briarferry.Quota{Rate: 100, Burst: 100})
-	var load quotaLoad
+	load := quotaLoad{organisation: "o"}
 	var wg sync.WaitGroup
 	for _, e := range s.entries {
 		load.send(e, 100, 10*time.Second, &wg)
