Describe the quotas as built

Leases no longer hold more than 2 s of the rate, so that long bursts stay at the owner; a lease is kept down to half the depth from which it is given, as flapping lost its tokens; unreported tokens that come back are used at once.

--- a/internal/coordination/bfquota/held.go
+++ b/internal/coordination/bfquota/held.go
@@ -49,7 +49,9 @@
 		born, ack        uint64
 		spent, returned  uint64
 		// keep is the number of single tokens that the owner lets the entry keep.
-		keep       uint32
+		keep uint32
+		// reports counts the reports.
+		reports    uint64
 		reportedAt time.Duration
 		// settleAt is when the use of single tokens is to be reported, or 0.
 		settleAt time.Duration
@@ -178,10 +180,11 @@
 		h.lease.tokens--
 		return &Token{h: h, clock: h.clock, at: now}
 	}
-	if takeFrom(&h.earlier, now) {
+	if _, ok := takeFrom(&h.earlier, now); ok {
 		return &Token{h: h, clock: h.clock, at: now, single: true}
 	}
-	if !takeFrom(&h.batches, now) {
+	end, ok := takeFrom(&h.batches, now)
+	if !ok {
 		return nil
 	}
 	h.spent++
@@ -191,21 +194,22 @@
 			h.settleAt += settleDelay
 		}
 	}
-	return &Token{h: h, clock: h.clock, at: now, single: true, born: h.born}
+	return &Token{h: h, clock: h.clock, at: now, single: true, born: h.born, reports: h.reports, end: end}
 }
 
-// takeFrom takes a token and drops those that have ended.
-func takeFrom(batches *[]batch, now time.Duration) bool {
+// takeFrom takes a token and returns its end. It drops those that have ended.
+func takeFrom(batches *[]batch, now time.Duration) (end time.Duration, ok bool) {
 	dropEnded(batches, now)
 	if len(*batches) == 0 {
-		return false
+		return 0, false
 	}
 	b := &(*batches)[0]
+	end = b.end
 	b.tokens--
 	if b.tokens == 0 {
 		*batches = slices.Delete(*batches, 0, 1)
 	}
-	return true
+	return end, true
 }
 
 func dropEnded(batches *[]batch, now time.Duration) {
@@ -220,8 +224,8 @@
 	return n
 }
 
-// giveBack takes a token back. One of the lease goes back to it if its history allows it. A single one goes back to the owner with the next report, as the
-// owner may count it as used already.
+// giveBack takes a token back. One of the lease goes back to it if its history allows it. A single
+// one that was reported as used goes back to the owner with the next report.
 func (h *held) giveBack(t *Token, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -230,7 +234,12 @@
 	case !t.single:
 		h.lease.fill(now)
 		h.lease.tokens += h.lease.history.takeBack(now, now-t.at, returnTime, 1)
-	case t.born != 0 && t.born == h.born:
+	case t.born == 0 || t.born != h.born:
+	case t.reports == h.reports:
+		// The owner doesn't know yet that it was used.
+		h.spent--
+		h.batches = append(h.batches, batch{tokens: 1, since: now, end: t.end})
+	default:
 		h.returned++
 	}
 }
@@ -284,6 +293,7 @@
 		return Demand{}, false, true
 	}
 	h.urgent, h.settleAt, h.reportedAt = false, 0, now
+	h.reports++
 	for _, w := range h.waiters {
 		if w.asked == 0 {
 			w.asked, w.askedAt = sequence, now
--- a/internal/coordination/bfquota/holder.go
+++ b/internal/coordination/bfquota/holder.go
@@ -77,6 +77,10 @@
 		single bool
 		born   uint64
 		at     time.Duration
+		// reports is the number of reports before it was taken, and end is when a single token
+		// may no longer be used.
+		reports uint64
+		end     time.Duration
 	}
 
 	// Waiter is a request that waits for a token.
--- a/internal/coordination/bfquota/message.go
+++ b/internal/coordination/bfquota/message.go
@@ -94,7 +94,7 @@
 		Key uint64
 		// Share is the share of the quota that is leased to the entry.
 		Share uint32
-		// Rate and Burst are those of the whole quota.
+		// Rate and Burst are those of a lease of the whole quota.
 		Rate, Burst float64
 		Tokens      uint32
 		// Keep is the number of tokens that may be kept for later requests, and TokenMillis
--- a/internal/coordination/bfquota/owner.go
+++ b/internal/coordination/bfquota/owner.go
@@ -176,7 +176,7 @@
 	}
 	o.update(q, p, now, sequence, d)
 	share := o.nextShare(q, p, now)
-	out := Granted{Key: d.Key, Share: share, Rate: q.quota.Rate, Burst: effectiveBurst(q.quota), TokenMillis: uint32(o.tokenDuration(now).Milliseconds())}
+	out := Granted{Key: d.Key, Share: share, Rate: q.quota.Rate, Burst: leaseBurst(q.quota), TokenMillis: uint32(o.tokenDuration(now).Milliseconds())}
 	o.grantTokens(q, p, now, d, &out)
 	p.addGrant(grant{sequence: sequence, share: share, shareEnd: now + withMargin(LeaseDuration), tokens: out.Tokens, tokensEnd: now + withMargin(TokenDuration)})
 	o.refresh(q, p, now)
@@ -375,7 +375,12 @@
 		free := limit - min(limit, q.sums.share)
 		target = min(target, current+free)
 	}
-	if float64(target)/wholeShare*effectiveBurst(q.quota) < leastDepth(q.quota, q.sums.demand) {
+	least := leastDepth(q.quota, q.sums.demand)
+	if current > 0 {
+		// A lease that is given and taken again and again loses its tokens each time.
+		least *= keepDepth
+	}
+	if float64(target)/wholeShare*leaseBurst(q.quota) < least {
 		return 0
 	}
 	return target
@@ -437,12 +442,12 @@
 		return 0, 0
 	case now < o.since+withMargin(TokenDuration):
 		leased = max(leased, q.split.leased)
-		depth = burst*(1-leased) - q.split.outstanding
+		depth = burst - leased*leaseBurst(q.quota) - q.split.outstanding
 	case now < o.since+withMargin(LeaseDuration):
 		leased = max(leased, q.split.leased)
-		depth = burst * (1 - leased)
+		depth = burst - leased*leaseBurst(q.quota)
 	default:
-		depth = burst * (1 - leased)
+		depth = burst - leased*leaseBurst(q.quota)
 	}
 	return max(0, q.quota.Rate*(1-leased)), max(0, depth-q.sums.outstanding)
 }
--- a/internal/coordination/bfquota/policy.go
+++ b/internal/coordination/bfquota/policy.go
@@ -24,14 +24,18 @@
 	// is used up: a lease of few tokens loses many while no request comes. They apply up to
 	// partUsed and from fullyUsed on, as parts of the rate.
 	minDepth     = 1.2
-	minUsedDepth = 6
-	partUsed     = 0.75
-	fullyUsed    = 0.95
+	minUsedDepth = 12
+	// keepDepth is the part of these at which an entry keeps its lease.
+	keepDepth = 0.5
+	partUsed  = 0.75
+	fullyUsed = 0.95
+	// maxLeaseFill is the longest time in which an empty lease fills up.
+	maxLeaseFill = 2 * time.Second
 	// shareHysteresis is the relative change of a share below which it is kept.
 	shareHysteresis = 0.1
 	// aheadFill is the part of the depth of its bucket below which the owner grants no tokens ahead of
 	// requests, and aheadPart the part of the outstanding tokens that these may be.
-	aheadFill = 0.3
+	aheadFill = 0.4
 	aheadPart = 0.8
 	// minUnkept is the number of outstanding tokens that are left for waiting requests.
 	minUnkept = 2
@@ -53,6 +57,12 @@
 // admit nothing.
 func effectiveBurst(q briarferry.Quota) float64 { return max(1, q.Burst) }
 
+// leaseBurst returns the depth that the leases of a whole quota would have. It is limited, as the
+// tokens of a lease that ends are lost.
+func leaseBurst(q briarferry.Quota) float64 {
+	return min(effectiveBurst(q), q.Rate*maxLeaseFill.Seconds())
+}
+
 // splitOf returns the division of the quota. A small quota is given out token by token, as
 // its demand comes from more entries than its burst has tokens. A large one is mostly leased,
 // so that entries need no owner for a while.
@@ -74,7 +84,7 @@
 // deviation returns the standard deviation of the requests that come at the rate while a bucket
 // of the quota fills, per second of that time.
 func deviation(q briarferry.Quota, rate float64) float64 {
-	return math.Sqrt(rate * q.Rate / effectiveBurst(q))
+	return math.Sqrt(rate * q.Rate / leaseBurst(q))
 }
 
 // targetRate returns the rate of the lease for an entry with the given demand, where demand and
