Keep tokens ahead of requests within the tolerance of quotas

Change: the settings' tolerance (a share of what the quota allows in a window, and some requests) makes tokens that entries keep ahead. Entries also ask for the deviation of their requests. Without tolerance nothing changes in what is allowed; TestWindows draws the tolerance and passes.

--- a/internal/coordination/bfquota/held.go
+++ b/internal/coordination/bfquota/held.go
@@ -322,7 +322,8 @@
 	if missing < minAheadRate {
 		return 0
 	}
-	return uint32(min(maxAhead, 1+missing*aheadTime.Seconds()))
+	expected := missing * aheadTime.Seconds()
+	return uint32(min(maxAhead, 1+expected+math.Sqrt(expected)))
 }
 
 // dropSurplus drops single tokens that are no longer wanted. The owner takes them back when the
--- a/internal/coordination/bfquota/policy.go
+++ b/internal/coordination/bfquota/policy.go
@@ -122,8 +122,8 @@
 	maxAheadRate = 100
 	// aheadLow and aheadHigh are the parts of the tokens for later requests between which
 	// aheadRate is kept.
-	aheadLow  = 0.5
-	aheadHigh = 0.7
+	aheadLow  = 0.8
+	aheadHigh = 0.95
 )
 
 // adaptAheadRate changes the demand from which entries may keep tokens, so that those with the
--- a/internal/coordination/bfquota/world_test.go
+++ b/internal/coordination/bfquota/world_test.go
@@ -31,6 +31,8 @@
 		// ends. Reports go to the last one.
 		owners []*simOwner
 		quotas map[string]briarferry.Quota
+		// tolerance is that of all owners.
+		tolerance Tolerance
 		// runs holds the times at which requests of an organisation got their token.
 		runs map[string][]time.Duration
 
@@ -119,6 +121,7 @@
 		o.leaseEnd = min(o.leaseEnd, w.now)
 	}
 	o := &simOwner{leaseEnd: 1 << 62}
+	o.Tolerance = w.tolerance
 	o.Lead(term, w.now)
 	o.SetQuotas(w.now, byKey(w.quotas))
 	w.owners = append(w.owners, o)
--- a/internal/transport/bfcommand/platform.go
+++ b/internal/transport/bfcommand/platform.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/transport/bfcontrol"
 	"briarferry/internal/transport/bfgateway"
@@ -227,6 +228,7 @@
 		Address: p.Address, Bind: s.bind, FailureDomain: p.FailureDomain, RPC: s.internalAddress(controlRPCOffset), Gossip: s.internalAddress(controlGossipOffset),
 		Seeds: s.watcher.Seeds, Bootstrap: p.Bootstrap, DataDir: p.DataDir, Regions: p.Regions, LookupTTL: p.Bounds.LookupTTL,
 		MaxShift: p.Bounds.MaxShift, MaxLostVMs: p.Bounds.MaxLostVMs, Log: s.log,
+		QuotaTolerance: bfquota.Tolerance{Window: p.Bounds.QuotaWindow, Share: p.Bounds.QuotaShare, Requests: p.Bounds.QuotaRequests},
 	}
 	n.Setup()
 	api := &platform.API{Control: n, Status: bfcontrol.HTTPStatus, Log: s.log}
