--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
@@ -64,6 +65,9 @@
 		// MaxShift is the largest share of a region's requests that may move to another
 		// region within 2 s; zero means no limit.
 		MaxShift float64
+		// QuotaTolerance is the excess over organisations' quotas that is accepted. It must be
+		// the same at all control VMs.
+		QuotaTolerance bfquota.Tolerance
 		// Handlers are the HTTP handlers to serve, by listen address.
 		Handlers map[netip.AddrPort]http.Handler
 		Log      zerolog.Logger
@@ -78,6 +82,7 @@
 		memberNews memberNews
 		clients    fleetClients
 		homes      homeHosts
+		quotas     *quotaOwner
 	}
 )
 
@@ -99,6 +104,7 @@
 		Seeds: func() []string { return addressStrings(n.Seeds()) },
 		Dir:   n.DataDir, Machine: n.machine, Transport: network, Discovery: network, Log: n.Log,
 	}
+	n.quotas = newQuotaOwner(n)
 	publishMetrics(n)
 }
 
@@ -141,6 +147,7 @@
 	group.Go(func() error { return raft.Run(runCtx) })
 	group.Go(func() error { n.notify(runCtx); return nil })
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
+	group.Go(func() error { n.quotas.run(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -202,6 +209,10 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if r, ok := m.(*bfquota.Report); ok {
+		n.receiveReport(r)
+		return
+	}
 	heartbeat, ok := m.(*bfwire.EntryHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -22,6 +22,7 @@
 		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted expvar.Int
 		invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
+		quotaOwnerProbes                                                 expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
 		tries, uploadsAborted expvar.Map
@@ -104,6 +105,12 @@
 		m.Set("body_bytes_held", expvar.Func(func() any { return n.bodyMemory.used.Load() }))
 		m.Set("answer_bytes_held", expvar.Func(func() any { bytes, _ := n.upstream.HeldAnswers(); return bytes }))
 		m.Set("answers_dropped", expvar.Func(func() any { _, dropped := n.upstream.HeldAnswers(); return dropped }))
+		m.Set("quota_admitted", expvar.Func(func() any { return n.quotas.holder.Admitted.Load() }))
+		m.Set("quota_waited", expvar.Func(func() any { return n.quotas.holder.Waited.Load() }))
+		m.Set("quota_refused", expvar.Func(func() any { return n.quotas.holder.Refused.Load() }))
+		m.Set("quota_without_owner", expvar.Func(func() any { return n.quotas.holder.Unowned.Load() }))
+		m.Set("quota_organisations", expvar.Func(func() any { return n.quotas.holder.Counts() }))
+		m.Set("quota_owner_probes", &counters.quotaOwnerProbes)
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
 	})
 }
