--- a/internal/coordination/bfplan/collector.go
+++ b/internal/coordination/bfplan/collector.go
@@ -11,8 +11,8 @@
 	// maxReporters limits the entries whose reports are kept.
 	maxReporters = 4096
 	// spreadVariance is the variance of the number of requests of one entry that run in a
-	// region, as evenly spread draws differ from the shares by less than one request.
-	spreadVariance = 0.2
+	// region, as its draws make up for requests that a region lacks.
+	spreadVariance = 0.7
 	// defaultRTT is assumed between regions that no entry has measured.
 	defaultRTT = 100 * time.Millisecond
 )
--- a/internal/coordination/bfplan/follower.go
+++ b/internal/coordination/bfplan/follower.go
@@ -14,19 +14,33 @@
 	// leaveShare is the share of the limit on shifts that requests may use which leave their
 	// planned region because no server there can answer in time.
 	leaveShare = 0.2
+	// keyTolerance is the distance between a key's place and a region's part of the places at
+	// which a request is sent there anyway if the region lacks one request of its share. With a
+	// shorter one, the same keys go to a region more strictly, but counts differ more from the
+	// shares: their variance is about a tenth of its inverse.
+	keyTolerance = 0.15
+	// maxCredit bounds how many requests a region may lack, so that those of one time are not
+	// made up for at another.
+	maxCredit = 8
+	// startDraws is the number of draws after which credits don't depend on their start.
+	startDraws = 32
 )
 
 type (
 	// Follower holds the shares of one service that an entry uses. Their changes are limited,
 	// so that an entry that missed plans doesn't move its requests at once.
 	Follower struct {
+		// Own is the index of the entry's region.
+		Own int
 		// Phase and LeavePhase are the starts of the entry's sequences, random numbers from 0
-		// to 1, so that entries don't move in step.
+		// to 1, so that entries don't move in step. Phase is for requests without a key.
 		Phase, LeavePhase float64
 		// Shares are the shares in force; nil means that none are yet.
 		Shares []float64
 
-		count     uint64
+		count uint64
+		// credits holds how many requests each region lacks of its share.
+		credits   []float64
 		updatedAt time.Time
 		usedAt    time.Time
 		// forced and forcedTerm identify the last change that was followed at once.
@@ -79,28 +93,66 @@
 	return StepPerSecond(maxShift) * elapsed.Seconds()
 }
 
-// Next decides about the next request.
-func (f *Follower) Next(now time.Time, maxShift float64) Draw {
+// Next decides about the next request. Place is a number from 0 to 1 that is the same for all
+// requests with a key at all entries, or negative for a request without a key. The regions
+// divide the places, the entry's own one first, so that the same keys go to the same regions,
+// as far as each region gets its share of the requests.
+func (f *Follower) Next(now time.Time, place, maxShift float64) Draw {
 	f.usedAt = now
 	f.count++
-	at := fraction(f.Phase + float64(f.count)*goldenRatio)
 	leave := fraction(f.LeavePhase + float64(f.count)*silverRatio)
 	if f.Shares == nil || leave >= f.influence {
 		return Draw{}
 	}
-	d := Draw{Planned: true, MayLeave: leave < leaveShare*maxShift, Region: len(f.Shares) - 1}
-	for r, share := range f.Shares {
-		if at < share {
-			d.Region = r
-			break
+	if place < 0 {
+		place = fraction(f.Phase + float64(f.count)*goldenRatio)
+	}
+	return Draw{Planned: true, MayLeave: leave < leaveShare*maxShift, Region: f.nearest(place)}
+}
+
+// nearest returns the region whose part of the places is the nearest one, where a region that
+// lacks requests counts as nearer.
+func (f *Follower) nearest(place float64) int {
+	if len(f.credits) != len(f.Shares) {
+		f.credits = make([]float64, len(f.Shares))
+		// The first requests of an entry must not differ from later ones: all entries start at
+		// the same time.
+		for i := range startDraws {
+			f.nearest(fraction(f.Phase + float64(i)*goldenRatio))
 		}
-		at -= share
 	}
-	// Rounding may leave the last region without a share.
-	for d.Region > 0 && f.Shares[d.Region] == 0 {
-		d.Region--
+	best, bestScore, start := -1, 0.0, 0.0
+	for i := range f.Shares {
+		// The own region's part of the places only changes at its end: it is the one whose
+		// servers would lack the keys that it gets.
+		r := f.inOrder(i)
+		share := f.Shares[r]
+		end := start + share
+		score := f.credits[r] - max(0, start-place, place-end)/keyTolerance
+		if share > 0 && (best < 0 || score > bestScore) {
+			best, bestScore = r, score
+		}
+		start = end
 	}
-	return d
+	f.credits[best]--
+	for r, share := range f.Shares {
+		f.credits[r] = min(maxCredit, max(-maxCredit, f.credits[r]+share))
+	}
+	return best
+}
+
+// inOrder returns the i-th region in the order in which they divide the places.
+func (f *Follower) inOrder(i int) int {
+	switch {
+	case i == 0:
+		return f.Own
+	case i <= f.Own:
+		return i - 1
+	}
+	return i
 }
 
 func fraction(v float64) float64 { return v - math.Floor(v) }
+
+// Use records a request that follows no plan.
+func (f *Follower) Use(now time.Time) { f.usedAt = now }
--- a/internal/coordination/bfplan/planner.go
+++ b/internal/coordination/bfplan/planner.go
@@ -17,6 +17,8 @@
 	ReportLifetime = 2 * time.Second
 	// PlanLifetime is the time for which entries follow a plan without hearing of it again.
 	PlanLifetime = 5 * time.Second
+	// ColdSlotShare is the part of a cold server's slots that counts as usable.
+	ColdSlotShare = 0.3
 
 	// maxStepShare is the largest share of the limit on shifts by which shares may change
 	// within a Window, and minStepShare the smallest. Requests that come at the start of one
--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -67,6 +67,11 @@
 		// Reliable reports whether the server's recent answers were complete and without
 		// errors.
 		Reliable bool
+		// PlannedRegion is the region in which the plan of regions wants the request to run;
+		// it is empty if the request isn't planned. LeaveReason says why the request runs
+		// outside the entry's region; it is empty if it doesn't.
+		PlannedRegion string
+		LeaveReason   LeaveReason
 
 		steering  *Steering
 		service   *service
@@ -137,11 +142,15 @@
 		return nil, unavailable("the retry budget of the service is used up", minRetryAfter)
 	}
 	m := v.routeModel(r.Route.Name)
-	list, none := v.candidates(now, s, &r, m)
+	plan := s.plan.decide(now, s, v, &r)
+	list, none := v.candidates(now, s, &r, m, plan)
 	if len(list) == 0 {
 		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
-	best, ok := pick(list, &r)
+	best, reason, ok := v.pickPlanned(s, list, &r, plan)
+	if best.server == nil {
+		return nil, unavailable(none.reason, none.retryAfter(now))
+	}
 	if !ok {
 		return nil, &NoServerError{
 			Refusal: briarferry.Refusal{
@@ -152,7 +161,10 @@
 			LoadAge: now.Sub(best.server.loadReportedAt), Candidates: len(list),
 		}
 	}
-	return v.startTry(now, s, &r, m, best), nil
+	s.plan.recordRun(v, &r, best.server.region)
+	try := v.startTry(now, s, &r, m, best)
+	try.PlannedRegion, try.LeaveReason = plan.region, reason
+	return try, nil
 }
 
 // key returns the cache key of the object that the request concerns, or "" without
@@ -191,12 +203,15 @@
 // candidates returns the servers that may get the request now, or why there are none.
 // Ejected servers are only included if there are no others. The list is valid until the next
 // call.
-func (v *service) candidates(now time.Time, s *Steering, r *Request, m *routeModel) ([]candidate, noCandidate) {
+func (v *service) candidates(now time.Time, s *Steering, r *Request, m *routeModel, plan planDecision) ([]candidate, noCandidate) {
 	none := noCandidate{reason: "no backend server is registered for the service"}
 	eligible, ejected := v.eligible[:0], v.ejected[:0]
 	defer func() { v.eligible, v.ejected = eligible, ejected }()
 	entries := s.entries()
 	positions := v.positions(s, r)
+	if plan.region != s.Region {
+		positions.planned = plan.region
+	}
 	for _, srv := range v.servers {
 		if !srv.usable(r) || slices.Contains(r.Avoid, srv.ID) {
 			continue
@@ -221,6 +236,9 @@
 	if len(list) == 0 {
 		list = ejected
 	}
+	if plan.planned {
+		return list, none
+	}
 	return s.shift.filter(now, list), none
 }
 
--- a/internal/coordination/bfsteering/positions.go
+++ b/internal/coordination/bfsteering/positions.go
@@ -39,6 +39,9 @@
 	positions struct {
 		own      area
 		byDomain bool
+		// planned is the region in which the plan of regions wants the request to run, if it
+		// isn't the entry's own.
+		planned string
 		// areas are few: the regions, or the failure domains.
 		areas []topServers
 		// topInDomain is the highest-ranked server in this entry's failure domain.
@@ -131,6 +134,10 @@
 	}
 	in := p.areaOf(srv.region, srv.FailureDomain)
 	order := p.topOf(in).order(srv)
+	if p.planned != "" && srv.region == p.planned {
+		// All entries that send requests with this key to the region use the same servers.
+		return position{order: order, missClass: [3]missClass{missRemote, missOther, missOther}[order]}
+	}
 	switch {
 	case srv == p.remote:
 		return position{missClass: missRemote}
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -154,6 +154,9 @@
 	if !t.queued && ratio > slowRatio*(1+slow)-1 || slow > 0.2 && ratio < slow {
 		srv.slowness.add(now, slownessHalfLife, min(maxSlowness, max(0, ratio)))
 	}
+	if !t.queued && !cold {
+		t.steering.plan.recordSlotTime(t.service.name, work)
+	}
 	if t.key != "" {
 		if !t.queued && !cold && slow < 0.5 {
 			t.model.addAnswer(t.Warm, t.missClass, work)
--- a/internal/coordination/bfsteering/rtt.go
+++ b/internal/coordination/bfsteering/rtt.go
@@ -34,6 +34,16 @@
 	t.rtt[region] = old + (rtt-old)/longerRTTDivisor
 }
 
+// measured returns the round trip time to a region, or 0 if it has not been measured.
+func (t *roundTripTimes) measured(region, ownRegion string) time.Duration {
+	if region == ownRegion {
+		return 0
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.rtt[region]
+}
+
 func (t *roundTripTimes) get(region, ownRegion string) time.Duration {
 	if region == ownRegion {
 		return 0
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -46,8 +46,11 @@
 		Log       zerolog.Logger
 		// Counts counts the notices of servers.
 		Counts NoticeCounts
+		// PlanCounts counts requests by how they followed the plan of regions.
+		PlanCounts PlanCounts
 
 		shift shiftLimiter
+		plan  regionPlan
 		rtts  roundTripTimes
 		link  localLink
 
@@ -86,6 +89,8 @@
 		Retry bool
 		// OnTimeOnly requests a server only if one can answer within the target.
 		OnTimeOnly bool
+		// PlannedRegion is the Try.PlannedRegion of the request's first try, for later ones.
+		PlannedRegion string
 
 		// cacheKey is the result of key, which is needed for each server.
 		cacheKey string
@@ -105,12 +110,15 @@
 		// eligible and ejected are the memory for the lists of candidates, which every
 		// request would allocate otherwise.
 		eligible, ejected []candidate
+		// inRegion is the memory for the candidates of a planned region.
+		inRegion []candidate
 	}
 )
 
 // Update applies a new fleet state.
 func (s *Steering) Update(now time.Time, state *bffleet.State) {
 	s.shift.configure(s.Limits.MaxShift)
+	s.plan.configure(now, s)
 	s.link.configure(s.FailureDomain, len(s.Regions), s.Log)
 	groups := map[string][]bffleet.Server{}
 	for _, srv := range state.Servers {
