Exchange the plan of regions between entries and the leader

Entries report their demand each 0.5 s (kind 20) and get the shares of their region (kind 21), or the leader's address from other control VMs. Old builds drop unknown kinds. The leader logs each plan with a changed share; request lines and explain name why a try ran outside its entry's region.

--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -196,6 +196,10 @@
 		m = new(EntryHeartbeat)
 	case KindControlHeartbeat:
 		m = new(ControlHeartbeat)
+	case KindPlanReport:
+		m = new(PlanReport)
+	case KindPlanReply:
+		m = new(PlanReply)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -223,6 +227,10 @@
 		return KindEntryHeartbeat, nil
 	case *ControlHeartbeat:
 		return KindControlHeartbeat, nil
+	case *PlanReport:
+		return KindPlanReport, nil
+	case *PlanReply:
+		return KindPlanReply, nil
 	}
 	return 0, ErrUnknownKind
 }
--- a/internal/protocol/bfwire/gossip_test.go
+++ b/internal/protocol/bfwire/gossip_test.go
@@ -24,6 +24,7 @@
 		&Page{From: "e1", Next: 5, Records: []bfbackend.Record{record}, More: true, Synced: true},
 		&bfslot.Request{From: "e1", To: "e2", Sequence: 1, Holdings: []bfslot.Holding{{Key: 1, Held: 2, InFlight: 1}}, Demands: []bfslot.Demand{{Service: "desk", Waiting: 4}}},
 		&bfslot.Grant{From: "e1", To: "e2", Sequence: 1, Revision: 2, Slots: []bfslot.GrantedSlots{{Key: 1, Slots: 2}}},
+		planReport(2), planReply(2),
 	}
 }
 
@@ -49,7 +50,7 @@
 			t.Errorf("%T: a datagram with an extra byte was accepted", m)
 		}
 	}
-	for _, m := range []any{&Pull{}, &bfslot.Request{From: "e1"}, &bfslot.Grant{From: "e1", To: "e2"}, &Heartbeat{}, &Page{From: "?"}} {
+	for _, m := range []any{&Pull{}, &bfslot.Request{From: "e1"}, &bfslot.Grant{From: "e1", To: "e2"}, &Heartbeat{}, &Page{From: "?"}, &PlanReport{Entry: "e1"}, &PlanReply{Part: 1}} {
 		data, _ := Encode(m)
 		if _, err := Decode(data); err == nil {
 			t.Errorf("%T: an invalid message was accepted", m)
--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -91,6 +91,29 @@
 	return len(t.entries) < before
 }
 
+// isAt reports whether the entry is live and receives datagrams at the given address.
+func (t *entryTable) isAt(now time.Time, name string, gossip netip.AddrPort) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[name]
+	return e != nil && e.info.Gossip == gossip && t.isLive(now, e)
+}
+
+// lostRegions returns the regions that had entries, of which none is live any more.
+func (t *entryTable) lostRegions(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lost := map[string]bool{}
+	for _, e := range t.entries {
+		if t.isLive(now, e) {
+			lost[e.info.Region] = false
+		} else if _, known := lost[e.info.Region]; !known {
+			lost[e.info.Region] = true
+		}
+	}
+	return lost
+}
+
 // live returns the entries that have not expired, sorted by name.
 func (t *entryTable) live(now time.Time) []bfwire.EntryInfo {
 	t.mu.Lock()
--- a/internal/transport/bfcontrol/metrics.go
+++ b/internal/transport/bfcontrol/metrics.go
@@ -7,7 +7,7 @@
 
 var (
 	counters struct {
-		badDatagrams, reports, lookups, unconfirmed, abandoned expvar.Int
+		badDatagrams, reports, lookups, unconfirmed, abandoned, planReports, planReportsIgnored expvar.Int
 	}
 	publishOnce sync.Once
 )
@@ -22,6 +22,9 @@
 		m.Set("lookups", &counters.lookups)
 		m.Set("unconfirmed_orders", &counters.unconfirmed)
 		m.Set("abandoned_orders", &counters.abandoned)
+		m.Set("plan_reports", &counters.planReports)
+		m.Set("plan_reports_ignored", &counters.planReportsIgnored)
+		m.Set("plan", expvar.Func(func() any { return n.plan.status() }))
 		m.Set("replica", expvar.Func(func() any { return n.replica.Status() }))
 		m.Set("revision", expvar.Func(func() any { return n.machine.State().Revision }))
 	})
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -74,6 +74,7 @@
 		entries *entryTable
 		cold    coldTracker
 		reports reportTimes
+		plan    planState
 		clients fleetClients
 	}
 )
@@ -87,6 +88,7 @@
 	n.machine = bffleet.New()
 	n.entries = &entryTable{regions: n.Regions, log: n.Log, spillover: spillover{maxShift: n.MaxShift, log: n.Log}}
 	n.cold.log = n.Log
+	n.plan.regions, n.plan.domains, n.plan.maxShift, n.plan.log = regionNames(n.Regions), n.Regions, n.MaxShift, n.Log
 	n.reports.since = time.Now()
 	n.clients.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
@@ -138,6 +140,7 @@
 	group.Go(func() error { return raft.Run(runCtx) })
 	group.Go(func() error { n.notify(runCtx); return nil })
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
+	group.Go(func() error { n.planLoop(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -199,6 +202,10 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if report, ok := m.(*bfwire.PlanReport); ok {
+		n.receivePlanReport(time.Now(), report)
+		return
+	}
 	heartbeat, ok := m.(*bfwire.EntryHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -26,6 +26,12 @@
 
 // startGroup starts three control VMs on loopback addresses with the same ports.
 func startGroup(t *testing.T) []*testNode {
+	t.Helper()
+	return startGroupWith(t, func(*Node) {})
+}
+
+// startGroupWith starts the control VMs after a change of their settings.
+func startGroupWith(t *testing.T, set func(n *Node)) []*testNode {
 	t.Helper()
 	seeds := []netip.Addr{netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("127.0.0.2"), netip.MustParseAddr("127.0.0.3")}
 	ports, err := bfloopback.FreeAddresses(2)
@@ -38,6 +44,7 @@
 			Address: a, RPC: netip.AddrPortFrom(a, ports[0].Port()), Gossip: netip.AddrPortFrom(a, ports[1].Port()), Bootstrap: true,
 			Seeds: func() []netip.Addr { return seeds }, DataDir: t.TempDir(), Regions: map[string]string{"a": "r"}, Log: zerolog.Nop(),
 		}}
+		set(n.Node)
 		n.Setup()
 		var ctx context.Context
 		ctx, n.stop = context.WithCancel(context.Background())
--- a/internal/transport/bfexplain/explain.go
+++ b/internal/transport/bfexplain/explain.go
@@ -81,8 +81,12 @@
 	tries, _ := l.fields[fieldTries].([]any)
 	for i, t := range tries {
 		fields, _ := t.(map[string]any)
-		fmt.Fprintf(w, "      try %d at %v: %v after %.0f ms, expected %.0f ms, load %.1f (last report %.0f ms ago), key expected in cache: %v\n", i+1,
+		fmt.Fprintf(w, "      try %d at %v: %v after %.0f ms, expected %.0f ms, load %.1f (last report %.0f ms ago), key expected in cache: %v", i+1,
 			fields["instance"], fields["outcome"], number(fields["took_ms"]), number(fields["expected_ms"]), number(fields["load"]), number(fields["load_age_ms"]), fields["warm"])
+		if reason, ok := fields["left_region"].(string); ok {
+			fmt.Fprintf(w, ", outside the region of its entry: %s", reason)
+		}
+		fmt.Fprintln(w)
 	}
 }
 
--- a/internal/transport/bfexplain/explain_test.go
+++ b/internal/transport/bfexplain/explain_test.go
@@ -8,7 +8,7 @@
 
 const log = `  1.20 core-1 {"level":"info","vm":"core-1","time":1700000001200,"version":3,"message":"route table ordered"}
 plain text
-{"level":"info","vm":"entry-1","request_id":"q1","outcome":"refused","status":502,"took_ms":300,"tries":[{"instance":"i-1","outcome":"died","took_ms":299,"expected_ms":250,"load":3,"load_age_ms":40,"warm":true}],"time":1700000001500,"message":"request"}
+{"level":"info","vm":"entry-1","request_id":"q1","outcome":"refused","status":502,"took_ms":300,"tries":[{"instance":"i-1","outcome":"died","took_ms":299,"expected_ms":250,"load":3,"load_age_ms":40,"warm":true,"left_region":"planned"}],"time":1700000001500,"message":"request"}
 {"level":"info","vm":"entry-1","request_id":"q2","outcome":"answered","status":200,"took_ms":10,"tries":[],"time":1700000001500,"message":"request"}
 {"level":"warn","vm":"entry-1","instance":"i-1","cause":"connections die","time":1700000001490,"message":"backend server ejected"}
 {"level":"warn","vm":"entry-2","cause":"later","time":1700000009000,"message":"control VM lost"}
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	got := out.String()
-	for _, want := range []string{"route table ordered version=3", "> 22:13:21.500 entry-1", "try 1 at i-1: died after 299 ms", "cause=connections die"} {
+	for _, want := range []string{"route table ordered version=3", "> 22:13:21.500 entry-1", "try 1 at i-1: died after 299 ms", "outside the region of its entry: planned", "cause=connections die"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("output lacks %q:\n%s", want, got)
 		}
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -49,7 +49,9 @@
 		// time to a region.
 		onChange func(s *bffleet.State)
 		onRTT    func(region string, rtt time.Duration)
-		log      zerolog.Logger
+		// onPlan is called with each reply about the plan of regions.
+		onPlan func(now time.Time, r *bfwire.PlanReply)
+		log    zerolog.Logger
 
 		gossip *bfgossip.UDPNetwork
 		client *http.Client
@@ -186,6 +188,10 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if r, ok := m.(*bfwire.PlanReply); ok && f.onPlan != nil {
+		f.onPlan(time.Now(), r)
+		return
+	}
 	b, ok := m.(*bfwire.ControlHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -42,6 +42,8 @@
 		results chan tryResult
 		pending int
 		avoid   []string
+		// plannedRegion is the region in which the plan wants the request to run, or empty.
+		plannedRegion string
 		// sent counts the tries that were started, without those that ended before they
 		// were sent, which unsent counts. A denied hedge raises sent to the route's
 		// MaxAttempts.
@@ -83,6 +85,8 @@
 		load     float64
 		loadAge  time.Duration
 		warm     bool
+		// left says why the try ran outside the entry's region, or is empty if it didn't.
+		left bfsteering.LeaveReason
 	}
 )
 
@@ -129,11 +133,13 @@
 	try, err := f.node.steering.Choose(now, bfsteering.Request{
 		Route: f.call.route.Route, Service: f.call.service, Key: f.call.affinityKey,
 		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
+		PlannedRegion: f.plannedRegion,
 	})
 	if err != nil {
 		return err
 	}
 	f.avoid = append(f.avoid, try.Backend.InstanceID)
+	f.plannedRegion = try.PlannedRegion
 	f.tries = append(f.tries, try)
 	f.pending++
 	f.sent++
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -19,7 +19,7 @@
 
 var (
 	counters struct {
-		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
+		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted, invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch, planReports expvar.Int
 
 		tries expvar.Map
 	}
@@ -86,6 +86,8 @@
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
+		m.Set("plan_reports", &counters.planReports)
+		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -81,6 +81,7 @@
 		meter      linkMeter
 		fleet      *fleetSync
 		steering   *bfsteering.Steering
+		plan       planSync
 		quarantine *bfquarantine.Quarantine
 		upstream   *bfupstream.Client
 		server     *callerServer
@@ -130,6 +131,8 @@
 		Name: n.VM.Name, Region: n.VM.Region, FailureDomain: n.VM.FailureDomain, Regions: n.Regions, Limits: n.Limits, Log: n.Log,
 		Entries: func() int { return len(n.fleet.Live()) }, RegionPeers: n.fleet.regionPeerCount,
 	}
+	n.plan.node = n
+	n.fleet.onPlan = n.plan.receive
 	n.fleet.onRTT = n.steering.SetRoundTripTime
 	n.steering.InContact = n.fleet.Connected
 	n.steering.Connected = func(address netip.AddrPort) bool { return n.upstream.HasIdle(address) }
@@ -195,6 +198,7 @@
 	n.listen(runCtx, group, n.ReadyAddress, &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout})
 	group.Go(func() error { return n.server.serve(n.listener) })
 	group.Go(func() error { n.fleet.run(runCtx); return nil })
+	group.Go(func() error { n.plan.run(runCtx); return nil })
 	group.Go(func() error { return n.quarantine.Run(runCtx) })
 	group.Go(func() error { n.probeServers(runCtx); return nil })
 	group.Go(func() error { n.logSampler.run(runCtx); return nil })
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -83,7 +83,7 @@
 	defer c.mu.Unlock()
 	c.tries = append(c.tries, tryRecord{
 		instance: t.Backend.InstanceID, outcome: o, took: took, expected: t.Expected,
-		load: t.Load, loadAge: t.LoadAge, warm: t.Warm,
+		load: t.Load, loadAge: t.LoadAge, warm: t.Warm, left: t.LeaveReason,
 	})
 }
 
@@ -139,8 +139,12 @@
 	}
 	list := zerolog.Arr()
 	for _, t := range tries {
-		list = list.Dict(zerolog.Dict().Str("instance", t.instance).Str("outcome", string(t.outcome)).Dur("took_ms", t.took).
-			Dur("expected_ms", t.expected).Float64("load", t.load).Dur("load_age_ms", min(t.loadAge, maxLoadAge)).Bool("warm", t.warm))
+		try := zerolog.Dict().Str("instance", t.instance).Str("outcome", string(t.outcome)).Dur("took_ms", t.took).
+			Dur("expected_ms", t.expected).Float64("load", t.load).Dur("load_age_ms", min(t.loadAge, maxLoadAge)).Bool("warm", t.warm)
+		if t.left != "" {
+			try = try.Str("left_region", string(t.left))
+		}
+		list = list.Dict(try)
 	}
 	if c.leftBeforeDispatch.Load() {
 		line = line.Bool("left_before_dispatch", true)
