--- a/internal/coordination/bfsteering/plan.go
+++ b/internal/coordination/bfsteering/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -50,6 +49,7 @@
 		maxShift float64
 		regions  []string
 		own      int
+		entry    string
 		// firstUsedAt is when the entry got its first servers.
 		firstUsedAt time.Time
 		demand      demandMeter
@@ -84,7 +84,7 @@
 	regions := slices.Compact(slices.Sorted(maps.Values(s.Regions)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.maxShift = s.Limits.MaxShift
+	p.maxShift, p.entry = s.Limits.MaxShift, s.Name
 	if p.firstUsedAt.IsZero() {
 		p.firstUsedAt = now
 	}
@@ -159,7 +159,7 @@
 	t := p.services[name]
 	if t == nil {
 		t = &plannedService{runs: make([]float64, len(p.regions)), fixed: make([]float64, len(p.regions)), fixedRates: make([]float64, len(p.regions))}
-		t.follower.Own, t.follower.Phase, t.follower.LeavePhase = p.own, rand.Float64(), rand.Float64()
+		t.follower.Own, t.follower.Phase, t.follower.LeavePhase = p.own, phase(p.entry, name), phase(name, p.entry)
 		p.services[name] = t
 	}
 	return t
--- a/internal/coordination/bfsteering/plan_failure_test.go
+++ b/internal/coordination/bfsteering/plan_failure_test.go
@@ -184,6 +184,7 @@
 		"few busy entries":        {7, []float64{60, 60, 40}, []bool{false, false, false}},
 		"many entries":            {109, []float64{6, 6}, []bool{true, true}},
 		"many busy entries":       {36, []float64{60, 60}, []bool{false, false}},
+		"many entries, busy soon": {36, []float64{12, 60}, []bool{true, false}},
 		"few entries, few calls":  {7, []float64{4, 4}, []bool{true, true}},
 		"around the limit":        {7, []float64{60, 12, 12, 4, 12, 12}, []bool{false, false, false, true, true, true}},
 		"pauses say nothing":      {7, []float64{60, 0, 60}, []bool{false, false, false}},
--- a/internal/coordination/bfsteering/plan_sim_test.go
+++ b/internal/coordination/bfsteering/plan_sim_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"sort"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -223,12 +224,20 @@
 	s.inFlight = append(s.inFlight, simTry{try: try, freeAt: s.now.Add(took + try.network/2), endsAt: s.now.Add(took + try.network), outcome: len(s.outcomes) - 1})
 }
 
+// between returns the requests that arrived in a span of time.
+func (s *planSim) between(from, until time.Duration) []simOutcome {
+	index := func(at time.Duration) int {
+		return sort.Search(len(s.outcomes), func(i int) bool { return s.outcomes[i].at >= at })
+	}
+	return s.outcomes[index(from):index(until)]
+}
+
 // shares returns the shares of the regions in which the requests of a region ran in a window,
 // and their number.
 func (s *planSim) shares(region int, from time.Duration) ([]float64, int) {
 	out, all := make([]float64, 3), 0
-	for _, o := range s.outcomes {
-		if o.from == region && o.to >= 0 && o.at >= from && o.at < from+shiftWindow {
+	for _, o := range s.between(from, from+shiftWindow) {
+		if o.from == region && o.to >= 0 {
 			out[o.to]++
 			all++
 		}
@@ -257,8 +266,8 @@
 // onTime returns the part of a region's requests that were answered on time.
 func (s *planSim) onTime(region int, from, until time.Duration) float64 {
 	good, all := 0.0, 0.0
-	for _, o := range s.outcomes {
-		if o.from == region && o.at >= from && o.at < until {
+	for _, o := range s.between(from, until) {
+		if o.from == region {
 			all++
 			good += indicator(o.onTime)
 		}
--- a/internal/coordination/bfsteering/planned_service.go
+++ b/internal/coordination/bfsteering/planned_service.go
@@ -60,6 +60,9 @@
 	}
 	d.count++
 	switch {
+	case !d.known && d.seesEnough(d.count):
+		// A busy entry need not wait for the end of its first windows.
+		d.known, d.follows = true, false
 	case d.low >= demandWindows:
 		d.known, d.follows = true, true
 	case d.high >= demandWindows:
@@ -70,6 +73,12 @@
 	return d.follows != before, d.follows
 }
 
+// seesEnough reports whether an entry with that many requests in a window can limit shifts by
+// itself, with some margin.
+func (d *demandMeter) seesEnough(requests int) bool {
+	return float64(requests) >= ownLimiterFactor*minEarlierRequests
+}
+
 // endWindow judges the window that has ended. One that ended long ago, before a time without
 // requests, says nothing about the present demand.
 func (d *demandMeter) endWindow(now time.Time) {
@@ -78,7 +87,7 @@
 		switch {
 		case d.count < minEarlierRequests:
 			d.low, d.high = d.low+1, 0
-		case float64(d.count) >= ownLimiterFactor*minEarlierRequests:
+		case d.seesEnough(d.count):
 			d.low, d.high = 0, d.high+1
 		default:
 			d.low, d.high = 0, 0
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -209,9 +209,10 @@
 	return now.Before(first) || now.Sub(s.coldSentAt) < gap
 }
 
-// coldPhase returns a number from 0 to 1 that differs between entries.
-func coldPhase(entry, instance string) float64 {
-	return float64(xxhash.Sum64String(entry+"\x00"+instance)>>11) / (1 << 53)
+// phase returns a number from 0 to 1 that differs between entries, and for an entry between
+// names.
+func phase(entry, name string) float64 {
+	return float64(xxhash.Sum64String(entry+"\x00"+name)>>11) / (1 << 53)
 }
 
 func (s *server) eject(now time.Time) {
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -169,7 +169,7 @@
 			if srv != nil {
 				s.logLeavingEnd(srv)
 			}
-			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: coldPhase(s.Name, reported.ID)}
+			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: phase(s.Name, reported.ID)}
 			srv.joinedAfterStart = now.Sub(v.firstListAt) > startupPeriod
 			changed = changed || srv.joinedAfterStart || previous[reported.ID] != nil
 		}
--- a/internal/transport/bfcontrol/plan.go
+++ b/internal/transport/bfcontrol/plan.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"briarferry"
 	"briarferry/internal/coordination/bfplan"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
@@ -76,19 +77,21 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		term, leads := n.leads()
-		if !leads {
+		s := n.replica.Status()
+		switch {
+		case !s.IsLeader:
 			n.plan.stop()
-			continue
+		case leads(&s):
+			n.plan.step(now, s.Term, n.machine.State(), n.entries.lostRegions(now))
 		}
-		n.plan.step(now, term, n.machine.State(), n.entries.lostRegions(now))
 	}
 }
 
-// leads reports whether this VM is the leader and no other one can be, and its term.
-func (n *Node) leads() (uint64, bool) {
-	s := n.replica.Status()
-	return s.Term, s.IsLeader && !s.LeaseUntil.IsZero()
+// leads reports whether the replica is the leader and no other one can be. A replica without
+// others needs no lease. A leader whose lease has lapsed keeps its plan: it may get another
+// lease in the same term, in which the plans' numbers must go on.
+func leads(s *briarferry.ReplicaStatus) bool {
+	return s.IsLeader && (!s.LeaseUntil.IsZero() || len(s.Voters) == 1)
 }
 
 // stop drops what this VM knows as the leader.
@@ -178,8 +181,9 @@
 		return
 	}
 	counters.planReports.Add(1)
-	replies := []bfwire.PlanReply{{Leader: n.leaderGossip()}}
-	if _, leads := n.leads(); leads {
+	s := n.replica.Status()
+	replies := []bfwire.PlanReply{{Leader: n.gossipOf(s.Leader)}}
+	if leads(&s) {
 		replies = n.plan.answer(now, r, replies[0])
 	}
 	for i := range replies {
@@ -206,10 +210,10 @@
 	return replies
 }
 
-// leaderGossip returns the address at which the leader receives reports, or an invalid one if
-// the leader is unknown.
-func (n *Node) leaderGossip() netip.AddrPort {
-	a, ok := n.resolve(bfreplica.VMOf(n.replica.Status().Leader))
+// gossipOf returns the address at which a replica receives reports, or an invalid one if its ID
+// is empty.
+func (n *Node) gossipOf(id string) netip.AddrPort {
+	a, ok := n.resolve(bfreplica.VMOf(id))
 	if !ok {
 		return netip.AddrPort{}
 	}
