--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -147,7 +147,7 @@
 	if len(list) == 0 {
 		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
-	best, reason, ok := v.pickPlanned(s, list, &r, plan)
+	best, reason, ok := v.pickPlanned(now, s, list, &r, plan)
 	if best.server == nil {
 		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
--- a/internal/coordination/bfsteering/pick_planned.go
+++ b/internal/coordination/bfsteering/pick_planned.go
@@ -1,42 +1,55 @@
 package bfsteering
 
+import (
+	"sync/atomic"
+	"time"
+)
+
 // pickPlanned picks a server of the planned region. If none there can be used, or none can
 // answer in time and the request may leave its region, it picks one of all servers. It returns
-// no server if the request may not leave a region whose servers accept none at the moment.
-func (v *service) pickPlanned(s *Steering, list []candidate, r *Request, plan planDecision) (candidate, LeaveReason, bool) {
+// no server if the request may not leave a region whose servers accept none at the moment. It
+// may for a time after a change of the servers, as restarted ones accept few requests.
+func (v *service) pickPlanned(now time.Time, s *Steering, list []candidate, r *Request, plan planDecision) (candidate, LeaveReason, bool) {
 	if !plan.planned {
 		best, ok := pick(list, r)
 		return best, s.leaveReason(best, LeftOwnChoice), ok
 	}
 	in := v.candidatesIn(list, plan.region)
 	if len(in) == 0 {
-		if v.hasUsable(r, plan.region) && !plan.mayLeave {
-			s.PlanCounts.Refused.Add(1)
+		if v.hasUsable(r, plan.region) && !plan.mayLeave && !s.shift.suspended(now) {
+			r.count(&s.PlanCounts.Refused)
 			return candidate{}, "", false
 		}
 		best, ok := pick(list, r)
-		s.PlanCounts.NoUsableServer.Add(1)
+		r.count(&s.PlanCounts.NoUsableServer)
 		return best, s.leaveReason(best, LeftNoUsableServer), ok
 	}
 	best, ok := pick(in, r)
 	if plan.mayLeave && (!ok || best.estimate > onTimeLimit(r)) {
 		other, otherOK := pick(list, r)
 		if otherOK && other.server.region != plan.region && (!ok || other.estimate <= onTimeLimit(r)) {
-			s.PlanCounts.NoServerInTime.Add(1)
+			r.count(&s.PlanCounts.NoServerInTime)
 			return other, s.leaveReason(other, LeftNoServerInTime), true
 		}
 	}
 	if !ok {
-		s.PlanCounts.Refused.Add(1)
+		r.count(&s.PlanCounts.Refused)
 		return best, "", false
 	}
-	s.PlanCounts.Followed.Add(1)
+	r.count(&s.PlanCounts.Followed)
 	if plan.region != s.Region {
-		s.PlanCounts.Remote.Add(1)
+		r.count(&s.PlanCounts.Remote)
 	}
 	return best, s.leaveReason(best, LeftPlanned), true
 }
 
+// count counts the request unless it was counted at an earlier try.
+func (r *Request) count(c *atomic.Int64) {
+	if r.isFirstTry() {
+		c.Add(1)
+	}
+}
+
 // leaveReason returns the reason if the server is outside the entry's region.
 func (s *Steering) leaveReason(c candidate, reason LeaveReason) LeaveReason {
 	if c.server.region == s.Region {
--- a/internal/coordination/bfsteering/plan_failure_test.go
+++ b/internal/coordination/bfsteering/plan_failure_test.go
@@ -1,9 +1,11 @@
 package bfsteering
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"briarferry"
 	"briarferry/internal/coordination/bfplan"
 	"briarferry/internal/state/bffleet"
 )
@@ -98,7 +100,8 @@
 }
 
 // TestPlannedRegionIsLost guards against requests that are refused while the region of their
-// plan has no usable server: lost ones, or those of an evacuated region.
+// plan has no usable server: lost ones, those of an evacuated region, or restarted ones that
+// accept few requests.
 func TestPlannedRegionIsLost(t *testing.T) {
 	t.Run("evacuated", func(t *testing.T) {
 		s, e := plannedEntry(0.5)
@@ -119,6 +122,31 @@
 		}
 		checkLostRegion(t, s, e)
 	})
+	t.Run("restarted", func(t *testing.T) {
+		s, e := plannedEntry(1)
+		sendAll(t, s, e, 2*time.Second, nil)
+		state := *s.state
+		state.Servers = slices.Clone(s.state.Servers)
+		for i := range state.Servers {
+			if srv := &state.Servers[i]; srv.FailureDomain[:2] == "r1" {
+				srv.Started, srv.ColdRevision, srv.ColdRemaining = 2, 2, briarferry.Duration(3*time.Second)
+			}
+		}
+		e.Update(s.now, &state)
+		refused := 0
+		for range 18 {
+			s.now = s.now.Add(time.Second / 6)
+			try, err := e.Choose(s.now, request(string(rune('a'+s.rng.IntN(26)))))
+			if err != nil {
+				refused++
+				continue
+			}
+			try.Done(s.now.Add(100*time.Millisecond), Report{Outcome: Answered})
+		}
+		if refused > 0 {
+			t.Errorf("%d of 18 requests were refused while the servers of the planned region were cold", refused)
+		}
+	})
 	t.Run("removed", func(t *testing.T) {
 		s, e := plannedEntry(0.5)
 		state := *s.state
--- a/internal/coordination/bfsteering/plan_test.go
+++ b/internal/coordination/bfsteering/plan_test.go
@@ -44,3 +44,29 @@
 		}
 	}
 }
+
+// TestPlanWhileCallersMove guards against requests that move faster than the limit allows while
+// callers of a failure domain use entries of another region, and when the leader changes.
+func TestPlanWhileCallersMove(t *testing.T) {
+	const entries = 60
+	usual := waves(6, entries)
+	s := newPlanSim(2, []int{25, 6, 21}, entries, true, func(region int, at time.Duration) float64 {
+		rate := usual(region, at)
+		if at < 12*time.Second || at > 18*time.Second {
+			return rate
+		}
+		moved := 0.4 * usual(0, at)
+		return rate + []float64{-moved, moved, 0}[region]
+	})
+	s.run(20 * time.Second)
+	s.newLeader(2)
+	s.run(12 * time.Second)
+	if s.plan.Term != 2 {
+		t.Fatalf("the plan is of term %d, want 2", s.plan.Term)
+	}
+	worst, at := s.largestShift(0)
+	t.Logf("largest shift %.3f at %v, left %v", worst, at, s.reasons)
+	if worst > simMaxShift {
+		t.Errorf("%.3f of a region's requests moved at %v", worst, at)
+	}
+}
--- a/internal/coordination/bfsteering/shift_limiter.go
+++ b/internal/coordination/bfsteering/shift_limiter.go
@@ -56,6 +56,13 @@
 	l.suspendedUntil = now.Add(shiftSuspension)
 }
 
+// suspended reports whether the limit is suspended.
+func (l *shiftLimiter) suspended(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.suspendedUntil)
+}
+
 // advance clears the buckets after the latest one, up to and including the current one.
 func (l *shiftLimiter) advance(now time.Time) {
 	if l.base.IsZero() {
