Make up for a region's missing requests over all services of an entry

The limit on shifts applies to a region's requests of all services together, but each service's draws varied by themselves, so that the planner had to leave the more for chance the more services there are. Followers of one entry now share what regions lack.

--- a/internal/coordination/bfplan/collector.go
+++ b/internal/coordination/bfplan/collector.go
@@ -10,9 +10,10 @@
 const (
 	// maxReporters limits the entries whose reports are kept.
 	maxReporters = 4096
-	// spreadVariance is the variance of the number of requests of one entry that run in a
-	// region, as its draws make up for requests that a region lacks.
-	spreadVariance = 0.7
+	// spreadVariance is the variance of the number of requests of an entry with one service
+	// that run in a region, as its draws make up for requests that a region lacks. It is up to
+	// twice as large with many services.
+	spreadVariance = 1.1
 	// defaultRTT is assumed between regions that no entry has measured.
 	defaultRTT = 100 * time.Millisecond
 )
@@ -120,12 +121,15 @@
 	maps.DeleteFunc(c.entries, func(_ string, e *reporter) bool { return now.Sub(e.at) > ReportLifetime })
 	for _, e := range c.entries {
 		o.Heard[e.region] = true
+		requests, services := 0.0, 0.0
 		for name, row := range e.rows {
 			if s := sums[name]; s != nil && now.Sub(row.at) <= ReportLifetime {
 				s.add(e.region, &row.ReportRow)
-				o.Variance[e.region] += min(spreadVariance, float64(row.Rate)/RateScale*Window.Seconds()/4)
+				requests += float64(row.Rate) / RateScale * Window.Seconds()
+				services++
 			}
 		}
+		o.Variance[e.region] += min(spreadVariance*2*services/(services+1), requests/4)
 	}
 	for name, s := range sums {
 		o.Services[name] = s.service()
--- a/internal/coordination/bfplan/follower.go
+++ b/internal/coordination/bfplan/follower.go
@@ -17,7 +17,7 @@
 	// keyTolerance is the distance between a key's place and a region's part of the places at
 	// which a request is sent there anyway if the region lacks one request of its share. With a
 	// shorter one, the same keys go to a region more strictly, but counts differ more from the
-	// shares: their variance is about a tenth of its inverse.
+	// shares: spreadVariance follows from it.
 	keyTolerance = 0.15
 	// maxCredit bounds how many requests a region may lack, so that those of one time are not
 	// made up for at another.
@@ -32,15 +32,17 @@
 	Follower struct {
 		// Own is the index of the entry's region.
 		Own int
+		// Common is shared by the followers of all services of an entry, as the limit on shifts
+		// applies to their requests together. It may be nil.
+		Common *Credits
 		// Phase and LeavePhase are the starts of the entry's sequences, random numbers from 0
 		// to 1, so that entries don't move in step. Phase is for requests without a key.
 		Phase, LeavePhase float64
 		// Shares are the shares in force; nil means that none are yet.
 		Shares []float64
 
-		count uint64
-		// credits holds how many requests each region lacks of its share.
-		credits   []float64
+		count     uint64
+		credits   Credits
 		updatedAt time.Time
 		usedAt    time.Time
 		// forced and forcedTerm identify the last change that was followed at once.
@@ -50,6 +52,9 @@
 		influence float64
 	}
 
+	// Credits holds how many requests each region lacks of its share.
+	Credits []float64
+
 	// Draw is the decision about one request.
 	Draw struct {
 		// Region is the index of the region; Planned is false if the entry chooses itself.
@@ -113,8 +118,13 @@
 // nearest returns the region whose part of the places is the nearest one, where a region that
 // lacks requests counts as nearer.
 func (f *Follower) nearest(place float64) int {
+	common := f.Common
+	if common == nil {
+		common = &f.credits
+	}
+	common.fit(len(f.Shares))
 	if len(f.credits) != len(f.Shares) {
-		f.credits = make([]float64, len(f.Shares))
+		f.credits.fit(len(f.Shares))
 		// The first requests of an entry must not differ from later ones: all entries start at
 		// the same time.
 		for i := range startDraws {
@@ -128,19 +138,34 @@
 		r := f.inOrder(i)
 		share := f.Shares[r]
 		end := start + share
-		score := f.credits[r] - max(0, start-place, place-end)/keyTolerance
+		score := (f.credits[r]+(*common)[r])/2 - max(0, start-place, place-end)/keyTolerance
 		if share > 0 && (best < 0 || score > bestScore) {
 			best, bestScore = r, score
 		}
 		start = end
 	}
-	f.credits[best]--
-	for r, share := range f.Shares {
-		f.credits[r] = min(maxCredit, max(-maxCredit, f.credits[r]+share))
+	f.credits.charge(best, f.Shares)
+	if f.Common != nil {
+		f.Common.charge(best, f.Shares)
 	}
 	return best
 }
 
+// fit sets the number of regions.
+func (c *Credits) fit(regions int) {
+	if len(*c) != regions {
+		*c = make(Credits, regions)
+	}
+}
+
+// charge records a request that a region gets.
+func (c Credits) charge(region int, shares []float64) {
+	c[region]--
+	for r, share := range shares {
+		c[r] = min(maxCredit, max(-maxCredit, c[r]+share))
+	}
+}
+
 // inOrder returns the i-th region in the order in which they divide the places.
 func (f *Follower) inOrder(i int) int {
 	switch {
--- a/internal/coordination/bfplan/follower_test.go
+++ b/internal/coordination/bfplan/follower_test.go
@@ -77,6 +77,41 @@
 	}
 }
 
+// TestServicesShareChance guards against a variance of an entry's requests that grows with its
+// services, and exceeds what the planner leaves for it.
+func TestServicesShareChance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, services := range []int{1, 3, 10} {
+		s := newSim(5, []float64{1, 1, 1}, nil, nil)
+		const entries, requests, windows = 300, 12, 10
+		target := []float64{0.4, 0.35, 0.25}
+		sum, squares := 0.0, 0.0
+		for range entries {
+			common := &Credits{}
+			list := make([]*Follower, services)
+			for i := range list {
+				list[i] = &Follower{Common: common, Phase: s.rng.Float64(), LeavePhase: s.rng.Float64()}
+				list[i].Follow(now, target, target, 1, 0, simShift)
+			}
+			for range windows {
+				n := 0.0
+				for range requests {
+					if list[s.rng.IntN(services)].Next(now, s.rng.Float64(), simShift).Region == 0 {
+						n++
+					}
+				}
+				sum += n
+				squares += (n - 0.4*requests) * (n - 0.4*requests)
+			}
+		}
+		variance, most := squares/(entries*windows), 2*spreadVariance*float64(services)/float64(services+1)
+		t.Logf("%d services: mean %.3f, variance %.2f, the planner assumes %.2f", services, sum/(entries*windows*requests), variance, most)
+		if variance > 1.1*most {
+			t.Errorf("%d services: variance %.2f of an entry's requests in a region, want at most %.2f", services, variance, most)
+		}
+	}
+}
+
 // TestFollowerLimits guards against an entry that moves its requests at once after it missed
 // plans, and against one that doesn't when servers are lost.
 func TestFollowerLimits(t *testing.T) {
--- a/internal/coordination/bfplan/planner.go
+++ b/internal/coordination/bfplan/planner.go
@@ -27,7 +27,7 @@
 	maxStepShare = 0.4
 	minStepShare = 0.05
 	// chanceDeviations is the number of standard deviations that are left for chance.
-	chanceDeviations = 4
+	chanceDeviations = 3
 	// moveThreshold is the least distance from the wanted shares at which a move begins, and
 	// settledDistance the one at which it ends. Where few requests are counted, a move begins
 	// at demandDeviations standard deviations of the measured demand.
--- a/internal/coordination/bfsteering/plan.go
+++ b/internal/coordination/bfsteering/plan.go
@@ -62,7 +62,9 @@
 		heardAt        time.Time
 		rows           map[string]plannedRow
 		services       map[string]*plannedService
-		reportedAt     time.Time
+		// credits are shared by all services.
+		credits    bfplan.Credits
+		reportedAt time.Time
 	}
 
 	// plannedRow is one service's row of the plan.
@@ -159,7 +161,8 @@
 	t := p.services[name]
 	if t == nil {
 		t = &plannedService{runs: make([]float64, len(p.regions)), fixed: make([]float64, len(p.regions)), fixedRates: make([]float64, len(p.regions))}
-		t.follower.Own, t.follower.Phase, t.follower.LeavePhase = p.own, phase(p.entry, name), phase(name, p.entry)
+		t.follower.Own, t.follower.Common = p.own, &p.credits
+		t.follower.Phase, t.follower.LeavePhase = phase(p.entry, name), phase(name, p.entry)
 		p.services[name] = t
 	}
 	return t
