Take plans of any term once the own plan has expired

A control group that lost all its disks starts with the first term, and entries with a plan of a higher one would have ignored it until their restart. Adds tests of who plans and of the plans' numbers.

go test -race of bfsteering and of the plan's tests in bfcontrol: ok.

--- a/internal/coordination/bfsteering/plan_failure_test.go
+++ b/internal/coordination/bfsteering/plan_failure_test.go
@@ -97,6 +97,12 @@
 	if share < 0.35 {
 		t.Errorf("%.2f of the requests ran in the planned region, want 0.5", share)
 	}
+	// A control group that lost all disks starts with the first term.
+	s.now = s.now.Add(bfplan.PlanLifetime + 1)
+	e.ApplyPlan(s.now, planReply(1, 1, 0.5, 0))
+	if got := e.PlanStatus(s.now); got.Term != 1 {
+		t.Errorf("the entry keeps the expired plan of term %d after the control group was formed again", got.Term)
+	}
 }
 
 // TestPlannedRegionIsLost guards against requests that are refused while the region of their
--- a/internal/coordination/bfsteering/plan_report.go
+++ b/internal/coordination/bfsteering/plan_report.go
@@ -100,7 +100,8 @@
 }
 
 // ApplyPlan takes over a plan, or one of its parts. It ignores plans that are older than the
-// one the entry has.
+// one the entry has, unless that one has expired: the terms of a control group start again
+// after the loss of all its disks.
 func (s *Steering) ApplyPlan(now time.Time, r *bfplan.Reply) {
 	p := &s.plan
 	p.mu.Lock()
@@ -108,10 +109,11 @@
 	if r.Term == 0 || !p.enabled() || r.RegionSet != bfplan.RegionSet(p.regions) {
 		return
 	}
+	expired := now.Sub(p.heardAt) > bfplan.PlanLifetime
 	switch c := cmp.Or(cmp.Compare(r.Term, p.term), cmp.Compare(r.Sequence, p.sequence)); {
-	case c < 0:
+	case c < 0 && !expired:
 		return
-	case c > 0:
+	case c != 0:
 		p.term, p.sequence, p.whole = r.Term, r.Sequence, false
 		clear(p.received)
 	}
--- a/internal/transport/bfcontrol/plan_test.go
+++ b/internal/transport/bfcontrol/plan_test.go
@@ -50,6 +50,58 @@
 	check("warm again", nil, 4, 10)
 }
 
+// TestLeads guards against a leader that is cut off and goes on planning beside its successor,
+// and against a single control VM that never plans.
+func TestLeads(t *testing.T) {
+	lease := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		status briarferry.ReplicaStatus
+		want   bool
+	}{
+		"leader":          {briarferry.ReplicaStatus{IsLeader: true, LeaseUntil: lease, Voters: []string{"a", "b", "c"}}, true},
+		"follower":        {briarferry.ReplicaStatus{Voters: []string{"a", "b", "c"}}, false},
+		"cut off":         {briarferry.ReplicaStatus{IsLeader: true, Voters: []string{"a", "b", "c"}}, false},
+		"single":          {briarferry.ReplicaStatus{IsLeader: true, Voters: []string{"a"}}, true},
+		"single, no role": {briarferry.ReplicaStatus{Voters: []string{"a"}}, false},
+	} {
+		if got := leads(&c.status); got != c.want {
+			t.Errorf("%s: leads %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestPlanNumbers guards against plans whose numbers start again in the same term, which
+// entries would ignore, and against state of an earlier term in a later one.
+func TestPlanNumbers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := &bffleet.State{Servers: []bffleet.Server{planServer("1", "a", 4), planServer("2", "c", 10)}}
+	p := &planState{regions: regionNames(planDomains), domains: planDomains, maxShift: 0.15, log: zerolog.Nop()}
+	run := func(term uint64, length time.Duration) {
+		for end := now.Add(length); now.Before(end); now = now.Add(bfplan.Interval) {
+			p.step(now, term, state, nil)
+		}
+	}
+	run(1, 5*time.Second)
+	first := p.status()
+	if first.Term != 1 || first.Sequence == 0 {
+		t.Fatalf("no plan after 5 s: %+v", first)
+	}
+	// The lease had lapsed for a time.
+	now = now.Add(3 * time.Second)
+	run(1, time.Second)
+	if got := p.status(); got.Term != 1 || got.Sequence < first.Sequence {
+		t.Errorf("plan %d of term %d follows plan %d of term 1", got.Sequence, got.Term, first.Sequence)
+	}
+	run(2, 5*time.Second)
+	if got := p.status(); got.Term != 2 || got.Sequence == 0 {
+		t.Errorf("no plan of the second term: %+v", got)
+	}
+	p.stop()
+	if got := p.status(); got.Term != 0 {
+		t.Errorf("kept the plan of term %d after another VM became the leader", got.Term)
+	}
+}
+
 // TestLostRegions guards against a region that counts as lost while one of its entries is live,
 // or because it never had any.
 func TestLostRegions(t *testing.T) {
