--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -49,8 +49,11 @@
 		Log           zerolog.Logger
 		// Counts counts the notices of servers.
 		Counts NoticeCounts
+		// PlanCounts counts requests by how they followed the plan of regions.
+		PlanCounts PlanCounts
 
 		shift shiftLimiter
+		plan  regionPlan
 		rtts  roundTripTimes
 		link  localLink
 
@@ -93,6 +96,8 @@
 		OnTimeOnly bool
 		// StreamedBytes is the size of a body that is sent to the server while it arrives.
 		StreamedBytes int64
+		// PlannedRegion is the Try.PlannedRegion of the request's first try, for later ones.
+		PlannedRegion string
 
 		// cacheKey is the result of key, which is needed for each server.
 		cacheKey string
@@ -112,6 +117,8 @@
 		// eligible and ejected are the memory for the lists of candidates, which every
 		// request would allocate otherwise.
 		eligible, ejected []candidate
+		// inRegion is the memory for the candidates of a planned region.
+		inRegion []candidate
 	}
 )
 
@@ -127,6 +134,7 @@
 // Update applies a new fleet state.
 func (s *Steering) Update(now time.Time, state *bffleet.State) {
 	s.shift.configure(s.Limits.MaxShift)
+	s.plan.configure(now, s)
 	s.link.configure(s.FailureDomain, len(s.Regions), s.Log)
 	groups := map[string][]bffleet.Server{}
 	for _, srv := range state.Servers {
@@ -177,7 +185,7 @@
 			if srv != nil {
 				s.logLeavingEnd(srv)
 			}
-			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: coldPhase(s.Name, reported.ID)}
+			srv = &server{region: s.Regions[reported.FailureDomain], hashSeed: hashSeed(reported.ID), coldPhase: phase(s.Name, reported.ID)}
 			srv.joinedAfterStart = now.Sub(v.firstListAt) > startupPeriod
 			changed = changed || srv.joinedAfterStart || previous[reported.ID] != nil
 		}
--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -205,6 +205,10 @@
 		m = new(bfquota.Report)
 	case KindQuotaGrant:
 		m = new(bfquota.Grant)
+	case KindPlanReport:
+		m = new(PlanReport)
+	case KindPlanReply:
+		m = new(PlanReply)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -236,6 +240,10 @@
 		return KindQuotaReport, nil
 	case *bfquota.Grant:
 		return KindQuotaGrant, nil
+	case *PlanReport:
+		return KindPlanReport, nil
+	case *PlanReply:
+		return KindPlanReply, nil
 	}
 	return 0, ErrUnknownKind
 }
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -83,6 +83,7 @@
 		clients    fleetClients
 		homes      homeHosts
 		quotas     *quotaOwner
+		plan       planState
 	}
 )
 
@@ -95,6 +96,7 @@
 	n.machine = bffleet.New()
 	n.entries = &entryTable{regions: n.Regions, log: n.Log, spillover: spillover{maxShift: n.MaxShift, log: n.Log}}
 	n.cold.log = n.Log
+	n.plan.regions, n.plan.domains, n.plan.maxShift, n.plan.log = regionNames(n.Regions), n.Regions, n.MaxShift, n.Log
 	n.reports.since = time.Now()
 	n.clients.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
@@ -148,6 +150,7 @@
 	group.Go(func() error { n.notify(runCtx); return nil })
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
 	group.Go(func() error { n.quotas.run(runCtx); return nil })
+	group.Go(func() error { n.planLoop(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -213,6 +216,10 @@
 		n.receiveReport(r)
 		return
 	}
+	if report, ok := m.(*bfwire.PlanReport); ok {
+		n.receivePlanReport(time.Now(), report)
+		return
+	}
 	heartbeat, ok := m.(*bfwire.EntryHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -57,6 +57,8 @@
 		// onGrant is called with each grant of quotas.
 		onGrant func(g *bfquota.Grant)
 		log     zerolog.Logger
+		// onPlan is called with each reply about the plan of regions.
+		onPlan func(now time.Time, r *bfwire.PlanReply)
 
 		gossip *bfgossip.UDPNetwork
 		client *http.Client
@@ -199,6 +201,10 @@
 		f.onGrant(g)
 		return
 	}
+	if r, ok := m.(*bfwire.PlanReply); ok && f.onPlan != nil {
+		f.onPlan(time.Now(), r)
+		return
+	}
 	b, ok := m.(*bfwire.ControlHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -23,6 +23,7 @@
 		invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
 		quotaOwnerProbes                                                 expvar.Int
+		planReports                                                      expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
 		tries, uploadsAborted expvar.Map
@@ -91,6 +92,8 @@
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
+		m.Set("plan_reports", &counters.planReports)
+		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -82,6 +82,7 @@
 		fleet      *fleetSync
 		quotas     *quotaSync
 		steering   *bfsteering.Steering
+		plan       planSync
 		quarantine *bfquarantine.Quarantine
 		upstream   *bfupstream.Client
 		server     *callerServer
@@ -134,6 +135,8 @@
 		LinkBandwidth: n.LinkBandwidth,
 		Entries:       func() int { return len(n.fleet.Live()) }, RegionPeers: n.fleet.regionPeerCount,
 	}
+	n.plan.node = n
+	n.fleet.onPlan = n.plan.receive
 	n.fleet.onRTT = n.steering.SetRoundTripTime
 	n.steering.InContact = n.fleet.Connected
 	n.steering.Connected = func(address netip.AddrPort) bool { return n.upstream.HasIdle(address) }
@@ -201,6 +204,7 @@
 	group.Go(func() error { return n.server.serve(n.listener) })
 	group.Go(func() error { n.fleet.run(runCtx); return nil })
 	group.Go(func() error { n.quotas.run(runCtx); return nil })
+	group.Go(func() error { n.plan.run(runCtx); return nil })
 	group.Go(func() error { return n.quarantine.Run(runCtx) })
 	group.Go(func() error { n.probeServers(runCtx); return nil })
 	group.Go(func() error { n.logSampler.run(runCtx); return nil })
