--- a/internal/coordination/bfquota/failure_test.go
+++ b/internal/coordination/bfquota/failure_test.go
@@ -88,6 +88,77 @@
 	checkWindows(t, w, quota)
 }
 
+// TestKeptTokens guards against a token that is kept for later requests and used after its end.
+func TestKeptTokens(t *testing.T) {
+	h := &Holder{Entry: "e", Incarnation: 1}
+	h.SetQuotas(map[string]briarferry.Quota{"a": {Rate: 10, Burst: 10}})
+	now := time.Minute
+	clock := func() time.Duration { return now }
+	h.Apply(now, &Grant{Sequence: 1, Term: 1})
+	_, w, _ := h.Acquire(clock, "a")
+	r := h.Reports(now, true)[0]
+	h.Apply(now, &Grant{Sequence: r.Sequence, Term: 1, Items: []Granted{{Key: Key("a"), Rate: 10, Burst: 10, Tokens: 3, Keep: 2, TokenMillis: 1000}}})
+	if d := <-w.Done; d.Token == nil {
+		t.Fatal(d.Refusal)
+	}
+	now += TokenDuration - time.Millisecond
+	if token, _, _ := h.Acquire(clock, "a"); token == nil {
+		t.Error("a kept token isn't used")
+	}
+	now += time.Millisecond
+	if token, _, _ := h.Acquire(clock, "a"); token != nil {
+		t.Error("a token was used after its end")
+	}
+}
+
+// TestLateGrant guards against a lease that counts from when its grant came: an owner that was frozen
+// may send it when another one takes the lease for ended.
+func TestLateGrant(t *testing.T) {
+	h := &Holder{Entry: "e", Incarnation: 1}
+	h.SetQuotas(map[string]briarferry.Quota{"a": {Rate: 100, Burst: 100}})
+	now := time.Minute
+	clock := func() time.Duration { return now }
+	h.Apply(now, &Grant{Sequence: 1, Term: 1})
+	h.Acquire(clock, "a")
+	r := h.Reports(now, true)[0]
+	sent := now
+	now += LeaseDuration - 500*time.Millisecond
+	h.Apply(now, &Grant{Sequence: r.Sequence, Term: 1, Items: []Granted{{Key: Key("a"), Share: wholeShare, Rate: 100, Burst: 100, Tokens: 5, Keep: 5, TokenMillis: 1000}}})
+	now = sent + LeaseDuration - time.Millisecond
+	h.Tick(now)
+	if token, _, _ := h.Acquire(clock, "a"); token == nil {
+		t.Error("the lease isn't used")
+	}
+	now = sent + LeaseDuration
+	if token, _, _ := h.Acquire(clock, "a"); token != nil {
+		t.Error("a request got a token after the end of the lease")
+	}
+}
+
+// TestNewOwner guards against a new owner that grants what entries may still have of earlier ones,
+// also where these changed several times.
+func TestNewOwner(t *testing.T) {
+	quota := briarferry.Quota{Rate: 100, Burst: 100}
+	for _, c := range []struct {
+		after        time.Duration
+		tokens       uint32
+		tokenSeconds float64
+	}{
+		{200 * time.Millisecond, 0, 0.25},
+		{1000 * time.Millisecond, 10, 0.25}, // 0.1 of the burst is neither leased nor outstanding.
+		{3200 * time.Millisecond, 40, 1},    // No more than 0.4 may be outstanding.
+	} {
+		o := &Owner{}
+		o.SetQuotas(0, map[uint64]briarferry.Quota{Key("a"): quota})
+		o.Lead(7, time.Hour)
+		r := Report{Entry: "e", Sequence: 3, Term: 7, Items: []Demand{{Key: Key("a"), Born: 1, Share: 50_000, Waiting: 90}}}
+		g := o.Handle(time.Hour+c.after, &r).Items[0]
+		if g.Tokens != c.tokens || float64(g.TokenMillis)/1000 != c.tokenSeconds || g.Share != 50_000 || g.RetryMillis != 0 {
+			t.Errorf("after %v: %+v, want %d tokens for %v s", c.after, g, c.tokens, c.tokenSeconds)
+		}
+	}
+}
+
 // TestOwnerDies guards against requests within the quota that are refused while there is no owner
 // and while a new one doesn't know all leases, and against a new owner that leases them twice.
 func TestOwnerDies(t *testing.T) {
--- a/internal/coordination/bfquota/held.go
+++ b/internal/coordination/bfquota/held.go
@@ -69,48 +69,8 @@
 		lastRequest time.Duration
 		clock       func() time.Duration
 	}
-
-	// lease is a bucket that fills at a rate.
-	lease struct {
-		share       uint32
-		rate, depth float64
-		tokens      float64
-		filledAt    time.Duration
-		history     history
-		end         time.Duration
-	}
-
-	// batch is a number of single tokens that may be used until end.
-	batch struct {
-		tokens uint32
-		since  time.Duration
-		end    time.Duration
-	}
 )
 
-// fill adds the tokens that have come. A lease that has ended has none.
-func (l *lease) fill(now time.Duration) {
-	if now >= l.end {
-		*l = lease{filledAt: now}
-		l.history.begin(now)
-		return
-	}
-	if now > l.filledAt {
-		l.tokens += l.rate * (now - l.filledAt).Seconds()
-		l.filledAt = now
-	}
-	l.tokens = min(l.tokens, l.depth)
-	l.history.observe(now, l.tokens, l.depth)
-}
-
-// next returns the time until the lease has a token.
-func (l *lease) next() (time.Duration, bool) {
-	if l.rate <= 0 {
-		return 0, false
-	}
-	return time.Duration(max(0, 1-l.tokens) / l.rate * float64(time.Second)), true
-}
-
 // setQuota sets the quota and reports whether it has changed.
 func (h *held) setQuota(q briarferry.Quota) bool {
 	h.mu.Lock()
@@ -197,33 +157,6 @@
 	return &Token{h: h, clock: h.clock, at: now, single: true, born: h.born, reports: h.reports, end: end}
 }
 
-// takeFrom takes a token and returns its end. It drops those that have ended.
-func takeFrom(batches *[]batch, now time.Duration) (end time.Duration, ok bool) {
-	dropEnded(batches, now)
-	if len(*batches) == 0 {
-		return 0, false
-	}
-	b := &(*batches)[0]
-	end = b.end
-	b.tokens--
-	if b.tokens == 0 {
-		*batches = slices.Delete(*batches, 0, 1)
-	}
-	return end, true
-}
-
-func dropEnded(batches *[]batch, now time.Duration) {
-	*batches = slices.DeleteFunc(*batches, func(b batch) bool { return now >= b.end })
-}
-
-func count(batches []batch) uint32 {
-	n := uint32(0)
-	for _, b := range batches {
-		n += b.tokens
-	}
-	return n
-}
-
 // giveBack takes a token back. One of the lease goes back to it if its history allows it. A single
 // one that was reported as used goes back to the owner with the next report.
 func (h *held) giveBack(t *Token, now time.Duration) {
--- a/internal/coordination/bfquota/policy.go
+++ b/internal/coordination/bfquota/policy.go
@@ -25,20 +25,29 @@
 	// partUsed and from fullyUsed on, as parts of the rate.
 	minDepth     = 1.2
 	minUsedDepth = 12
-	// keepDepth is the part of these at which an entry keeps its lease.
+	partUsed     = 0.75
+	fullyUsed    = 0.95
+	// keepDepth is the part of the smallest depth down to which an entry keeps its lease.
 	keepDepth = 0.5
-	partUsed  = 0.75
-	fullyUsed = 0.95
 	// maxLeaseFill is the longest time in which an empty lease fills up.
 	maxLeaseFill = 2 * time.Second
 	// shareHysteresis is the relative change of a share below which it is kept.
 	shareHysteresis = 0.1
-	// aheadFill is the part of the depth of its bucket below which the owner grants no tokens ahead of
-	// requests, and aheadPart the part of the outstanding tokens that these may be.
+	// aheadFill is the part of the depth of its bucket below which the owner grants no tokens
+	// ahead of requests, and aheadPart the part of the outstanding tokens that these may be.
 	aheadFill = 0.4
 	aheadPart = 0.8
 	// minUnkept is the number of outstanding tokens that are left for waiting requests.
 	minUnkept = 2
+	// aheadStep is the factor by which aheadRate changes, and minAheadRate and maxAheadRate
+	// are its limits in requests per second.
+	aheadStep    = 1.1
+	minAheadRate = 0.05
+	maxAheadRate = 100
+	// aheadLow and aheadHigh are the parts of the tokens for later requests between which
+	// aheadRate is kept.
+	aheadLow  = 0.5
+	aheadHigh = 0.7
 )
 
 // split is the division of a quota. It depends on the quota alone, so that a new owner knows
@@ -46,7 +55,6 @@
 type split struct {
 	// ahead is the part of outstanding that may be kept for later requests.
 	ahead float64
-
 	// leased is the highest part of the quota in leases.
 	leased float64
 	// outstanding is the highest number of tokens granted and not known to be used.
@@ -114,18 +122,6 @@
 // for clocks that run at different rates.
 func withMargin(d time.Duration) time.Duration { return d + d/10 }
 
-const (
-	// aheadStep is the factor by which aheadRate changes, and minAheadRate and maxAheadRate
-	// are its limits in requests per second.
-	aheadStep    = 1.1
-	minAheadRate = 0.05
-	maxAheadRate = 100
-	// aheadLow and aheadHigh are the parts of the tokens for later requests between which
-	// aheadRate is kept.
-	aheadLow  = 0.5
-	aheadHigh = 0.7
-)
-
 // adaptAheadRate changes the demand from which entries may keep tokens, so that those with the
 // highest demand keep them.
 func (q *ownedQuota) adaptAheadRate() {
--- a/internal/coordination/bfquota/world_test.go
+++ b/internal/coordination/bfquota/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -289,3 +290,33 @@
 	}
 	return worst
 }
+
+// checkTokens returns what is wrong with what the entries may use at this moment: leased shares
+// beyond the part that may be leased, or more tokens than the burst. Those under way don't count.
+func (w *world) checkTokens(organisation string, quota briarferry.Quota) error {
+	var shares, tokens float64
+	for _, e := range w.entries {
+		now, state := w.clock(e), (*e.limited.Load())[organisation]
+		if l := state.lease; now < l.end {
+			shares += float64(l.share)
+			tokens += min(l.depth, l.tokens+l.rate*(now-l.filledAt).Seconds())
+		}
+		for _, b := range slices.Concat(state.batches, state.earlier) {
+			if now < b.end {
+				tokens += float64(b.tokens)
+			}
+		}
+	}
+	if o := w.owners[len(w.owners)-1]; w.now < o.leaseEnd {
+		if q := o.orgs[Key(organisation)]; q != nil {
+			tokens += q.tokens
+		}
+	}
+	if limit := splitOf(quota).leased * wholeShare; shares > limit+1 {
+		return fmt.Errorf("%s at %v: %.0f millionths leased, of %.0f", organisation, w.now, shares, limit)
+	}
+	if tokens > effectiveBurst(quota)+0.001 {
+		return fmt.Errorf("%s at %v: %.3f tokens, of %v", organisation, w.now, tokens, quota.Burst)
+	}
+	return nil
+}
