--- a/internal/transport/bfgateway/quota.go
+++ b/internal/transport/bfgateway/quota.go
@@ -118,6 +118,9 @@
 				continue
 			}
 		}
+		if !q.holder.Limited() {
+			continue
+		}
 		now := q.clock()
 		q.holder.Tick(now)
 		if all || q.holder.Due(now) {
--- a/internal/transport/bfgateway/quota_process_test.go
+++ b/internal/transport/bfgateway/quota_process_test.go
@@ -89,7 +89,7 @@
 }
 
 // TestQuotaOwnerKilled guards against requests beyond a quota, and against refused requests within
-// one, when the owner is frozen and wakes while another one is in office, and when one is killed.
+// one, when the owner is frozen and wakes while another one owns the quotas, and when one is killed.
 func TestQuotaOwnerKilled(t *testing.T) {
 	t.Parallel()
 	within, over := briarferry.Quota{Rate: 300, Burst: 300}, briarferry.Quota{Rate: 100, Burst: 100}
