Give out quotas with a burst below 32 token by token

A lease of a burst of 16 at one entry split it into two small buckets, and with exactly the quota's demand 590 of 631 requests were admitted that one bucket admits (TestUsable).

--- a/internal/coordination/bfquota/policy.go
+++ b/internal/coordination/bfquota/policy.go
@@ -18,7 +18,7 @@
 	smallBurst = 8
 	// mediumBurst and largeBurst are the bursts from which more of a quota may be leased.
 	// A lease of a smaller burst has too few tokens for several entries.
-	mediumBurst = 16
+	mediumBurst = 32
 	largeBurst  = 256
 	// minDepth is the smallest depth of a lease, and minUsedDepth that of one of a quota that
 	// is used up: a lease of few tokens loses many while no request comes. They apply up to
