Decide return times and shares of scarce room

Refused callers of a service all come back after the excess of one estimate, and many are refused again. bfreturn books their returns in a ring of intervals, keeps late placements for those that come as told, and divides late placements among organisations and urgencies. It isn't used yet.

--- /dev/null
+++ b/internal/coordination/bfreturn/room.go
@@ -0,0 +1,196 @@
+// Package bfreturn decides who gets the late placements of a service that has too little
+// room, and when refused callers come back. Its code is pure: it sees the time and what one
+// entry observes, and no network.
+package bfreturn
+
+import "time"
+
+const (
+	// quietPeriod is the time without a refusal after which a shortage is over.
+	quietPeriod = 2 * time.Second
+	// MinWait is the shortest time after which a refused caller may come back.
+	MinWait = 100 * time.Millisecond
+	// shortQueueShare is the share of the usual queue of late requests that servers get in a
+	// shortage. A longer queue makes the requests behind it late too.
+	shortQueueShare = 0.5
+)
+
+const (
+	// Admitted means that the request may take a late placement.
+	Admitted Decision = iota
+	// NoRoom means that no server accepts the request.
+	NoRoom
+	// ShareUsed means that the organisation has its share of the late placements.
+	ShareUsed
+	// LessUrgent means that more urgent requests were refused in the last second.
+	LessUrgent
+	// Shed means that servers refused the request, although they seemed to have room.
+	Shed
+)
+
+type (
+	// Decision says whether a request that would be late is served.
+	Decision int
+
+	// Caller is what an entry knows about a request.
+	Caller struct {
+		// Organisation is empty for anonymous callers.
+		Organisation string
+		// Urgency is 0 for the requests that are served first.
+		Urgency int
+		// Remaining is the time left until the request must be answered.
+		Remaining time.Duration
+		Arrival
+	}
+
+	// Arrival tells returning callers from new ones.
+	Arrival struct {
+		// Returning reports whether the caller was refused before, as far as its remaining
+		// time shows.
+		Returning bool
+		// Due reports whether a caller with such a remaining time was told to come now.
+		Due bool
+	}
+
+	// Room holds the requests for one service at one entry that found too little room. The
+	// zero value is ready to use. It isn't safe for concurrent use.
+	Room struct {
+		clock     clock
+		calendar  calendar
+		shares    shares
+		urgencies urgencies
+
+		short     bool
+		refusedAt time.Time
+		// Counts holds the totals since the start.
+		Counts Counts
+	}
+
+	// Counts holds numbers of requests.
+	Counts struct {
+		// Refused counts all refusals, RefusedAgain those of returning callers.
+		Refused, RefusedAgain int64
+		// Booked counts the callers that were told a time at which there will be room, and
+		// ReturnedInTime the callers that came at such a time.
+		Booked, ReturnedInTime int64
+	}
+)
+
+// Arrive records a request at its arrival and returns whether it was told to come now.
+func (r *Room) Arrive(now time.Time, c Caller) Arrival {
+	tick := r.clock.tick(now)
+	r.urgencies.note(tick, c.Urgency)
+	r.shares.note(now, tick, c.Organisation, r.short)
+	if !c.Returning {
+		return Arrival{}
+	}
+	due := r.calendar.arrive(tick, c.Remaining)
+	if due {
+		r.Counts.ReturnedInTime++
+	}
+	return Arrival{Returning: true, Due: due}
+}
+
+// LateLimit returns the load per slot up to which servers accept the request if it will be
+// late, given the limit that applies with enough room. It answers a load in which new
+// requests, which would be late anyway, take the room of the callers that were told to come:
+// without it these are refused again. inTimeIfIdle reports whether the server would answer in
+// time without a queue.
+func (r *Room) LateLimit(now time.Time, due, inTimeIfIdle bool, limit float64) float64 {
+	share := r.calendar.dueShare(r.clock.tick(now))
+	if due {
+		return limit * (1 + share)
+	}
+	if r.short && inTimeIfIdle && limit > 1 {
+		limit = 1 + shortQueueShare*(limit-1)
+	}
+	return limit * (1 - share)
+}
+
+// DecideLate decides whether a request that would be late gets a placement. offered reports
+// whether a server accepts it. The placement of a caller that was told to come was counted
+// when it was booked.
+func (r *Room) DecideLate(now time.Time, c Caller, offered bool) Decision {
+	tick := r.clock.tick(now)
+	if offered && c.Due {
+		return Admitted
+	}
+	d := LessUrgent
+	if r.urgencies.mayTake(tick, c.Urgency) {
+		// What urgency denies doesn't count as the organisation's demand: others would be
+		// held to their shares for placements that it can't get.
+		r.shares.ask(tick, c.Organisation)
+		d = r.grant(tick, c)
+	}
+	switch {
+	case !offered:
+		return NoRoom
+	case r.short && d != Admitted:
+		return d
+	}
+	r.take(tick, c)
+	return Admitted
+}
+
+// grant decides whether urgency and organisation leave the caller a late placement.
+func (r *Room) grant(tick int64, c Caller) Decision {
+	switch {
+	case !r.urgencies.mayTake(tick, c.Urgency):
+		return LessUrgent
+	case !r.shares.mayTake(tick, c.Organisation):
+		return ShareUsed
+	}
+	return Admitted
+}
+
+func (r *Room) take(tick int64, c Caller) {
+	r.urgencies.take(tick, c.Urgency)
+	r.shares.take(tick, c.Organisation)
+}
+
+// Refuse records a refusal and returns the time after which the caller should come back. The
+// need is the usual time of an answer, and notBefore the time for which servers asked. ok is
+// false if nothing is known about the room yet.
+func (r *Room) Refuse(now time.Time, c Caller, d Decision, need, notBefore time.Duration) (wait time.Duration, ok bool) {
+	tick := r.clock.tick(now)
+	r.short, r.refusedAt = true, now
+	r.Counts.Refused++
+	if c.Returning {
+		r.Counts.RefusedAgain++
+	}
+	if d == NoRoom {
+		r.urgencies.refuse(tick, c.Urgency)
+	}
+	b := booking{remaining: c.Remaining, need: need, notBefore: notBefore, refused: r.urgencies.refusedShare(tick)}
+	b.urgent, b.yields = r.urgencies.compare(tick, c.Urgency)
+	b.granted = d == Shed || d == NoRoom && r.grant(tick, c) == Admitted
+	wait, booked := r.calendar.book(now, &r.clock, b)
+	if booked {
+		r.Counts.Booked++
+		r.take(tick, c)
+	}
+	return wait, wait > 0
+}
+
+// Finish records an answer, of which only those in time show how much room there is.
+func (r *Room) Finish(now time.Time, inTime bool) { r.calendar.finish(r.clock.tick(now), inTime) }
+
+// Short reports whether requests were refused recently, and whether that has changed since the
+// last call.
+func (r *Room) Short(now time.Time, before bool) (short, changed bool) {
+	if r.short && now.Sub(r.refusedAt) >= quietPeriod {
+		r.short = false
+	}
+	return r.short, r.short != before
+}
+
+// String returns the reason that callers and logs get.
+func (d Decision) String() string {
+	switch d {
+	case ShareUsed:
+		return "the organisation's share of the late answers is used up"
+	case LessUrgent:
+		return "more urgent requests were refused"
+	}
+	return "no backend server can answer in time"
+}
