--- a/internal/coordination/bfreturn/room.go
+++ b/internal/coordination/bfreturn/room.go
@@ -66,13 +66,24 @@
 		Counts Counts
 	}
 
+	// LateLimits limits the load of servers that accept a request that will be late. They
+	// answer a load in which new requests, which would be late anyway, take the room of the
+	// callers that were told to come: without them these are refused again. The zero value
+	// changes nothing.
+	LateLimits struct {
+		due, short bool
+		dueShare   float64
+	}
+
 	// Counts holds numbers of requests.
 	Counts struct {
 		// Refused counts all refusals, RefusedAgain those of returning callers.
-		Refused, RefusedAgain int64
+		Refused      int64 `json:"refused"`
+		RefusedAgain int64 `json:"refused_again"`
 		// Booked counts the callers that were told a time at which there will be room, and
 		// ReturnedInTime the callers that came at such a time.
-		Booked, ReturnedInTime int64
+		Booked         int64 `json:"booked"`
+		ReturnedInTime int64 `json:"returned_in_time"`
 	}
 )
 
@@ -91,20 +102,22 @@
 	return Arrival{Returning: true, Due: due}
 }
 
-// LateLimit returns the load per slot up to which servers accept the request if it will be
-// late, given the limit that applies with enough room. It answers a load in which new
-// requests, which would be late anyway, take the room of the callers that were told to come:
-// without it these are refused again. inTimeIfIdle reports whether the server would answer in
-// time without a queue.
-func (r *Room) LateLimit(now time.Time, due, inTimeIfIdle bool, limit float64) float64 {
-	share := r.calendar.dueShare(r.clock.tick(now))
-	if due {
-		return limit * (1 + share)
+// LateLimits returns the limits on the load of servers that accept the request although it
+// will be late.
+func (r *Room) LateLimits(now time.Time, due bool) LateLimits {
+	return LateLimits{due: due, short: r.short, dueShare: r.calendar.dueShare(r.clock.tick(now))}
+}
+
+// Load returns the highest load per slot, given the one with enough room. inTimeIfIdle reports
+// whether the server would answer in time without a queue.
+func (l LateLimits) Load(limit float64, inTimeIfIdle bool) float64 {
+	if l.due {
+		return limit * (1 + l.dueShare)
 	}
-	if r.short && inTimeIfIdle && limit > 1 {
+	if l.short && inTimeIfIdle && limit > 1 {
 		limit = 1 + shortQueueShare*(limit-1)
 	}
-	return limit * (1 - share)
+	return limit * (1 - l.dueShare)
 }
 
 // DecideLate decides whether a request that would be late gets a placement. offered reports
--- a/internal/coordination/bfreturn/room_test.go
+++ b/internal/coordination/bfreturn/room_test.go
@@ -113,8 +113,8 @@
 		}
 	}
 	patient := Caller{Remaining: 3*time.Second - wait - 20*time.Millisecond, Arrival: Arrival{Returning: true}}
-	if before := r.LateLimit(now, false, true, 3); before >= 2 || r.LateLimit(now, true, true, 3) <= 3 {
-		t.Errorf("late limit of new callers %v, of callers that are due %v", before, r.LateLimit(now, true, true, 3))
+	if before := r.LateLimits(now, false).Load(3, true); before >= 2 || r.LateLimits(now, true).Load(3, true) <= 3 {
+		t.Errorf("late limit of new callers %v, of callers that are due %v", before, r.LateLimits(now, true).Load(3, true))
 	}
 	if !r.Arrive(now, patient).Due || r.Arrive(now, patient).Due {
 		t.Error("want one caller that is due")
@@ -128,8 +128,8 @@
 		c := Caller{Organisation: fmt.Sprint(i % 3), Urgency: i % 2, Remaining: time.Second}
 		now := start.Add(2*time.Second + time.Duration(i)*time.Millisecond)
 		r.Arrive(now, c)
-		if d := r.DecideLate(now, c, true); d != Admitted || r.LateLimit(now, false, true, 3) != 3 {
-			t.Fatalf("%v, limit %v", d, r.LateLimit(now, false, true, 3))
+		if d := r.DecideLate(now, c, true); d != Admitted || r.LateLimits(now, false).Load(3, true) != 3 {
+			t.Fatalf("%v, limit %v", d, r.LateLimits(now, false).Load(3, true))
 		}
 	}
 }
--- a/internal/coordination/bfreturn/sim_test.go
+++ b/internal/coordination/bfreturn/sim_test.go
@@ -211,7 +211,7 @@
 			most = 3
 		}
 		if s.room != nil {
-			most = s.room[r.entry].LateLimit(s.time(), c.Due, s.serviceTime(server) <= limit, most)
+			most = s.room[r.entry].LateLimits(s.time(), c.Due).Load(most, s.serviceTime(server) <= limit)
 		}
 		if late < 0 && known+1 <= most*simSlots && e < c.Remaining {
 			late = server
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -69,6 +69,9 @@
 	}
 	switch r.Outcome {
 	case Answered, Failed:
+		if r.Outcome == Answered {
+			v.room.Finish(now, now.Sub(t.started) <= t.target)
+		}
 		t.learnAnswer(now, r.Outcome == Failed, r.Bytes)
 	case Shed:
 		srv.answeredAt = now
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfreturn"
 	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/protocol/bfapi"
@@ -61,6 +62,8 @@
 	tryEnded <-chan struct{}
 	// leftBeforeDispatch is true if the caller had closed its connection before a try.
 	leftBeforeDispatch atomic.Bool
+	// arrival tells whether the caller was refused before.
+	arrival bfreturn.Arrival
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// releaseBody releases the memory reserved for the body.
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -86,6 +86,7 @@
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
+		m.Set("returns", expvar.Func(func() any { return n.steering.Returns() }))
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
