--- a/internal/coordination/bfreturn/shares.go
+++ b/internal/coordination/bfreturn/shares.go
@@ -14,12 +14,16 @@
 	// organisations that were not seen before.
 	minUsual = 1.0
 	// shareSlack is the factor by which the late placements of the last second may grow.
-	// Without it organisations with equal demands would all be at their limit.
-	shareSlack = 1.2
+	// Without it they would not grow again once they were few.
+	shareSlack = 1.1
 	// minUsedShare is the share of the late placements that others must use while shares are
 	// enforced, and suspendedTicks the time without enforcement if they don't.
-	minUsedShare   = 0.7
+	minUsedShare   = 0.6
 	suspendedTicks = 30
+	// mostDecay is the factor by which the remembered number of late placements falls in an
+	// interval. The servers' queues fill at the start of a shortage, which takes more
+	// placements than later seconds have.
+	mostDecay = 0.98
 )
 
 type (
@@ -31,9 +35,10 @@
 		// rest counts the placements of the organisations that are not counted by name.
 		rest recent
 		// denied counts the requests that were refused because of their shares, and most is
-		// the largest number of placements in a second since the first of them.
+		// the largest number of placements in a recent second.
 		denied         recent
 		most           float64
+		mostAt         int64
 		suspendedUntil int64
 	}
 
@@ -103,7 +108,7 @@
 	if s.isSuspended(tick, total+rest) {
 		return true
 	}
-	fair := s.level(tick, shareSlack*total+(shareSlack-1)*rest) * mine.weight()
+	fair := s.level(tick, shareSlack*total) * mine.weight()
 	if mine.asked.sum(tick) <= fair || mine.taken.sum(tick) <= fair {
 		return true
 	}
@@ -115,6 +120,8 @@
 // be unable to use what is left to them, as their servers are others. So enforcement is
 // suspended where it makes the late placements fewer.
 func (s *shares) isSuspended(tick int64, total float64) bool {
+	s.most *= math.Pow(mostDecay, float64(tick-s.mostAt))
+	s.mostAt = tick
 	switch {
 	case tick < s.suspendedUntil:
 		return true
