--- a/internal/coordination/bfreturn/calendar.go
+++ b/internal/coordination/bfreturn/calendar.go
@@ -86,6 +86,10 @@
 	if c.phase == 0 {
 		c.phase = rand.Float64()
 	}
+	if tick-c.latest >= rateTicks {
+		// Without requests the rate says nothing about the room.
+		c.known = false
+	}
 	for t := max(c.latest+1, tick-calendarTicks+1); t <= tick; t++ {
 		*c.at(t + calendarTicks - graceTicks - 1) = interval{}
 		c.inTime[t%rateTicks] = 0
--- a/internal/coordination/bfreturn/room_test.go
+++ b/internal/coordination/bfreturn/room_test.go
@@ -65,13 +65,17 @@
 		{"servers asked for long", 100, 3 * time.Second, 4 * time.Second, 0, 4 * time.Second, 4 * time.Second, true},
 		{"deadline", 100, time.Second, 0, 800 * time.Millisecond, MinWait, 200 * time.Millisecond, true},
 		{"no answer in time", 0, 3 * time.Second, 0, 250 * time.Millisecond, 750 * time.Millisecond, time.Second, true},
+		{"nothing known after an idle time", -2, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false},
 		{"nothing known", -1, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false},
 	}
 	for _, c := range cases {
 		for range 50 {
 			r := answered(max(0, c.rate))
-			if c.rate == 0 {
-				r.Finish(start, false)
+			switch c.rate {
+			case 0:
+				r.Finish(start.Add(time.Second), false)
+			case -2:
+				r.Finish(start.Add(-3*time.Second), true)
 			}
 			wait, known := r.Refuse(start.Add(2*time.Second), Caller{Remaining: c.remaining}, Shed, c.need, c.notBefore)
 			if wait < c.least || wait > c.most || known != c.known {
--- a/internal/coordination/bfreturn/shares.go
+++ b/internal/coordination/bfreturn/shares.go
@@ -120,8 +120,8 @@
 // be unable to use what is left to them, as their servers are others. So enforcement is
 // suspended where it makes the late placements fewer.
 func (s *shares) isSuspended(tick int64, total float64) bool {
-	s.most *= math.Pow(mostDecay, float64(tick-s.mostAt))
-	s.mostAt = tick
+	s.most *= math.Pow(mostDecay, float64(max(0, tick-s.mostAt)))
+	s.mostAt = max(s.mostAt, tick)
 	switch {
 	case tick < s.suspendedUntil:
 		return true
