--- a/internal/coordination/bfreturn/calendar.go
+++ b/internal/coordination/bfreturn/calendar.go
@@ -51,7 +51,8 @@
 	calendar struct {
 		latest    int64
 		intervals [calendarTicks]interval
-		inTime    [rateTicks]int32
+		// answers counts all answers, and inTime those in time.
+		answers, inTime [rateTicks]int32
 		// firstTick is the interval of the first answer; known is true from then on.
 		firstTick int64
 		known     bool
@@ -68,7 +69,8 @@
 	}
 
 	booking struct {
-		remaining, need, notBefore time.Duration
+		Refusal
+		remaining time.Duration
 		// urgent reports whether less urgent callers were seen and no more urgent ones, and
 		// yields whether more urgent ones were.
 		urgent, yields bool
@@ -92,7 +94,7 @@
 	}
 	for t := max(c.latest+1, tick-calendarTicks+1); t <= tick; t++ {
 		*c.at(t + calendarTicks - graceTicks - 1) = interval{}
-		c.inTime[t%rateTicks] = 0
+		c.answers[t%rateTicks], c.inTime[t%rateTicks] = 0, 0
 	}
 	c.latest = max(c.latest, tick)
 }
@@ -102,15 +104,26 @@
 	if !c.known {
 		c.known, c.firstTick = true, tick
 	}
+	c.answers[c.latest%rateTicks]++
 	if inTime {
 		c.inTime[c.latest%rateTicks]++
 	}
 }
 
-// rate returns the answers in time in an interval.
-func (c *calendar) rate() float64 {
+// queueTime returns the time in which the requests at the servers will be answered. Until they
+// are, there is less room than the rate of the answers says.
+func (c *calendar) queueTime(inFlight int) time.Duration {
+	rate := c.rate(&c.answers)
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(inFlight) / rate * float64(tickLength))
+}
+
+// rate returns the number of answers in an interval.
+func (c *calendar) rate(counts *[rateTicks]int32) float64 {
 	total := int32(0)
-	for _, n := range c.inTime {
+	for _, n := range counts {
 		total += n
 	}
 	return float64(total) / float64(min(rateTicks, max(1, c.latest-c.firstTick+1)))
@@ -130,14 +143,15 @@
 	tick := k.tick(now)
 	c.advance(tick)
 	latest := b.remaining / remainingDivisor
-	if b.need < b.remaining {
-		latest = min(latest, b.remaining-b.need)
+	if b.Need < b.remaining {
+		latest = min(latest, b.remaining-b.Need)
 	}
-	earliest := max(MinWait, b.notBefore)
+	earliest := max(MinWait, b.NotBefore)
 	if !c.known || latest <= earliest {
-		return b.notBefore, false
+		return b.NotBefore, false
 	}
-	perTick := c.rate() * max(minReturnShare, 1-refusedWeight*b.refused)
+	earliest = max(earliest, min(c.queueTime(b.InFlight)-b.Target, latest*3/4))
+	perTick := c.rate(&c.inTime) * max(minReturnShare, 1-refusedWeight*b.refused)
 	first, last := k.tick(now.Add(earliest)), min(k.tick(now.Add(latest)), tick+calendarTicks-graceTicks-1)
 	for t := first; t <= last && b.granted; t++ {
 		room, in := c.room(t, perTick), c.at(t)
@@ -199,7 +213,7 @@
 	if due <= 0 {
 		return 0
 	}
-	return min(maxDueShare, float64(due)/max(1, c.rate()*(2*dueTicks+1)))
+	return min(maxDueShare, float64(due)/max(1, c.rate(&c.inTime)*(2*dueTicks+1)))
 }
 
 func remainingClass(d time.Duration) int {
--- a/internal/coordination/bfreturn/room.go
+++ b/internal/coordination/bfreturn/room.go
@@ -52,6 +52,18 @@
 		Due bool
 	}
 
+	// Refusal is what an entry knows when it refuses a request.
+	Refusal struct {
+		Decision Decision
+		// Target is the time within which an answer is in time, and Need the usual time of an
+		// answer.
+		Target, Need time.Duration
+		// NotBefore is the time for which servers asked.
+		NotBefore time.Duration
+		// InFlight is the number of the entry's requests at the servers.
+		InFlight int
+	}
+
 	// Room holds the requests for one service at one entry that found too little room. The
 	// zero value is ready to use. It isn't safe for concurrent use.
 	Room struct {
@@ -60,7 +72,6 @@
 		shares    shares
 		urgencies urgencies
 
-		short     bool
 		refusedAt time.Time
 		// Counts holds the totals since the start.
 		Counts Counts
@@ -91,7 +102,7 @@
 func (r *Room) Arrive(now time.Time, c Caller) Arrival {
 	tick := r.clock.tick(now)
 	r.urgencies.note(tick, c.Urgency)
-	r.shares.note(now, tick, c.Organisation, r.short)
+	r.shares.note(now, tick, c.Organisation, r.isShort(now))
 	if !c.Returning {
 		return Arrival{}
 	}
@@ -105,19 +116,25 @@
 // LateLimits returns the limits on the load of servers that accept the request although it
 // will be late.
 func (r *Room) LateLimits(now time.Time, due bool) LateLimits {
-	return LateLimits{due: due, short: r.short, dueShare: r.calendar.dueShare(r.clock.tick(now))}
+	return LateLimits{due: due, short: r.isShort(now), dueShare: r.calendar.dueShare(r.clock.tick(now))}
 }
 
 // Load returns the highest load per slot, given the one with enough room. inTimeIfIdle reports
-// whether the server would answer in time without a queue.
+// whether the server would answer in time without a queue. For new callers only the queue
+// beyond the slots is shortened: free slots would otherwise stay idle where told callers don't
+// come, and requests that the limit on shifts allows only elsewhere would be refused.
 func (l LateLimits) Load(limit float64, inTimeIfIdle bool) float64 {
 	if l.due {
 		return limit * (1 + l.dueShare)
 	}
-	if l.short && inTimeIfIdle && limit > 1 {
-		limit = 1 + shortQueueShare*(limit-1)
+	if limit <= 1 {
+		return limit
+	}
+	queue := (limit - 1) * (1 - l.dueShare)
+	if l.short && inTimeIfIdle {
+		queue *= shortQueueShare
 	}
-	return limit * (1 - l.dueShare)
+	return 1 + queue
 }
 
 // DecideLate decides whether a request that would be late gets a placement. offered reports
@@ -138,7 +155,7 @@
 	switch {
 	case !offered:
 		return NoRoom
-	case r.short && d != Admitted:
+	case r.isShort(now) && d != Admitted:
 		return d
 	}
 	r.take(tick, c)
@@ -161,22 +178,21 @@
 	r.shares.take(tick, c.Organisation)
 }
 
-// Refuse records a refusal and returns the time after which the caller should come back. The
-// need is the usual time of an answer, and notBefore the time for which servers asked. ok is
+// Refuse records a refusal and returns the time after which the caller should come back. ok is
 // false if nothing is known about the room yet.
-func (r *Room) Refuse(now time.Time, c Caller, d Decision, need, notBefore time.Duration) (wait time.Duration, ok bool) {
+func (r *Room) Refuse(now time.Time, c Caller, f Refusal) (wait time.Duration, ok bool) {
 	tick := r.clock.tick(now)
-	r.short, r.refusedAt = true, now
+	r.refusedAt = now
 	r.Counts.Refused++
 	if c.Returning {
 		r.Counts.RefusedAgain++
 	}
-	if d == NoRoom {
+	if f.Decision == NoRoom {
 		r.urgencies.refuse(tick, c.Urgency)
 	}
-	b := booking{remaining: c.Remaining, need: need, notBefore: notBefore, refused: r.urgencies.refusedShare(tick)}
+	b := booking{Refusal: f, remaining: c.Remaining, refused: r.urgencies.refusedShare(tick)}
 	b.urgent, b.yields = r.urgencies.compare(tick, c.Urgency)
-	b.granted = d == Shed || d == NoRoom && r.grant(tick, c) == Admitted
+	b.granted = f.Decision == Shed || f.Decision == NoRoom && r.grant(tick, c) == Admitted
 	wait, booked := r.calendar.book(now, &r.clock, b)
 	if booked {
 		r.Counts.Booked++
@@ -191,10 +207,12 @@
 // Short reports whether requests were refused recently, and whether that has changed since the
 // last call.
 func (r *Room) Short(now time.Time, before bool) (short, changed bool) {
-	if r.short && now.Sub(r.refusedAt) >= quietPeriod {
-		r.short = false
-	}
-	return r.short, r.short != before
+	short = r.isShort(now)
+	return short, short != before
+}
+
+func (r *Room) isShort(now time.Time) bool {
+	return !r.refusedAt.IsZero() && now.Sub(r.refusedAt) < quietPeriod
 }
 
 // String returns the reason that callers and logs get.
--- a/internal/coordination/bfreturn/room_test.go
+++ b/internal/coordination/bfreturn/room_test.go
@@ -28,7 +28,7 @@
 	perTick, waits := map[int64]int{}, 0
 	allocations := testing.AllocsPerRun(1, func() {
 		for range 50_000 {
-			wait, ok := r.Refuse(now, caller, NoRoom, 250*time.Millisecond, 0)
+			wait, ok := r.Refuse(now, caller, Refusal{Decision: NoRoom, Need: 250 * time.Millisecond})
 			if !ok || wait < MinWait || wait > time.Second {
 				t.Fatalf("wait %v, %v", wait, ok)
 			}
@@ -59,14 +59,17 @@
 		remaining, notBefore time.Duration
 		need, least, most    time.Duration
 		known                bool
+		inFlight             int
 	}{
-		{"room soon", 100, 3 * time.Second, 0, 250 * time.Millisecond, MinWait, 300 * time.Millisecond, true},
-		{"servers asked", 100, 3 * time.Second, 700 * time.Millisecond, 0, 700 * time.Millisecond, time.Second, true},
-		{"servers asked for long", 100, 3 * time.Second, 4 * time.Second, 0, 4 * time.Second, 4 * time.Second, true},
-		{"deadline", 100, time.Second, 0, 800 * time.Millisecond, MinWait, 200 * time.Millisecond, true},
-		{"no answer in time", 0, 3 * time.Second, 0, 250 * time.Millisecond, 750 * time.Millisecond, time.Second, true},
-		{"nothing known after an idle time", -2, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false},
-		{"nothing known", -1, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false},
+		{"room soon", 100, 3 * time.Second, 0, 250 * time.Millisecond, MinWait, 300 * time.Millisecond, true, 0},
+		{"queue of 1.1 s", 100, 3 * time.Second, 0, 250 * time.Millisecond, 500 * time.Millisecond, 750 * time.Millisecond, true, 110},
+		{"queue of 5 s", 100, 3 * time.Second, 0, 250 * time.Millisecond, 750 * time.Millisecond, time.Second, true, 500},
+		{"servers asked", 100, 3 * time.Second, 700 * time.Millisecond, 0, 700 * time.Millisecond, time.Second, true, 0},
+		{"servers asked for long", 100, 3 * time.Second, 4 * time.Second, 0, 4 * time.Second, 4 * time.Second, true, 0},
+		{"deadline", 100, time.Second, 0, 800 * time.Millisecond, MinWait, 200 * time.Millisecond, true, 0},
+		{"no answer in time", 0, 3 * time.Second, 0, 250 * time.Millisecond, 750 * time.Millisecond, time.Second, true, 0},
+		{"nothing known after an idle time", -2, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false, 0},
+		{"nothing known", -1, 3 * time.Second, 0, 250 * time.Millisecond, 0, 0, false, 0},
 	}
 	for _, c := range cases {
 		for range 50 {
@@ -77,7 +80,7 @@
 			case -2:
 				r.Finish(start.Add(-3*time.Second), true)
 			}
-			wait, known := r.Refuse(start.Add(2*time.Second), Caller{Remaining: c.remaining}, Shed, c.need, c.notBefore)
+			wait, known := r.Refuse(start.Add(2*time.Second), Caller{Remaining: c.remaining}, Refusal{Decision: Shed, Need: c.need, NotBefore: c.notBefore, Target: 600 * time.Millisecond, InFlight: c.inFlight})
 			if wait < c.least || wait > c.most || known != c.known {
 				t.Fatalf("%s: wait %v, %v", c.name, wait, known)
 			}
@@ -94,7 +97,7 @@
 		for urgency := 1; urgency >= 0; urgency-- {
 			c := Caller{Urgency: urgency, Remaining: 3 * time.Second}
 			r.Arrive(now, c)
-			got, _ := r.Refuse(now, c, NoRoom, 0, 0)
+			got, _ := r.Refuse(now, c, Refusal{Decision: NoRoom})
 			wait[urgency] += got
 		}
 	}
@@ -108,7 +111,7 @@
 func TestOnlyToldCallersArePreferred(t *testing.T) {
 	r, now := answered(100), start.Add(2*time.Second)
 	r.Finish(now, true)
-	wait, _ := r.Refuse(now, Caller{Remaining: 3 * time.Second}, Shed, 0, 700*time.Millisecond)
+	wait, _ := r.Refuse(now, Caller{Remaining: 3 * time.Second}, Refusal{Decision: Shed, NotBefore: 700 * time.Millisecond})
 	now = now.Add(wait)
 	for range 10 {
 		impatient := Caller{Remaining: 2900 * time.Millisecond, Arrival: Arrival{Returning: true}}
@@ -120,6 +123,9 @@
 	if before := r.LateLimits(now, false).Load(3, true); before >= 2 || r.LateLimits(now, true).Load(3, true) <= 3 {
 		t.Errorf("late limit of new callers %v, of callers that are due %v", before, r.LateLimits(now, true).Load(3, true))
 	}
+	if free := r.LateLimits(now, false).Load(1, true); free != 1 {
+		t.Errorf("new callers may use %v of the slots, want all", free)
+	}
 	if !r.Arrive(now, patient).Due || r.Arrive(now, patient).Due {
 		t.Error("want one caller that is due")
 	}
--- a/internal/coordination/bfreturn/shares_test.go
+++ b/internal/coordination/bfreturn/shares_test.go
@@ -35,7 +35,7 @@
 				continue
 			}
 			if d := r.DecideLate(now, c, free > 0); d != Admitted {
-				r.Refuse(now, c, d, 0, 0)
+				r.Refuse(now, c, Refusal{Decision: d})
 				continue
 			}
 			free--
--- a/internal/coordination/bfreturn/sim_test.go
+++ b/internal/coordination/bfreturn/sim_test.go
@@ -166,7 +166,6 @@
 	}
 	caller.Returning = s.full[r.entry].Returning(s.time(), remaining)
 	if s.room != nil {
-		s.room[r.entry].Short(s.time(), false)
 		caller.Arrival = s.room[r.entry].Arrive(s.time(), caller)
 	}
 	res.due += b2i(caller.Due)
@@ -238,7 +237,7 @@
 	}
 	wait := min(max(estimate-simTarget, MinWait), 2*time.Second)
 	if s.room != nil {
-		if w, ok := s.room[r.entry].Refuse(s.time(), c, d, simService, 0); ok {
+		if w, ok := s.room[r.entry].Refuse(s.time(), c, Refusal{Decision: d, Target: simTarget, Need: simService, InFlight: s.sent(r.entry)}); ok {
 			wait = w
 		}
 	}
@@ -280,6 +279,14 @@
 	}
 }
 
+// sent returns the number of the entry's requests at the servers.
+func (s *sim) sent(entry int) (n int) {
+	for _, inFlight := range s.inFlight[entry] {
+		n += inFlight
+	}
+	return n
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
--- a/internal/coordination/bfsteering/shortage.go
+++ b/internal/coordination/bfsteering/shortage.go
@@ -73,11 +73,14 @@
 	if r.OnTimeOnly {
 		return otherwise
 	}
-	need := time.Duration(0)
+	f := bfreturn.Refusal{Decision: d, Target: r.Route.Target.Std(), NotBefore: notBefore}
 	if m.all.samples >= minMeasuredSamples {
-		need = m.all.value
+		f.Need = m.all.value
 	}
-	wait, ok := v.room.Refuse(now, r.caller(), d, need, notBefore)
+	for _, srv := range v.servers {
+		f.InFlight += srv.inFlight
+	}
+	wait, ok := v.room.Refuse(now, r.caller(), f)
 	s.logShortage(now, v)
 	if !ok {
 		return otherwise
