--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -82,6 +82,10 @@
 		slowdown float64
 		// target is the time within which the answer is on time.
 		target time.Duration
+		// transfer is the part of Expected in which a streamed body arrives.
+		transfer time.Duration
+		// upload is true if the try counts as an upload of the server.
+		upload bool
 	}
 
 	// NoServerError refuses a request for which no server could be chosen. It names the
@@ -214,6 +218,10 @@
 			none.addPause(srv.availability.opensAt(srv.coldPhase))
 			continue
 		}
+		if r.Route.LargeBodies && !srv.takesUpload(now, s.regionPeers()) {
+			none.reason = "the backend servers have as many uploads as they may get"
+			continue
+		}
 		if srv.tooCold(now, &v.config, entries) {
 			none.reason, none.cold = "the backend servers are cold", true
 			continue
@@ -276,9 +284,10 @@
 		// Opening a connection takes a round trip.
 		c.network *= 2
 	}
-	c.estimate = c.network + time.Duration(float64(work+wait)*slowdown)
-	c.nearLimitIfWarm = c.network+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
-	c.inTimeIfIdle = c.network+time.Duration(float64(work)*slowdown) <= onTimeLimit(r)
+	fixed := c.network + s.transferTime(r)
+	c.estimate = fixed + time.Duration(float64(work+wait)*slowdown)
+	c.nearLimitIfWarm = fixed+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
+	c.inTimeIfIdle = fixed+time.Duration(float64(work)*slowdown) <= onTimeLimit(r)
 	c.cost = c.estimate
 	if !connected {
 		c.cost += newConnectionCost
@@ -366,6 +375,9 @@
 	srv := c.server
 	srv.inFlight++
 	srv.sent++
+	if r.Route.LargeBodies {
+		srv.uploads++
+	}
 	if now.Before(srv.coldUntil) {
 		srv.coldSentAt = now
 	}
@@ -379,6 +391,6 @@
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
 		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples,
 		Reliable: srv.errorRate.get(now, errorHalfLife) <= reliableErrorRate, missClass: c.missClass,
-		slowdown: srv.currentSlowdown(now), target: r.Route.Target.Std(),
+		slowdown: srv.currentSlowdown(now), target: r.Route.Target.Std(), transfer: s.transferTime(r), upload: r.Route.LargeBodies,
 	}
 }
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -43,8 +43,11 @@
 		// InContact reports whether control VMs can be heard, which tell when servers turn cold;
 		// nil means that they can.
 		InContact func() bool
-		Limits    Limits
-		Log       zerolog.Logger
+		// LinkBandwidth is the bandwidth of this VM's link in each direction, in bytes per
+		// second; zero means unknown.
+		LinkBandwidth float64
+		Limits        Limits
+		Log           zerolog.Logger
 		// Counts counts the notices of servers.
 		Counts NoticeCounts
 
@@ -91,6 +94,8 @@
 		OnTimeOnly bool
 		// Arrival is the result of Arrive; the zero value is that of a new caller.
 		Arrival bfreturn.Arrival
+		// StreamedBytes is the size of a body that is sent to the server while it arrives.
+		StreamedBytes int64
 
 		lateLimits bfreturn.LateLimits
 		// cacheKey is the result of key, which is needed for each server.
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -135,6 +135,9 @@
 
 // startTry sends the request to a server that has not been chosen for it before.
 func (f *forwarder) startTry(hedge bool) error {
+	if err := f.rewindUpload(); err != nil {
+		return err
+	}
 	request := f.steeringRequest()
 	request.OnTimeOnly = hedge
 	try, err := f.node.steering.Choose(time.Now(), request)
@@ -151,7 +154,7 @@
 	forwarded := *f.call.request
 	// An incomplete answer can't be replaced by that of another server once it is streamed,
 	// so only answers of reliable servers are.
-	if f.call.route.LargeAnswers && try.Reliable {
+	if f.call.route.LargeAnswers && try.Reliable && forwarded.Stream == nil {
 		forwarded.OnHead = func(answer *briarferry.Answer) {
 			try.Note(time.Now(), f.node.parseNotice(answer.Status, answer.Header))
 			f.results <- tryResult{outcome: bfsteering.Answered, answer: answer, streaming: a}
@@ -170,6 +173,7 @@
 	return bfsteering.Request{
 		Route: c.route.Route, Organisation: c.organisation, Service: c.service, Key: c.affinityKey, Arrival: c.arrival,
 		Remaining: f.node.timeForTry(time.Until(c.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0,
+		StreamedBytes: c.streamedBytes(),
 	}
 }
 
@@ -298,6 +302,7 @@
 		c.hold(answer)
 		report.Bytes = len(c.request.Body) + len(answer.Body)
 	}
+	c.reportUpload(&report)
 	t.Done(time.Now(), report)
 	done(runResult(report))
 	n.recordTry(c, t, report.Outcome)
@@ -354,7 +359,7 @@
 		r.Outcome = bfsteering.Shed
 	case errors.Is(err, bfupstream.ErrMisdirected):
 		r.Outcome = bfsteering.Misdirected
-	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn), errors.Is(err, bfupstream.ErrCallerLeft):
+	case !errors.As(err, &tryErr), errors.Is(err, bfupstream.ErrConnectionLimit), errors.Is(err, bfupstream.ErrWithdrawn), errors.Is(err, bfupstream.ErrCallerLeft), errors.Is(err, bfupstream.ErrRequestBody):
 		r.Outcome = bfsteering.Cancelled
 	case !tryErr.Dispatched:
 		r.Outcome = bfsteering.Refused
@@ -364,7 +369,7 @@
 		case tryErr.TimedOut:
 			r.Outcome = bfsteering.Unreachable
 		}
-	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge):
+	case errors.Is(err, bfupstream.ErrAnswerMismatch), errors.Is(err, bfupstream.ErrTruncated), errors.Is(err, bfupstream.ErrNoSignature), errors.Is(err, bfupstream.ErrTooLarge), errors.Is(err, bfupstream.ErrInvalidStatus):
 		// These come before the state of the context: an incomplete streamed answer ends the
 		// caller's request, and with it the context, before the try is recorded.
 		r.Outcome, r.ServerRefusedConnection = bfsteering.InvalidAnswer, tryErr.ServerRefusedConnection
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -51,13 +51,15 @@
 	received    time.Time
 	// tableVersion is the version of the route table used for the request.
 	tableVersion uint64
-	// mu guards tries, answers and ended, since a try may end after the request was
+	// mu guards tries, answers, ended and drop, since a try may end after the request was
 	// answered, such as the slower one of a hedged request.
 	mu    sync.Mutex
 	tries []tryRecord
 	// answers are the servers' answers, which are released when the request has ended.
 	answers []*briarferry.Answer
 	ended   bool
+	// drop closes the caller's connection. It is set when the sending of an answer begins.
+	drop func()
 	// tryEnded is closed at the end of the try whose answer is streamed.
 	tryEnded <-chan struct{}
 	// leftBeforeDispatch is true if the caller had closed its connection before a try.
@@ -66,6 +68,8 @@
 	arrival bfreturn.Arrival
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
+	// upload is the body if it is sent to a server while it arrives, or nil.
+	upload *callerBody
 	// releaseBody releases the memory reserved for the body.
 	releaseBody func()
 }
@@ -79,6 +83,24 @@
 		return
 	}
 	c.answers = append(c.answers, a)
+	if c.drop != nil {
+		a.Deliver(c.drop)
+	}
+}
+
+// deliver begins the sending of an answer to the caller, whose connection may be closed if it
+// takes the answer too slowly.
+func (c *call) deliver(ctx context.Context) {
+	conn := bfcaller.FromContext(ctx)
+	if conn == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop = func() { _ = conn.Close() }
+	for _, a := range c.answers {
+		a.Deliver(c.drop)
+	}
 }
 
 // end releases all memory that is held for the request.
@@ -114,26 +136,30 @@
 	defer stop()
 	answer, err := n.forward(ctx, c)
 	if r.Context().Err() != nil || errors.Is(context.Cause(ctx), bfcaller.ErrLeft) {
-		n.logRequest(c, "caller_left", 0, nil)
+		n.logRequest(c, c.abortUpload(), 0, nil)
 		panic(http.ErrAbortHandler)
 	}
 	if answer == nil {
 		errors.As(err, &c.noServer)
-		n.writeRefusal(w, c, asRefusal(err))
+		refusal := asRefusal(err)
+		c.countUpload(refusal)
+		n.writeRefusal(w, c, refusal)
 		return
 	}
+	c.deliver(r.Context())
 	if answer.Stream != nil {
 		n.streamAnswer(w, r, c, answer)
 		return
 	}
 	n.logRequest(c, "answered", answer.Status, nil)
 	writeAnswer(w, answer)
+	c.endUpload(w)
 }
 
 // requestContext returns the context of a request's tries. It ends when the caller leaves, at
 // the request's deadline, and when open requests are aborted.
 func (n *Node) requestContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	ctx, hasLeft, stopFollowing := bfcaller.Follow(ctx)
+	ctx, hasLeft, stopFollowing := c.follow(ctx)
 	c.request.CallerLeft = func() bool { return c.countIfLeft(hasLeft()) }
 	ctx, abort := context.WithCancelCause(ctx)
 	stopAborting := context.AfterFunc(n.aborting, func() { abort(errStopping) })
@@ -212,7 +238,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, release, refusal := n.readBody(w, r, limit)
+	if streamsBody(r, c.route) {
+		return c, n.startUpload(w, r, c, limit)
+	}
+	read := n.readBody
+	if c.route.LargeBodies {
+		read = n.readHeldUpload
+	}
+	body, release, refusal := read(w, r, limit)
 	c.releaseBody = release
 	if refusal != nil {
 		return c, refusal
@@ -285,6 +318,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(max(0.01, after.Seconds()), 'f', 2, 64))
 	}
 	bfapi.WriteProblem(w, bfapi.Problem{Status: r.Status, Detail: r.Reason, Outcome: r.Outcome}, 0)
+	c.endUpload(w)
 }
 
 func asRefusal(err error) *briarferry.Refusal {
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -37,6 +37,9 @@
 	// it ended early, was not valid HTTP, announced neither a length nor chunks although the
 	// dialect requires one of them, or the connection ended after an answer to another request.
 	ErrTruncated = errors.New("answer is not complete")
+	// ErrInvalidStatus is returned for an answer whose status is outside 100 to 599, or 101. It
+	// proves nothing about the request, whatever its headers say.
+	ErrInvalidStatus = errors.New("answer has an invalid status")
 	// ErrTooLarge is returned for an answer whose head or body exceeds its limit, or that was
 	// the largest one when the memory for answers was used up.
 	ErrTooLarge = errors.New("answer is too large")
@@ -125,7 +128,13 @@
 		return nil, &briarferry.TryError{Backend: b.ID(), TimedOut: isTimeout(ctx, nil), Err: err}
 	}
 	s := newStreamer(r.OnHead)
-	a, err := c.exchange(ctx, conn, try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s})
+	t := try{client: c, request: out, id: r.ID, backend: b.ID(), streamer: s}
+	var a *briarferry.Answer
+	if r.Stream != nil {
+		a, err = c.exchangeStream(ctx, conn, t, r)
+	} else {
+		a, err = c.exchange(ctx, conn, t)
+	}
 	s.end(err)
 	if err != nil {
 		c.checkServer(ctx, p, b, err)
@@ -227,6 +236,7 @@
 		return a, err
 	}
 	a.OnRelease(got.memory.release)
+	a.OnDeliver(got.memory.deliver)
 	return a, nil
 }
 
@@ -268,7 +278,7 @@
 	e := &briarferry.TryError{
 		Backend:        t.backend,
 		Dispatched:     conn.written.Load() > 0,
-		ConnectionLost: ctxErr == nil && !errors.Is(err, ErrTooLarge),
+		ConnectionLost: ctxErr == nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrInvalidStatus),
 		TimedOut:       errors.Is(ctxErr, context.DeadlineExceeded),
 		Err:            err,
 	}
@@ -396,13 +406,19 @@
 	if dialect.ExpectedInstanceHeader != "" && b.InstanceID != "" {
 		out.Header.Set(dialect.ExpectedInstanceHeader, b.InstanceID)
 	}
+	c.setRemainingTime(ctx, out, r)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
+	return out, nil
+}
+
+// setRemainingTime tells the server how much time is left for the request.
+func (c *Client) setRemainingTime(ctx context.Context, out *http.Request, r *briarferry.Request) {
 	deadline := r.Deadline
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	out.Header.Set(dialect.RemainingTimeHeader, dialect.FormatRemainingTime(time.Until(deadline)))
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
-	return out, nil
+	d := c.dialect()
+	out.Header.Set(d.RemainingTimeHeader, d.FormatRemainingTime(time.Until(deadline)))
 }
 
 // setTarget sets the path and query of a request so that they are written as the caller sent
