--- a/internal/coordination/bfsteering/shortage_test.go
+++ b/internal/coordination/bfsteering/shortage_test.go
@@ -152,7 +152,7 @@
 	f.serve(400, 40, 4*time.Second, func(s *Steering, r Request) (*Try, error) {
 		r.Arrival = s.Arrive(f.now, r)
 		v := s.service(r.Service)
-		list, _ := v.candidates(f.now, s, &r, v.routeModel(r.Route.Name))
+		list, _ := v.candidates(f.now, s, &r, v.routeModel(r.Route.Name), planDecision{})
 		expected, ok := pick(list, &r)
 		try, err := s.Choose(f.now, r)
 		if ok && expected.estimate <= onTimeLimit(&r) {
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/coordination/bfreplica"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
@@ -64,6 +65,9 @@
 		// MaxShift is the largest share of a region's requests that may move to another
 		// region within 2 s; zero means no limit.
 		MaxShift float64
+		// QuotaTolerance is the excess over organisations' quotas that is accepted. It must be
+		// the same at all control VMs.
+		QuotaTolerance bfquota.Tolerance
 		// Handlers are the HTTP handlers to serve, by listen address.
 		Handlers map[netip.AddrPort]http.Handler
 		Log      zerolog.Logger
@@ -78,6 +82,8 @@
 		memberNews memberNews
 		clients    fleetClients
 		homes      homeHosts
+		quotas     *quotaOwner
+		plan       planState
 	}
 )
 
@@ -90,6 +96,7 @@
 	n.machine = bffleet.New()
 	n.entries = &entryTable{regions: n.Regions, log: n.Log, spillover: spillover{maxShift: n.MaxShift, log: n.Log}}
 	n.cold.log = n.Log
+	n.plan.regions, n.plan.domains, n.plan.maxShift, n.plan.log = regionNames(n.Regions), n.Regions, n.MaxShift, n.Log
 	n.reports.since = time.Now()
 	n.clients.setup()
 	network := &bfrpc.RaftClient{Resolve: n.resolve}
@@ -99,6 +106,7 @@
 		Seeds: func() []string { return addressStrings(n.Seeds()) },
 		Dir:   n.DataDir, Machine: n.machine, Transport: network, Discovery: network, Log: n.Log,
 	}
+	n.quotas = newQuotaOwner(n)
 	publishMetrics(n)
 }
 
@@ -141,6 +149,8 @@
 	group.Go(func() error { return raft.Run(runCtx) })
 	group.Go(func() error { n.notify(runCtx); return nil })
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
+	group.Go(func() error { n.quotas.run(runCtx); return nil })
+	group.Go(func() error { n.planLoop(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -202,6 +212,14 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if r, ok := m.(*bfquota.Report); ok {
+		n.receiveReport(r)
+		return
+	}
+	if report, ok := m.(*bfwire.PlanReport); ok {
+		n.receivePlanReport(time.Now(), report)
+		return
+	}
 	heartbeat, ok := m.(*bfwire.EntryHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfquota"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 	"briarferry/internal/transport/bfgossip"
@@ -53,7 +54,11 @@
 		// time to a region.
 		onChange func(s *bffleet.State)
 		onRTT    func(region string, rtt time.Duration)
-		log      zerolog.Logger
+		// onGrant is called with each grant of quotas.
+		onGrant func(g *bfquota.Grant)
+		log     zerolog.Logger
+		// onPlan is called with each reply about the plan of regions.
+		onPlan func(now time.Time, r *bfwire.PlanReply)
 
 		gossip *bfgossip.UDPNetwork
 		client *http.Client
@@ -192,6 +197,14 @@
 		counters.badDatagrams.Add(1)
 		return
 	}
+	if g, ok := m.(*bfquota.Grant); ok && f.onGrant != nil {
+		f.onGrant(g)
+		return
+	}
+	if r, ok := m.(*bfwire.PlanReply); ok && f.onPlan != nil {
+		f.onPlan(time.Now(), r)
+		return
+	}
 	b, ok := m.(*bfwire.ControlHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -43,6 +43,8 @@
 		results chan tryResult
 		pending int
 		avoid   []string
+		// plannedRegion is the region in which the plan wants the request to run, or empty.
+		plannedRegion string
 		// sent counts the tries that were started, without those that ended before they
 		// were sent, which unsent counts. A denied hedge raises sent to the route's
 		// MaxAttempts.
@@ -84,6 +86,8 @@
 		load     float64
 		loadAge  time.Duration
 		warm     bool
+		// left says why the try ran outside the entry's region, or is empty if it didn't.
+		left bfsteering.LeaveReason
 	}
 )
 
@@ -145,6 +149,7 @@
 		return err
 	}
 	f.avoid = append(f.avoid, try.Backend.InstanceID)
+	f.plannedRegion = try.PlannedRegion
 	f.tries = append(f.tries, try)
 	f.pending++
 	f.sent++
@@ -174,6 +179,7 @@
 		Route: c.route.Route, Organisation: c.organisation, Service: c.service, Key: c.affinityKey, Arrival: c.arrival,
 		Remaining: f.node.timeForTry(time.Until(c.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0,
 		StreamedBytes: c.streamedBytes(),
+		PlannedRegion: f.plannedRegion,
 	}
 }
 
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -22,6 +22,8 @@
 		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted expvar.Int
 		invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
+		quotaOwnerProbes                                                 expvar.Int
+		planReports                                                      expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
 		tries, uploadsAborted expvar.Map
@@ -91,6 +93,8 @@
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
 		m.Set("returns", expvar.Func(func() any { return n.steering.Returns() }))
+		m.Set("plan_reports", &counters.planReports)
+		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
@@ -105,6 +109,12 @@
 		m.Set("body_bytes_held", expvar.Func(func() any { return n.bodyMemory.used.Load() }))
 		m.Set("answer_bytes_held", expvar.Func(func() any { bytes, _ := n.upstream.HeldAnswers(); return bytes }))
 		m.Set("answers_dropped", expvar.Func(func() any { _, dropped := n.upstream.HeldAnswers(); return dropped }))
+		m.Set("quota_admitted", expvar.Func(func() any { return n.quotas.holder.Admitted.Load() }))
+		m.Set("quota_waited", expvar.Func(func() any { return n.quotas.holder.Waited.Load() }))
+		m.Set("quota_refused", expvar.Func(func() any { return n.quotas.holder.Refused.Load() }))
+		m.Set("quota_without_owner", expvar.Func(func() any { return n.quotas.holder.Unowned.Load() }))
+		m.Set("quota_organisations", expvar.Func(func() any { return n.quotas.holder.Counts() }))
+		m.Set("quota_owner_probes", &counters.quotaOwnerProbes)
 		m.Set("active", expvar.Func(func() any { return n.active.Load() }))
 	})
 }
