--- a/Makefile
+++ b/Makefile
@@ -52,13 +52,6 @@
 bench-policies:
 	$(GO) test -count=1 -v -run '^TestPolicies$$' ./internal/transport/bfentry
 
-bench: bench-returns
-
-# Plays loads with too little room through simulated entries, with and without booked returns.
-.PHONY: bench-returns
-bench-returns:
-	$(GO) test -count=1 -v -run '^TestLoads$$' ./internal/coordination/bfreturn
-
 bench: bench-downloads
 
 # Measures 30 downloads at once through an entry, held until complete and streamed.
--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"briarferry"
-	"briarferry/internal/coordination/bfreturn"
 )
 
 const (
@@ -85,8 +84,6 @@
 		missClass missClass
 		// slowdown is the factor of Expected that is due to the server's reported slowdown.
 		slowdown float64
-		// target is the time within which the answer is on time.
-		target time.Duration
 		// transfer is the part of Expected in which a streamed body arrives.
 		transfer time.Duration
 		// upload is true if the try counts as an upload of the server.
@@ -108,8 +105,6 @@
 	// noCandidate says why no server may get a request.
 	noCandidate struct {
 		reason string
-		// cold reports whether a server was left out because it is cold.
-		cold bool
 		// opensAt is the first time at which a server that asked for a pause gets requests
 		// again, or zero.
 		opensAt time.Time
@@ -126,8 +121,6 @@
 		// nearLimitIfWarm reports whether the answer would be within lateLimitFactor times
 		// the on-time limit if the server had the key.
 		nearLimitIfWarm bool
-		// inTimeIfIdle reports whether the answer would be on time without a queue.
-		inTimeIfIdle bool
 		// noColdSamples reports whether no time of a server without the key has been
 		// measured on this route yet.
 		noColdSamples bool
@@ -156,18 +149,17 @@
 	plan := s.plan.decide(now, s, v, &r)
 	list, none := v.candidates(now, s, &r, m, plan)
 	if len(list) == 0 {
-		return nil, unavailable(none.reason, v.waitFor(now, s, &r, m, none))
+		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
-	r.lateLimits = v.room.LateLimits(now, r.Arrival.Due)
 	best, reason, ok := v.pickPlanned(now, s, list, &r, plan)
 	if best.server == nil {
-		return nil, unavailable(none.reason, v.waitFor(now, s, &r, m, none))
+		return nil, unavailable(none.reason, none.retryAfter(now))
 	}
-	if decision := v.decideLate(now, &r, best, ok); decision != bfreturn.Admitted {
+	if !ok {
 		return nil, &NoServerError{
 			Refusal: briarferry.Refusal{
 				Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun,
-				Reason: decision.String(), RetryAfter: v.refuse(now, s, &r, m, decision, 0, clampRetryAfter(best.estimate-r.Route.Target.Std())),
+				Reason: "no backend server can answer in time", RetryAfter: clampRetryAfter(best.estimate - r.Route.Target.Std()),
 			},
 			Instance: best.server.ID, Estimate: best.estimate, Limit: onTimeLimit(&r), Load: best.load,
 			LoadAge: now.Sub(best.server.loadReportedAt), Candidates: len(list),
@@ -238,7 +230,7 @@
 			continue
 		}
 		if srv.tooCold(now, &v.config, entries) {
-			none.reason, none.cold = "the backend servers are cold", true
+			none.reason = "the backend servers are cold"
 			continue
 		}
 		c := v.assess(now, s, r, m, srv, positions.of(srv))
@@ -305,7 +297,6 @@
 	fixed := c.network + s.transferTime(r)
 	c.estimate = fixed + time.Duration(float64(work+wait)*slowdown)
 	c.nearLimitIfWarm = fixed+time.Duration(float64(warm+wait)*slowdown) <= time.Duration(lateLimitFactor*float64(onTimeLimit(r)))
-	c.inTimeIfIdle = fixed+time.Duration(float64(work)*slowdown) <= onTimeLimit(r)
 	c.cost = c.estimate
 	if !connected {
 		c.cost += newConnectionCost
@@ -385,7 +376,6 @@
 		}
 		limit = maxSecondaryLateLoad
 	}
-	limit = r.lateLimits.Load(limit, c.inTimeIfIdle)
 	return c.load+1 <= limit*float64(c.server.Slots) && (c.noColdSamples || c.estimate < r.Remaining)
 }
 
@@ -409,6 +399,6 @@
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
 		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples,
 		Reliable: srv.errorRate.get(now, errorHalfLife) <= reliableErrorRate, missClass: c.missClass,
-		slowdown: srv.currentSlowdown(now), target: r.Route.Target.Std(), transfer: s.transferTime(r), upload: r.Route.LargeBodies,
+		slowdown: srv.currentSlowdown(now), transfer: s.transferTime(r), upload: r.Route.LargeBodies,
 	}
 }
--- a/internal/coordination/bfsteering/report.go
+++ b/internal/coordination/bfsteering/report.go
@@ -80,9 +80,6 @@
 	}
 	switch r.Outcome {
 	case Answered, Failed:
-		if r.Outcome == Answered && !r.AwaitedCaller {
-			v.room.Finish(now, now.Sub(t.started) <= t.target)
-		}
 		t.learnAnswer(now, &r)
 	case Shed:
 		srv.answeredAt = now
--- a/internal/coordination/bfsteering/route_model.go
+++ b/internal/coordination/bfsteering/route_model.go
@@ -1,10 +1,6 @@
 package bfsteering
 
-import (
-	"time"
-
-	"briarferry/internal/coordination/bfreturn"
-)
+import "time"
 
 const (
 	// minCachedKeys and maxCachedKeys bound the estimated number of keys in a server's
@@ -62,8 +58,6 @@
 	kilobytes movingAverage
 	// missRates are the shares of requests for which a server of the class lacked the key.
 	missRates [missClasses]movingAverage
-	// fullTime is the time that first attempts have.
-	fullTime bfreturn.FullTime
 }
 
 // missProbability returns the probability that a server of the class lacks a key.
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"briarferry"
-	"briarferry/internal/coordination/bfreturn"
 	"briarferry/internal/state/bffleet"
 )
 
@@ -95,14 +94,11 @@
 		Retry bool
 		// OnTimeOnly requests a server only if one can answer within the target.
 		OnTimeOnly bool
-		// Arrival is the result of Arrive; the zero value is that of a new caller.
-		Arrival bfreturn.Arrival
 		// StreamedBytes is the size of a body that is sent to the server while it arrives.
 		StreamedBytes int64
 		// PlannedRegion is the Try.PlannedRegion of the request's first try, for later ones.
 		PlannedRegion string
 
-		lateLimits bfreturn.LateLimits
 		// cacheKey is the result of key, which is needed for each server.
 		cacheKey string
 	}
@@ -118,11 +114,6 @@
 		firstListAt time.Time
 		models      map[string]*routeModel
 		retries     retryBudget
-		// room decides about requests that find too little room, and short reports whether
-		// the begin of a shortage was logged; beforeShort holds the counts before it.
-		room        bfreturn.Room
-		short       bool
-		beforeShort bfreturn.Counts
 		// eligible and ejected are the memory for the lists of candidates, which every
 		// request would allocate otherwise.
 		eligible, ejected []candidate
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -26,7 +26,6 @@
 	// maxHedgeDelay is the longest delay before a request is hedged.
 	maxHedgeDelay = 5 * time.Second
 	// shedRetryAfter is the Retry-After of requests refused because the servers shed load.
-	// until the room of the service is known.
 	shedRetryAfter = 250 * time.Millisecond
 )
 
@@ -97,7 +96,6 @@
 		return nil, err
 	}
 	// A try has two results if its answer is streamed.
-	n.noteArrival(c)
 	f := &forwarder{node: n, call: c, ctx: ctx, results: make(chan tryResult, 2*(maxUnsent+c.route.MaxAttempts))}
 	defer f.cancelAttempts()
 	for {
@@ -129,22 +127,18 @@
 	}
 }
 
-// noteArrival records the request's arrival. The time that its caller gave counts from its
-// receipt, as the body may have taken long.
-func (n *Node) noteArrival(c *call) {
-	c.arrival = n.steering.Arrive(time.Now(), bfsteering.Request{
-		Route: c.route.Route, Organisation: c.organisation, Service: c.service, Remaining: c.request.Deadline.Sub(c.received),
-	})
-}
-
 // startTry sends the request to a server that has not been chosen for it before.
 func (f *forwarder) startTry(hedge bool) error {
 	if err := f.rewindUpload(); err != nil {
 		return err
 	}
-	request := f.steeringRequest()
-	request.OnTimeOnly = hedge
-	try, err := f.node.steering.Choose(time.Now(), request)
+	now := time.Now()
+	try, err := f.node.steering.Choose(now, bfsteering.Request{
+		Route: f.call.route.Route, Organisation: f.call.organisation, Service: f.call.service, Key: f.call.affinityKey,
+		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
+		StreamedBytes: f.call.streamedBytes(),
+		PlannedRegion: f.plannedRegion,
+	})
 	if err != nil {
 		return err
 	}
@@ -156,33 +150,22 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	a := &attempt{cancel: cancel, ended: make(chan struct{})}
 	f.attempts = append(f.attempts, a)
-	forwarded := *f.call.request
+	request := *f.call.request
 	// An incomplete answer can't be replaced by that of another server once it is streamed,
 	// so only answers of reliable servers are.
-	if f.call.route.LargeAnswers && try.Reliable && forwarded.Stream == nil {
-		forwarded.OnHead = func(answer *briarferry.Answer) {
+	if f.call.route.LargeAnswers && try.Reliable && request.Stream == nil {
+		request.OnHead = func(answer *briarferry.Answer) {
 			try.Note(time.Now(), f.node.parseNotice(answer.Status, answer.Header))
 			f.results <- tryResult{outcome: bfsteering.Answered, answer: answer, streaming: a}
 		}
 	}
 	go func() {
 		defer close(a.ended)
-		f.results <- f.node.sendTry(ctx, f.call, &forwarded, try)
+		f.results <- f.node.sendTry(ctx, f.call, &request, try)
 	}()
 	return nil
 }
 
-// steeringRequest describes the request for its next try.
-func (f *forwarder) steeringRequest() bfsteering.Request {
-	c := f.call
-	return bfsteering.Request{
-		Route: c.route.Route, Organisation: c.organisation, Service: c.service, Key: c.affinityKey, Arrival: c.arrival,
-		Remaining: f.node.timeForTry(time.Until(c.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0,
-		StreamedBytes: c.streamedBytes(),
-		PlannedRegion: f.plannedRegion,
-	}
-}
-
 // cancelAttempts cancels all attempts but the one whose answer is streamed, which ends with
 // the caller's request.
 func (f *forwarder) cancelAttempts() {
@@ -245,22 +228,19 @@
 	}
 	ran := f.mayHaveRun || f.serverError != nil
 	if f.sent >= f.call.route.MaxAttempts || f.unsent >= maxUnsent || ran && !f.call.route.Idempotent {
-		answer, err := f.fail(f.notRunRefusal(result))
+		answer, err := f.fail(notRunRefusal(result))
 		return answer, err, true
 	}
 	return nil, nil, false
 }
 
 // notRunRefusal returns the refusal of a request whose last try did not run it.
-func (f *forwarder) notRunRefusal(result tryResult) error {
-	reason, after := "the backend servers refuse the request", shedRetryAfter
+func notRunRefusal(result tryResult) error {
+	reason := "the backend servers refuse the request"
 	if result.err != nil {
 		reason = result.err.Error()
 	}
-	if f.serverError == nil && !f.mayHaveRun {
-		after = f.node.steering.Shed(time.Now(), f.steeringRequest(), shedRetryAfter)
-	}
-	return &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: reason, RetryAfter: after}
+	return &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: reason, RetryAfter: shedRetryAfter}
 }
 
 // fail ends a request that no server ran successfully: with a server's 5xx answer if there
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -16,7 +16,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"briarferry"
-	"briarferry/internal/coordination/bfreturn"
 	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/coordination/bfsteering"
 	"briarferry/internal/protocol/bfapi"
@@ -64,8 +63,6 @@
 	tryEnded <-chan struct{}
 	// leftBeforeDispatch is true if the caller had closed its connection before a try.
 	leftBeforeDispatch atomic.Bool
-	// arrival tells whether the caller was refused before.
-	arrival bfreturn.Arrival
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// upload is the body if it is sent to a server while it arrives, or nil.
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -92,7 +92,6 @@
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
-		m.Set("returns", expvar.Func(func() any { return n.steering.Returns() }))
 		m.Set("plan_reports", &counters.planReports)
 		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -133,9 +133,6 @@
 	if r != nil {
 		line = line.Str("reason", r.Reason).Str("claim", string(r.Outcome)).Dur("retry_after_ms", r.RetryAfter)
 	}
-	if c.arrival.Returning {
-		line = line.Bool("returning", true).Bool("as_told", c.arrival.Due)
-	}
 	if c.route == nil {
 		line = line.Str("host", c.keys.hide(c.request.Host)).Str("target", c.keys.hide(c.request.Target))
 	}
--- a/internal/transport/bfgateway/upload.go
+++ b/internal/transport/bfgateway/upload.go
@@ -132,7 +132,7 @@
 // the body is gone.
 func (f *forwarder) rewindUpload() error {
 	if stream := f.call.request.Stream; stream != nil && !stream.Rewind() {
-		return f.notRunRefusal(tryResult{})
+		return notRunRefusal(tryResult{})
 	}
 	return nil
 }
