Bound what an entry keeps of its quota reports, and don't wait for removed quotas

Cause: found by reading. A request that had found a quota while it was removed waited until its deadline. Searches for the owner had no delay while control VMs disagreed. Requests that waited in vain were told that no owner answers. Change: a ring of send times, a mark on removed quotas, plain search for keys above 256 bytes, the delay, and refusals that say what was seen.

--- a/internal/coordination/bfquota/advance.go
+++ b/internal/coordination/bfquota/advance.go
@@ -69,7 +69,7 @@
 	if !k.names[h.Entry] || now-k.grownAt < settledTime {
 		return 0, 0
 	}
-	tokens := int(h.Tolerance.tokens(q))
+	tokens := int(min(h.Tolerance.tokens(q), float64(maxWaiting*len(k.names))))
 	part, rest := tokens/len(k.names), tokens%len(k.names)
 	own, before := rankOf(h.Entry, key), 0
 	for name := range k.names {
@@ -83,12 +83,12 @@
 	return part, k.version.Load()
 }
 
-// rankOf orders the entries differently for each organisation, so that the rest of a division
-// goes to different ones.
+// rankOf orders the entries differently for each organisation, so that the remainder of
+// a division goes to different ones.
 func rankOf(entry string, key uint64) uint64 { return xxhash.Sum64String(entry) ^ key }
 
 // admitInAdvance returns a token that is still to come, or nil. An entry that has not heard an
-// owner for the time of a lease may have missed a lower quota.
+// owner for the time of a lease admits none, as the others may divide the tolerance without it.
 func (h *held) admitInAdvance(now time.Duration) *Token {
 	if now-time.Duration(h.holder.heardAt.Load()) > LeaseDuration {
 		return nil
@@ -109,9 +109,13 @@
 // had none, up to the given sequence, ask again after the given time.
 func (h *held) settleAdvances(now time.Duration, sequence uint64, retry time.Duration) {
 	kept := h.advances[:0]
+	empty := false
 	for _, a := range h.advances {
-		if a.token = h.take(now); a.token != nil {
-			continue
+		if !empty {
+			if a.token = h.take(now); a.token != nil {
+				continue
+			}
+			empty = true
 		}
 		if a.asked != 0 && a.asked <= sequence {
 			a.askedAt = now + max(retry, retryDelay) - askTimeout
--- a/internal/coordination/bfquota/held.go
+++ b/internal/coordination/bfquota/held.go
@@ -73,6 +73,8 @@
 		measuredAt  time.Duration
 		lastRequest time.Duration
 		clock       func() time.Duration
+		// removed is set once the organisation has no quota any more.
+		removed bool
 	}
 )
 
@@ -91,6 +93,9 @@
 func (h *held) acquire(now time.Duration, clock func() time.Duration) (t *Token, w *Waiter, refusal *briarferry.Refusal, activate bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.removed {
+		return nil, nil, nil, false
+	}
 	activate = !h.active
 	if activate {
 		h.active = true
@@ -104,9 +109,12 @@
 			return t, nil, nil, activate
 		}
 	}
-	if now < h.refusedUntil || len(h.waiters) >= maxWaiting {
+	if now < h.refusedUntil {
 		return nil, nil, quotaUsed(h.retryAfter(now)), activate
 	}
+	if len(h.waiters) >= maxWaiting {
+		return nil, nil, waitedRefusal(), activate
+	}
 	if len(h.waiters) == 0 {
 		if t = h.admitInAdvance(now); t != nil {
 			return t, nil, nil, activate
@@ -121,13 +129,14 @@
 // forget ends the count of single tokens, as the owner forgets silent entries.
 func (h *held) forget() {
 	h.batches, h.earlier, h.spent, h.returned, h.born, h.ack, h.keep = nil, nil, 0, 0, 0, 0, 0
-	h.fast, h.slow, h.arrivals, h.advances = 0, 0, 0, nil
+	h.fast, h.slow, h.arrivals = 0, 0, 0
 }
 
 // admitAll admits all waiting requests, as there is no quota any more.
 func (h *held) admitAll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.removed = true
 	for _, w := range h.waiters {
 		w.Done <- Decision{}
 	}
@@ -227,6 +236,7 @@
 	h.measure(now)
 	if h.term != term || h.born == 0 || now-h.reportedAt > reportGap {
 		h.startCount(sequence, term)
+		waiting = h.toAsk(now)
 	}
 	ahead := h.ahead()
 	h.lease.fill(now)
@@ -402,11 +412,14 @@
 		return
 	}
 	h.serveWaiters(now, func(w *Waiter) *briarferry.Refusal {
-		if !silent && now-w.since <= silenceLimit {
-			return nil
+		switch {
+		case silent:
+			h.holder.Unowned.Add(1)
+			return unownedRefusal()
+		case now-w.since > silenceLimit:
+			return waitedRefusal()
 		}
-		h.holder.Unowned.Add(1)
-		return unownedRefusal()
+		return nil
 	})
 }
 
--- a/internal/coordination/bfquota/holder.go
+++ b/internal/coordination/bfquota/holder.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// maxWaiting limits the requests of an organisation that wait for a token at an entry.
+	// maxWaiting limits the requests of an organisation that wait for a token at an entry, and
+	// those that are admitted in advance.
 	maxWaiting = 512
 	// askTimeout is the time after which tokens are asked for again. It is above the longest
 	// round trip of 110 ms.
@@ -36,7 +37,8 @@
 type (
 	// Holder admits the requests of an entry. All times are those of a clock that also counts
 	// the suspension of the VM. It is safe for concurrent use: organisations have a lock each,
-	// and another one guards the exchange with the owner.
+	// and another one guards the exchange with the owner. Locks are taken in the order
+	// Holder.mu, held.mu, knownEntries.mu.
 	Holder struct {
 		Entry       string
 		Incarnation uint64
@@ -60,8 +62,8 @@
 		mu       sync.Mutex
 		sequence uint64
 		term     uint64
-		// sent holds the send times of recent reports by their sequence.
-		sent map[uint64]time.Duration
+		// sent holds the recent reports, each at its sequence modulo sentHistory.
+		sent [sentHistory]sentReport
 		// active lists the organisations to report.
 		active map[uint64]*held
 		// silentSince is the send time of the first report that no owner has answered, or 0.
@@ -70,6 +72,12 @@
 		reportAll bool
 	}
 
+	// sentReport is when a report was sent.
+	sentReport struct {
+		sequence uint64
+		at       time.Duration
+	}
+
 	// Decision is the result for a request that has waited. Both are nil if the organisation no
 	// longer has a quota.
 	Decision struct {
@@ -159,6 +167,9 @@
 		h.activate(state)
 	}
 	switch {
+	case t == nil && w == nil && refusal == nil:
+		// The quota was removed meanwhile.
+		return nil, nil, nil
 	case t != nil:
 		h.Admitted.Add(1)
 	case refusal != nil:
@@ -187,6 +198,12 @@
 	return unownedRefusal()
 }
 
+// waitedRefusal is for a request for which the owner had no token, though it didn't say that the
+// quota is used up.
+func waitedRefusal() *briarferry.Refusal {
+	return &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "the organisation's quota had no token in time", RetryAfter: time.Second}
+}
+
 func unownedRefusal() *briarferry.Refusal {
 	return &briarferry.Refusal{Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "no owner of the organisation's quota answers", RetryAfter: time.Second}
 }
@@ -224,14 +241,16 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(h.active)) {
 		state := h.active[key]
+		sequence := h.sequence
 		if len(items) == 0 {
-			h.sequence++
+			sequence++
 		}
-		item, report, active := state.demand(now, h.sequence, h.term, all)
+		item, report, active := state.demand(now, sequence, h.term, all)
 		if !active {
 			delete(h.active, key)
 		}
 		if report {
+			h.sequence = sequence
 			items = append(items, item)
 		}
 		if len(items) == MaxItems {
@@ -244,11 +263,7 @@
 
 // recordSent notes the send time of the last report. mu is held.
 func (h *Holder) recordSent(now time.Duration) {
-	if h.sent == nil {
-		h.sent = map[uint64]time.Duration{}
-	}
-	h.sent[h.sequence] = now
-	delete(h.sent, h.sequence-sentHistory)
+	h.sent[h.sequence%sentHistory] = sentReport{h.sequence, now}
 	if h.silentSince == 0 {
 		h.silentSince = max(1, now)
 	}
@@ -269,7 +284,8 @@
 		h.mu.Unlock()
 		return false
 	}
-	sentAt, ok := h.sent[g.Sequence]
+	sent := h.sent[g.Sequence%sentHistory]
+	sentAt, ok := sent.at, sent.sequence == g.Sequence && g.Sequence != 0
 	newTerm := g.Term != h.term
 	h.term = g.Term
 	h.silentSince = 0
@@ -331,7 +347,9 @@
 		return
 	}
 	if t.advance != nil {
-		t = t.advance.token
+		if t = t.advance.token; t == nil {
+			return
+		}
 	}
 	t.h.giveBack(t, t.clock())
 }
--- a/internal/transport/bfgateway/organisation.go
+++ b/internal/transport/bfgateway/organisation.go
@@ -20,6 +20,10 @@
 // route table changes that.
 const noRegionRetryAfter = 2 * time.Second
 
+// maxWordKey is the key length in bytes above which the limits of words don't matter. The search
+// for words takes a time of the product of both lengths.
+const maxWordKey = 256
+
 // presentedKeys are the values of a request's key header. They must not reach a server, a
 // log line or a trace, whether they are valid or not.
 type presentedKeys []string
@@ -39,10 +43,13 @@
 	return p[0]
 }
 
-// in reports whether the text has one of the keys as a word of its own.
+// in reports whether the text has one of the keys as a word of its own, or one above
+// maxWordKey anywhere.
 func (p presentedKeys) in(text string) bool {
 	for _, key := range p {
-		if key != "" && containsWord(text, key) {
+		switch {
+		case key == "":
+		case len(key) > maxWordKey && strings.Contains(text, key), len(key) <= maxWordKey && containsWord(text, key):
 			return true
 		}
 	}
--- a/internal/transport/bfgateway/quota.go
+++ b/internal/transport/bfgateway/quota.go
@@ -224,7 +224,10 @@
 		return
 	}
 	q.owner = g.Owner
-	q.nextProbe = 0
+	// Later searches keep their delay: while control VMs disagree, each reply would start one.
+	if q.probes <= 1 {
+		q.nextProbe = 0
+	}
 }
 
 // forwardWithinQuota forwards a request once it has a token of its organisation's quota. The token
