--- a/internal/coordination/bfplan/allocate.go
+++ b/internal/coordination/bfplan/allocate.go
@@ -16,6 +16,9 @@
 	nearFactor = 1.3
 	// levelSteps is the number of bisection steps in the search for the utilization level.
 	levelSteps = 40
+	// roundingRest is the part of a region's load up to which a rest counts as an error of
+	// rounding.
+	roundingRest = 1e-6
 )
 
 // allocation is one distribution of the load of each region of callers over the regions.
@@ -50,7 +53,10 @@
 	}
 	shares := make([][]float64, n)
 	for from := range n {
-		a.placed[from][from] += a.left[from]
+		// Rounding may leave a tiny rest, which must not count as load of a region without slots.
+		if a.left[from] > roundingRest*load[from] {
+			a.placed[from][from] += a.left[from]
+		}
 		shares[from] = normalized(a.placed[from], from)
 	}
 	return shares
--- a/internal/coordination/bfplan/collector.go
+++ b/internal/coordination/bfplan/collector.go
@@ -60,6 +60,7 @@
 		c.entries[r.Entry] = e
 	}
 	e.incarnation, e.sequence, e.region, e.at = r.Incarnation, r.Sequence, int(r.Region), now
+	maps.DeleteFunc(e.rows, func(_ string, row reportedRow) bool { return now.Sub(row.at) > ReportLifetime })
 	for _, row := range r.Rows {
 		if _, known := e.rows[row.Service]; known || len(e.rows) < MaxServices {
 			e.rows[row.Service] = reportedRow{row, now}
--- a/internal/coordination/bfplan/follower.go
+++ b/internal/coordination/bfplan/follower.go
@@ -71,10 +71,12 @@
 func (f *Follower) Follow(now time.Time, target, start []float64, term, forced uint64, maxShift float64) {
 	step := f.step(now, maxShift)
 	f.influence = min(1, f.influence+step)
-	if f.Shares == nil || len(f.Shares) != len(target) {
+	follows := len(f.Shares) == len(target)
+	if !follows {
 		f.Shares, f.influence = slices.Clone(start), 1
 	}
-	isForced := forced > 0 && (term != f.forcedTerm || forced > f.forced)
+	// A change made before the entry followed has no effect on its present shares.
+	isForced := follows && forced > 0 && (term != f.forcedTerm || forced > f.forced)
 	if isForced || now.Sub(f.usedAt) > quietTime {
 		f.Shares, f.influence = slices.Clone(target), 1
 	}
--- a/internal/coordination/bfplan/planner.go
+++ b/internal/coordination/bfplan/planner.go
@@ -244,10 +244,10 @@
 }
 
 func (p *Planner) stepRow(now time.Time, row *rowState, in rowInput) {
-	learning := now.Sub(p.startedAt) < learnTime
+	learning, idle := now.Sub(p.startedAt) < learnTime, false
 	switch {
 	case row.Shares == nil && in.inForce == nil, !learning && in.heard && now.Sub(row.demandUntil) > quietTime && now.Sub(p.startedAt) >= holdTime:
-		row.Shares, row.moving = slices.Clone(in.initial), false
+		row.Shares, row.moving, idle = slices.Clone(in.initial), false, true
 	case learning && in.inForce != nil, row.Shares == nil:
 		row.Shares = normalized(in.inForce, 0)
 	}
@@ -255,7 +255,7 @@
 		row.Shares, row.moving, row.Forced = slices.Clone(in.wanted), false, p.sequence+1
 		return
 	}
-	if learning || !in.heard || now.Sub(p.startedAt) < holdTime || now.Sub(row.demandSince) < holdTime {
+	if idle || learning || !in.heard || now.Sub(p.startedAt) < holdTime || now.Sub(row.demandSince) < holdTime {
 		return
 	}
 	gap := Distance(row.Shares, in.wanted)
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -200,6 +200,8 @@
 		n.savedSnapshots = make(chan bfraft.Snapshot, 1)
 		n.commitSaved = make(chan struct{}, 1)
 		n.pendingReads = map[uint64]*read{}
+		// Replies to reads of an earlier process may still arrive and must not match new ones.
+		n.lastReadID = uint64(time.Now().UnixNano())
 		n.pendingCommands.byIndex = map[uint64]*proposal{}
 		n.pendingCommands.limit, n.pendingCommands.notFull = n.MaxPending, make(chan struct{}, 1)
 	})
--- a/internal/coordination/bfsteering/pick_planned.go
+++ b/internal/coordination/bfsteering/pick_planned.go
@@ -16,7 +16,7 @@
 	}
 	in := v.candidatesIn(list, plan.region)
 	if len(in) == 0 {
-		if v.hasUsable(r, plan.region) && !plan.mayLeave && !s.shift.suspended(now) {
+		if v.hasUsable(now, r, plan.region) && !plan.mayLeave && !s.shift.suspended(now) {
 			r.count(&s.PlanCounts.Refused)
 			return candidate{}, "", false
 		}
@@ -69,14 +69,14 @@
 	return v.inRegion
 }
 
-// hasUsable reports whether a server of the region is registered and works, even if it accepts
-// no request at the moment. A request that was tried at all of them has no other place.
-func (v *service) hasUsable(r *Request, region string) bool {
+// hasUsable reports whether a server of the region is registered, works and asked for no pause,
+// even if it accepts no request at the moment. A request that was tried at all of them has no other place.
+func (v *service) hasUsable(now time.Time, r *Request, region string) bool {
 	if !r.isFirstTry() {
 		return false
 	}
 	for _, srv := range v.servers {
-		if srv.region == region && srv.usable(r) && !srv.ejected() {
+		if srv.region == region && srv.usable(r) && !srv.ejected() && !srv.availability.closed(now) {
 			return true
 		}
 	}
--- a/internal/coordination/bfsteering/plan.go
+++ b/internal/coordination/bfsteering/plan.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"briarferry"
 	"briarferry/internal/coordination/bfplan"
 )
 
@@ -69,8 +68,10 @@
 
 	// plannedRow is one service's row of the plan.
 	plannedRow struct {
-		shares       []float64
-		term, forced uint64
+		shares []float64
+		// term and sequence are those of the plan that the row belongs to.
+		term, sequence uint64
+		forced         uint64
 	}
 
 	// planDecision is what the plan says about one request.
@@ -103,10 +104,11 @@
 	return p.maxShift > 0 && p.own >= 0 && len(p.regions) > 1 && len(p.regions) <= bfplan.MaxRegions
 }
 
-// plannable reports whether the plan may place the route's requests. Requests that are bound
-// to regions have no other place, and large bodies cost too much between regions.
-func plannable(r *briarferry.Route) bool {
-	return len(r.HomeRegions) == 0 && !r.LargeAnswers && !r.LargeBodies
+// plannable reports whether the plan may place the request. Requests that are bound to regions
+// have no other place, and large bodies cost too much between regions.
+func (r *Request) plannable() bool {
+	bound := len(r.Route.HomeRegions) > 0 || r.Organisation != nil && len(r.Organisation.HomeRegions) > 0
+	return !bound && !r.Route.LargeAnswers && !r.Route.LargeBodies
 }
 
 // place returns the number from 0 to 1 that determines to which region requests with the key
@@ -137,7 +139,7 @@
 	if changed, follows := p.demand.add(now, s.entries()); changed {
 		s.Log.Info().Bool("follows", follows).Int("requests", p.demand.lastWindow).Int("entries", s.entries()).Msg("use of the plan of regions changed")
 	}
-	if !plannable(r.Route) {
+	if !r.plannable() {
 		return planDecision{}
 	}
 	t := p.service(v.name)
@@ -227,14 +229,14 @@
 
 // usablePercent returns the part of the service's slots in a region that this entry can use.
 // The service's mutex must be held.
-func (v *service) usablePercent(region string) uint8 {
+func (v *service) usablePercent(now time.Time, region string) uint8 {
 	usable, all := 0, 0
 	for _, srv := range v.servers {
 		if srv.region != region || srv.withdrawn() {
 			continue
 		}
 		all += srv.Slots
-		if !srv.ejected() {
+		if !srv.ejected() && !srv.availability.closed(now) {
 			usable += srv.Slots
 		}
 	}
@@ -253,7 +255,7 @@
 		return
 	}
 	t := p.service(v.name)
-	if plannable(r.Route) {
+	if r.plannable() {
 		t.runs[i]++
 		return
 	}
--- a/internal/coordination/bfsteering/plan_report.go
+++ b/internal/coordination/bfsteering/plan_report.go
@@ -16,7 +16,7 @@
 // PlanReports returns the entry's reports to the leader, without their sender and sequence. It
 // has to be called once in each bfplan.Interval. There is none where requests aren't planned.
 func (s *Steering) PlanReports(now time.Time) []bfplan.Report {
-	usable := s.usablePercents()
+	usable := s.usablePercents(now)
 	p := &s.plan
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -43,13 +43,13 @@
 
 // usablePercents returns, for each service, the part of its slots in this entry's region that
 // the entry can use.
-func (s *Steering) usablePercents() map[string]uint8 {
+func (s *Steering) usablePercents(now time.Time) map[string]uint8 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	out := map[string]uint8{}
 	for name, v := range s.services {
 		v.mu.Lock()
-		out[name] = v.usablePercent(s.Region)
+		out[name] = v.usablePercent(now, s.Region)
 		v.mu.Unlock()
 	}
 	return out
@@ -124,10 +124,13 @@
 	p.received[r.Part] = true
 	for _, row := range r.Rows {
 		if shares := bfplan.DecodeShares(row.Shares); len(shares) == len(p.regions) {
-			p.rows[row.Service] = plannedRow{shares: shares, term: r.Term, forced: row.Forced}
+			p.rows[row.Service] = plannedRow{shares: shares, term: r.Term, sequence: r.Sequence, forced: row.Forced}
 		}
 	}
 	p.whole = len(p.received) >= int(r.Parts)
+	if p.whole {
+		maps.DeleteFunc(p.rows, func(_ string, row plannedRow) bool { return row.term != p.term || row.sequence != p.sequence })
+	}
 }
 
 // PlanStatus describes the plan that the entry has.
--- a/internal/transport/bfgateway/caller_body.go
+++ b/internal/transport/bfgateway/caller_body.go
@@ -136,7 +136,7 @@
 	if b.first > 0 {
 		return false
 	}
-	b.next, b.sentAt = 0, time.Time{}
+	b.next, b.sentAt, b.interrupted = 0, time.Time{}, false
 	return true
 }
 
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -94,7 +94,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drop = func() { _ = conn.Close() }
+	c.drop = func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		// After the end of the request, its connection may carry the caller's next one.
+		if !c.ended {
+			_ = conn.Close()
+		}
+	}
 	for _, a := range c.answers {
 		a.Deliver(c.drop)
 	}
--- a/internal/transport/bfgateway/upload.go
+++ b/internal/transport/bfgateway/upload.go
@@ -21,9 +21,10 @@
 	// minStreamedBodyBytes is the length of the smallest body that is sent on while it
 	// arrives. A shorter one gains little from it.
 	minStreamedBodyBytes = 8 << 10
-	// streamOverheadBytes is the memory of a streamed body besides its chunk: the buffers of
-	// the caller's and the server's connection.
-	streamOverheadBytes = 8 << 10
+	// streamOverheadBytes is the memory of a streamed body besides its chunk: 32 KiB for the
+	// copy buffer that net/http allocates while it writes a body, and the buffers of the
+	// caller's and the server's connection.
+	streamOverheadBytes = 40 << 10
 )
 
 // streamsBody reports whether the body is sent to a server while it arrives. A request that
--- a/internal/transport/bfrpc/raft_peer.go
+++ b/internal/transport/bfrpc/raft_peer.go
@@ -24,15 +24,15 @@
 	// pingInterval and a reconnection it is below the shortest election timeout.
 	minAckTimeout = 300 * time.Millisecond
 	// ackTimeoutFactor and ackWaitDecay determine the timeout from the recent waits for
-	// acknowledgements: a link that becomes slow must not lose one connection after another.
+	// acknowledgements: without this, connections over a slow link would be replaced again and again.
 	ackTimeoutFactor = 3
 	ackWaitDecay     = 0.95
 	// smallBatchBytes is the size up to which the transmission takes little time on each link.
 	smallBatchBytes = 32 << 10
 	// maxResentBytes limits what is sent again after the end of a connection.
 	maxResentBytes = 1 << 20
-	// pingInterval is the interval of empty batches while there are no messages. Without
-	// them a follower finds its silent connection only after the leader has found its own.
+	// pingInterval is the time without a message after which an empty batch is sent. Without
+	// such batches, a follower notices a silent connection later than the leader does.
 	pingInterval = 100 * time.Millisecond
 	// pingFor is how long after the last message empty batches are sent.
 	pingFor = 2 * time.Second
@@ -189,6 +189,7 @@
 			return acks, context.Cause(ctx)
 		case m := <-p.queue:
 			batch, lastMessage = p.nextBatch(m), time.Now()
+			ping.Reset(pingInterval)
 		case <-ping.C:
 			if time.Since(lastMessage) >= pingFor {
 				continue
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -141,6 +141,8 @@
 // awaitAnswer waits for the answer after sending has ended with the given error.
 func (t try) awaitAnswer(conn *conn, p *pendingRequest, body *streamReader, err error) result {
 	if err == nil {
+		// The server is silent only since it has the whole body.
+		defer t.client.suspectIfSilent(conn, t.backend.Service)()
 		return <-p.results
 	}
 	if body.err != nil && !errors.Is(body.err, io.EOF) {
