Reach a connection's socket in one place

Cause: the unwrapping of a connection stood three times. Change: bfcaller.ControlSocket. Result: go test -race of bfcaller and of the caller, slow reader and upload tests of bfgateway passes; vet for arm64 passes.

--- a/internal/transport/bfcaller/left.go
+++ b/internal/transport/bfcaller/left.go
@@ -57,24 +57,9 @@
 // isClosedByPeer reports whether the connection has nothing left to read but its end, or an
 // error. Connections without a socket count as open.
 func isClosedByPeer(c net.Conn) bool {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
 	closed := false
-	err = raw.Control(func(fd uintptr) { closed = isEnd(int(fd)) })
-	return closed || err != nil
+	hidden, err := ControlSocket(c, func(fd int) { closed = isEnd(fd) })
+	return !hidden && (closed || err != nil)
 }
 
 // isEnd reports whether the next read of the socket returns the end of the connection or its
--- a/internal/transport/bfcaller/sending.go
+++ b/internal/transport/bfcaller/sending.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -81,31 +80,21 @@
 	if !ok {
 		return false
 	}
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	socket, ok := c.(syscall.Conn)
-	if !ok {
+	ending := false
+	hidden, err := ControlSocket(c, func(fd int) { ending = isEndingState(fd) })
+	return !hidden && (ending || err != nil)
+}
+
+// isEndingState reports whether the socket's connection is in a state in which its other end
+// sends nothing more.
+func isEndingState(fd int) bool {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	switch info.State {
+	case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
 		return true
 	}
-	ending := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		switch info.State {
-		case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
-			ending = true
-		}
-	})
-	return ending || err != nil
+	return false
 }
--- a/internal/transport/bfgateway/progress.go
+++ b/internal/transport/bfgateway/progress.go
@@ -4,10 +4,11 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"briarferry/internal/transport/bfcaller"
 )
 
 // answerStall is the time without progress after which, or after twice of which, a caller that
@@ -62,24 +63,9 @@
 // queuedBytes returns how many written bytes the other end has not acknowledged, or 0 where
 // the operating system doesn't tell.
 func queuedBytes(c net.Conn) int {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	queued := 0
-	_ = raw.Control(func(fd uintptr) {
-		if v, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+	_, _ = bfcaller.ControlSocket(c, func(fd int) {
+		if v, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
 			queued = v
 		}
 	})
