Answer after the request counts as sent in TestStatusLines

Trace: the fake server answered before the writer had marked the request as sent; such an early answer costs the connection by design (conn.read), as the server may read on. Change: the fake waits until the request is marked.

--- a/internal/transport/bfupstream/status_test.go
+++ b/internal/transport/bfupstream/status_test.go
@@ -59,6 +59,9 @@
 				var used []int
 				f := &fakeServer{answers: func(n int, _ *http.Request) reply {
 					used = append(used, n)
+					// An answer that comes before the whole request counts as sent costs the
+					// connection, so it waits for that.
+					synctest.Wait()
 					return reply{text: tc.text}
 				}}
 				c := &Client{Dial: f.dial, Dialect: testDialect}
