--- a/internal/coordination/bfplan/follower.go
+++ b/internal/coordination/bfplan/follower.go
@@ -14,10 +14,10 @@
 	// leaveShare is the share of the limit on shifts that requests may use which leave their
 	// planned region because no server there can answer in time.
 	leaveShare = 0.2
-	// keyTolerance is the distance between a key's place and a region's part of the places at
-	// which a request is sent there anyway if the region lacks one request of its share. With a
-	// shorter one, the same keys go to a region more strictly, but counts differ more from the
-	// shares: spreadVariance follows from it.
+	// keyTolerance is how far a key's position may be from a region's part for the key to go
+	// there when the region lacks one request of its share. A smaller value keeps keys in their
+	// regions more strictly, but lets counts differ more from the shares, which raises
+	// spreadVariance.
 	keyTolerance = 0.15
 	// maxCredit bounds how many requests a region may lack, so that those of one time are not
 	// made up for at another.
--- a/internal/coordination/bfplan/message.go
+++ b/internal/coordination/bfplan/message.go
@@ -85,7 +85,8 @@
 		Service string
 		// Shares are by region, in units of 1/ShareScale.
 		Shares []uint16
-		// Forced is the sequence of the last plan whose change lost servers caused.
+		// Forced is the sequence of the latest plan that changed this row at once because
+		// servers were lost.
 		Forced uint64
 	}
 )
--- a/internal/coordination/bfplan/planner.go
+++ b/internal/coordination/bfplan/planner.go
@@ -21,8 +21,8 @@
 	ColdSlotShare = 0.3
 
 	// maxStepShare is the largest share of the limit on shifts by which shares may change
-	// within a Window, and minStepShare the smallest. Requests that come at the start of one
-	// window and at the end of the next see twice of it. The rest is left for what entries
+	// within a Window, and minStepShare the smallest. Two neighbouring windows can differ by two such
+	// steps, as a request may come at the start of the first and at the end of the second. The rest is left for what entries
 	// decide by chance and for requests that leave their planned region.
 	maxStepShare = 0.4
 	minStepShare = 0.05
@@ -104,8 +104,8 @@
 	// Row holds the shares of one region's requests.
 	Row struct {
 		Shares []float64
-		// Forced is the sequence of the last plan whose change lost servers caused. Entries
-		// follow it at once.
+		// Forced is the sequence of the latest plan that changed this row at once because
+		// servers were lost. Entries follow it at once.
 		Forced uint64
 	}
 
--- a/internal/transport/bfgateway/caller_body.go
+++ b/internal/transport/bfgateway/caller_body.go
@@ -238,8 +238,8 @@
 	}
 }
 
-// sent returns when the whole body had been sent to the server of the last try, or zero, and
-// whether that try ended while it waited for the caller or because of it.
+// sent returns when the last try had sent the whole body, or zero. awaitedCaller is true if that
+// try ended while it waited for further bytes, or because the caller's body failed.
 func (b *callerBody) sent() (at time.Time, awaitedCaller bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/transport/bfupstream/answer_memory.go
+++ b/internal/transport/bfupstream/answer_memory.go
@@ -9,8 +9,8 @@
 const (
 	// defaultAnswerMemory applies if Client.AnswerMemory is zero.
 	defaultAnswerMemory = 64 << 20
-	// slowDelivery is the time after which an answer's memory may be taken from its caller
-	// for other answers.
+	// slowDelivery is the time after the start of delivery from which an answer may be dropped
+	// to free memory for other answers.
 	slowDelivery = time.Second
 )
 
@@ -20,9 +20,9 @@
 
 type (
 	// answerMemory limits the total size of the answers that are held at the same time.
-	// When the limit is reached, the largest answer that its caller takes slowly is dropped, or
-	// else the largest one that is still being read, so that neither slow callers nor servers
-	// that send without end take the memory of other answers.
+	// When the limit is reached, the largest answer in delivery for longer than slowDelivery is
+	// dropped, or else the largest one that is still being read. Neither slow callers nor
+	// endless answers can then use up the memory.
 	answerMemory struct {
 		mu      sync.Mutex
 		limit   int64
