--- a/internal/transport/bfcommand/organisations_test.go
+++ b/internal/transport/bfcommand/organisations_test.go
@@ -151,7 +151,7 @@
 	d.t.Fatalf("%s: status %d, want %d", path, got, want)
 }
 
-// TestOrganisationsEndToEnd guards against an operator's tenants that don't reach the entries,
+// TestOrganisationsEndToEnd guards against an operator's organisations that don't reach the entries,
 // against a withdrawn key that stays in use there, against a document that operators read back
 // changed, and against keys in the log of any process or at a server.
 func TestOrganisationsEndToEnd(t *testing.T) {
