Review: show a first start that one killed process ends for good

Cause: only the first seed by name forms the control group, and only while its settings say that the whole system starts for the first time. If its process is killed before that and started again, the other seeds wait for it and it waits for them.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -34,8 +34,10 @@
 	// client keeps one connection to an entry.
 	client struct {
 		entry *vm
-		conn  net.Conn
-		br    *bufio.Reader
+		// ip is the client's own address; an empty one is the default.
+		ip   string
+		conn net.Conn
+		br   *bufio.Reader
 	}
 )
 
@@ -69,7 +71,11 @@
 	if c.conn != nil {
 		return nil
 	}
-	conn, err := net.DialTimeout("tcp", c.entry.addr(frontendPort), connectTimeout)
+	d := net.Dialer{Timeout: connectTimeout}
+	if c.ip != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.ip)}
+	}
+	conn, err := d.Dial("tcp", c.entry.addr(frontendPort))
 	if err != nil {
 		return err
 	}
@@ -86,6 +92,9 @@
 	if a.object != "" {
 		fmt.Fprintf(&b, "Cookie: X-Briarferry-Affinity-Key=%s\r\n", a.object)
 	}
+	if a.method == http.MethodPost {
+		b.WriteString("Content-Length: 0\r\n")
+	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -29,6 +29,8 @@
 	subnets          = 250
 	firstControlHost = 10
 	firstEntryHost   = 50
+	// restartDelay is the short delay after which the platform starts a process again.
+	restartDelay = 300 * time.Millisecond
 	// configLimit is the time within which a configuration must be accepted.
 	configLimit = 20 * time.Second
 )
@@ -214,6 +216,14 @@
 	}
 }
 
+// restart starts a killed process again, as the platform does. The first start of the whole
+// system is over.
+func (v *vm) restart() error {
+	v.bootstrap = false
+	v.writeSettings()
+	return v.start()
+}
+
 // kill ends the process at once and waits for its end.
 func (v *vm) kill() {
 	v.signal(syscall.SIGCONT)
--- a/review/standin-2/crash_request.go
+++ b/review/standin-2/crash_request.go
@@ -11,7 +11,8 @@
 const (
 	siteHost   = "jepu9.example"
 	sharedPath = "/lepu270/today"
-	// badObject is the affinity cookie of the caller whose request crashes workers.
+	// badObject is the affinity cookie of the caller whose request crashes workers. Each caller has
+	// an object and an address of its own.
 	badObject = "17"
 	// contactTime is contactS of the settings, and allowedRetries the number of retries that may
 	// reach workers later than that after the third crash.
@@ -42,10 +43,12 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	if err := c.serve(sharedConfig()); err != nil {
+	cfg := sharedConfig()
+	cfg.Hosts[0].Paths[0].Kind = "non_idempotent"
+	if err := c.serve(cfg); err != nil {
 		return verdict{}, err
 	}
-	request := attempt{method: http.MethodGet, host: siteHost, path: sharedPath, object: "1", limit: 4 * time.Second}
+	request := attempt{method: http.MethodPost, host: siteHost, path: sharedPath, object: "1", limit: 4 * time.Second}
 	if err := awaitServing(c, request, 10*time.Second); err != nil {
 		return verdict{}, err
 	}
@@ -53,7 +56,7 @@
 	time.Sleep(2 * time.Second)
 	request.object = badObject
 	for i := range crashCalls {
-		cl := client{entry: c.entries[i%len(c.entries)]}
+		cl := client{entry: c.entries[i%len(c.entries)], ip: c.callerIP(badObject)}
 		o := cl.do(request)
 		cl.close()
 		rec.say("caller of object %s: attempt %s at %s is answered %d %v", badObject, o.id, cl.entry.name, o.status, errText(o.err))
@@ -90,6 +93,11 @@
 	return cfg
 }
 
+// callerIP returns the address of the caller that asks for an object.
+func (c *cluster) callerIP(object string) string {
+	return fmt.Sprintf("127.79.%d.%s", c.subnet, object)
+}
+
 // otherCallers send requests that crash nothing. Below a path that ends with a slash, each
 // request has a path of its own.
 type otherCallers struct {
@@ -113,7 +121,7 @@
 }
 
 func (o *otherCallers) run(c *cluster, e *vm, a attempt) {
-	cl := client{entry: e}
+	cl := client{entry: e, ip: c.callerIP(a.object)}
 	defer cl.close()
 	for {
 		select {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"crash-request": crashRequestCase,
+	"first-start":   firstStartCase,
 	"refused-route": refusedRouteCase,
 }
 
--- a/review/standin-2/refused_route.go
+++ b/review/standin-2/refused_route.go
@@ -57,7 +57,7 @@
 	time.Sleep(2 * time.Second)
 	added.object = badObject
 	for i := range crashAttempts {
-		cl := client{entry: c.entries[i%len(c.entries)]}
+		cl := client{entry: c.entries[i%len(c.entries)], ip: c.callerIP(badObject)}
 		o := cl.do(added)
 		cl.close()
 		rec.say("caller of object %s: attempt %s at %s is answered %d %v", badObject, o.id, cl.entry.name, o.status, errText(o.err))
