Review: show a lost disk that ends a group after a planned replacement

Cause: a control VM that is stopped for good stays a voter until three election timeouts of silence have passed. A group of three then has four voters and needs three of them. Another one may lose its disk in that time, as the successor has had its catchUpS, and the group never has a majority again.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 	"crash-request": crashRequestCase,
 	"first-start":   firstStartCase,
 	"refused-route": refusedRouteCase,
+	"replacement":   replacementCase,
 }
 
 func main() { os.Exit(run()) }
