Remove a control VM that stops from a group with one voter too many

Cause: a replica that stopped as planned told nobody that it leaves. It stayed a voter until 3 s of silence, so that a group of three had four voters, one of them gone, and could not bear the next loss.

Change: a stopping replica of an open group calls the leader's Leave and goes on replicating until it is released. The leader counts it as silent at once under the existing rule, by which the group must tolerate as many losses without it, and waits for an active learner to be promoted. A leader that stops first removes a voter that left before it, as its successor doesn't know of that one. A stop takes 3 s at most, and an election timeout if no leader replies.

--- a/internal/coordination/bfraft/membership.go
+++ b/internal/coordination/bfraft/membership.go
@@ -24,7 +24,7 @@
 	if r.role != Leader || r.transferee != "" {
 		return 0, ErrNotLeader
 	}
-	if t, _ := r.log.term(r.log.committed); r.log.membershipIndex > r.log.committed || t != r.term {
+	if t, _ := r.log.term(r.log.committed); r.ChangePending() || t != r.term {
 		return 0, ErrChangePending
 	}
 	next, err := r.nextMembership(c)
--- a/internal/coordination/bfraft/status.go
+++ b/internal/coordination/bfraft/status.go
@@ -68,3 +68,6 @@
 	m, _ := r.log.membershipAt(1)
 	return m.Voters
 }
+
+// ChangePending reports whether a membership change is in the log and not committed yet.
+func (r *Raft) ChangePending() bool { return r.log.membershipIndex > r.log.committed }
--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -234,6 +234,14 @@
 	return m.node.Join(ctx, id)
 }
 
+func (p *endpoint) Leave(ctx context.Context, vm, id string) (bool, error) {
+	m, err := p.contact(vm)
+	if err != nil {
+		return false, err
+	}
+	return m.node.Leave(ctx, id)
+}
+
 func (c *cluster) leader() *member {
 	var best *member
 	for _, vm := range c.startedVMs() {
--- /dev/null
+++ b/internal/coordination/bfreplica/leave_test.go
@@ -0,0 +1,118 @@
+package bfreplica
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// loseDisk kills the replica on a VM and starts it again with an empty data directory.
+func (c *cluster) loseDisk(vm string) {
+	c.isolate(vm, true)
+	c.stopVMs(vm)
+	c.isolate(vm, false)
+	c.wipe(vm)
+}
+
+// TestDiskLostAfterPlannedReplacement guards against a stopped replica that stays a voter for
+// some seconds after its successor has joined: the loss of one more disk in that time ends the
+// group.
+func TestDiskLostAfterPlannedReplacement(t *testing.T) {
+	for seed, old := range vms {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 60+uint64(seed), interRegionDelay, memoryFS(60), openMembership)
+			defer c.close()
+			c.propose("first")
+			c.start("d", memoryFS(9)("d"))
+			c.waitFor("four voters", func() bool { return len(c.voterVMs()) == 4 })
+			c.stopVMs(old)
+			remaining := slices.DeleteFunc(slices.Clone(vms), func(vm string) bool { return vm == old })
+			c.loseDisk(remaining[0])
+			c.propose("second")
+		})
+	}
+}
+
+// TestStopBeforeSuccessorIsVoter guards against a stopping replica that ends as a voter because
+// its successor is still a learner.
+func TestStopBeforeSuccessorIsVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 64, interRegionDelay, memoryFS(64), openMembership)
+		defer c.close()
+		c.propose("first")
+		c.start("d", memoryFS(9)("d"))
+		c.waitFor("a learner", func() bool { l := c.leader(); return l != nil && len(l.node.Status().Learners) == 1 })
+		c.stopVMs("a")
+		if got := c.voterVMs(); !slices.Equal(got, []string{"b", "c", "d"}) {
+			t.Errorf("voters %v after the stop, want b, c and d", got)
+		}
+	})
+}
+
+// TestTwoPlannedReplacements guards against stopped replicas that stay voters because each of
+// them leaves a group with an odd number of voters.
+func TestTwoPlannedReplacements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 65, interRegionDelay, memoryFS(65), openMembership)
+		defer c.close()
+		c.propose("first")
+		c.growToFive()
+		c.stopVMs("a", "b")
+		c.loseDisk("c")
+		c.propose("second")
+	})
+}
+
+// TestRestartOfLeavingVoter guards against a rolling restart that shrinks an odd group, and
+// against a voter of an even group that doesn't join again after a planned restart.
+func TestRestartOfLeavingVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 66, interRegionDelay, memoryFS(66), openMembership)
+		defer c.close()
+		c.propose("first")
+		c.growToFive()
+		for _, vm := range allVMs {
+			fs := c.member(vm).fs
+			c.stopVMs(vm)
+			c.start(vm, fs)
+			time.Sleep(2 * time.Second)
+			if got := c.voterVMs(); len(got) != 5 {
+				t.Errorf("voters %v after the restart of %s, want five", got, vm)
+			}
+		}
+		c.isolate("e", true)
+		c.stopVMs("e", "d")
+		c.waitFor("three voters", func() bool { return len(c.voterVMs()) == 3 })
+		c.start("d", c.member("d").fs)
+		c.waitFor("the restarted voter has joined again", func() bool { return len(c.voterVMs()) == 4 })
+	})
+}
+
+// TestStopWithoutLeader guards against a replica that holds up its stop while no leader replies.
+func TestStopWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 67, interRegionDelay, memoryFS(67), openMembership)
+		defer c.close()
+		c.propose("first")
+		c.stopVMs("a", "b")
+		started := time.Now()
+		c.stopVMs("c")
+		if took := time.Since(started); took > 2*time.Second {
+			t.Errorf("the last replica stopped after %v", took)
+		}
+	})
+}
+
+// TestAbandonedLeave guards against a leader that was frozen and removes a replica whose call
+// ended long ago, as the replica may run again.
+func TestAbandonedLeave(t *testing.T) {
+	n := &Node{}
+	n.setup()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if released, err := n.release(ctx, "a/1"); released || err == nil || len(n.leavingSince) > 0 {
+		t.Errorf("abandoned call: released %v, error %v, %d replicas leaving", released, err, len(n.leavingSince))
+	}
+}
--- a/internal/coordination/bfreplica/membership.go
+++ b/internal/coordination/bfreplica/membership.go
@@ -29,9 +29,12 @@
 		return
 	}
 	n.expireReads()
-	if n.raft.Role() != bfraft.Leader {
-		return
+	if n.raft.Role() == bfraft.Leader {
+		n.proposeDueChange()
 	}
+}
+
+func (n *Node) proposeDueChange() {
 	if c, ok := n.dueMembershipChange(); ok {
 		if _, err := n.raft.ProposeChange(c); err == nil {
 			n.Log.Info().Str("id", c.ID).Uint8("kind", uint8(c.Kind)).Msg("membership change proposed")
@@ -40,7 +43,7 @@
 }
 
 // dueMembershipChange returns the next membership change to propose: the promotion of a
-// learner that has caught up, or the removal of a replaced or unresponsive replica.
+// learner that has caught up, or the removal of a replaced or departed replica.
 func (n *Node) dueMembershipChange() (bfraft.Change, bool) {
 	m := n.raft.Membership()
 	for _, id := range m.Learners {
@@ -53,19 +56,19 @@
 			return bfraft.Change{Kind: bfraft.Remove, ID: id}, true
 		}
 	}
-	if id, ok := n.unresponsiveMember(m); ok {
+	if id, ok := n.departedMember(m); ok {
 		return bfraft.Change{Kind: bfraft.Remove, ID: id}, true
 	}
 	return bfraft.Change{}, false
 }
 
-// unresponsiveMember returns a member to remove from an open group because it has not
-// replied for a long time.
-func (n *Node) unresponsiveMember(m bfraft.Membership) (string, bool) {
+// departedMember returns a member to remove from an open group because it has not replied
+// for a long time or stops.
+func (n *Node) departedMember(m bfraft.Membership) (string, bool) {
 	if !n.OpenMembership {
 		return "", false
 	}
-	if id, ok := n.unresponsiveVoter(m.Voters); ok {
+	if id, ok := n.departedVoter(m.Voters); ok {
 		return id, true
 	}
 	if silent := n.silentFor(m.Learners, removalElectionTimeouts); len(silent) > 0 {
@@ -74,12 +77,12 @@
 	return "", false
 }
 
-// unresponsiveVoter returns the voter to remove. The group must tolerate at least as many
+// departedVoter returns the voter to remove. The group must tolerate at least as many
 // further failures without it. An even group tolerates no more failures than one with a
-// voter fewer, so one silent voter is enough, and after a replacement under a new address
-// the group has its old size again. An odd group must have two silent voters, as the removal
-// of both gains one.
-func (n *Node) unresponsiveVoter(voters []string) (string, bool) {
+// voter fewer, so one departed voter is enough, and after a replacement under a new address
+// the group has its old size again. An odd group must have two departed voters, as the
+// removal of both gains one.
+func (n *Node) departedVoter(voters []string) (string, bool) {
 	if len(voters) <= max(n.MinVoters, leastVoters) {
 		return "", false
 	}
@@ -87,11 +90,21 @@
 	if len(voters)%2 == 1 {
 		timeouts, needed = removalElectionTimeouts, 2
 	}
-	silent := n.silentFor(voters, timeouts)
-	if len(silent) < needed {
+	departed := n.silentFor(voters, timeouts)
+	for _, id := range voters {
+		if n.isLeaving(id) && !slices.Contains(departed, id) {
+			departed = append(departed, id)
+		}
+	}
+	if len(departed) < needed {
+		return "", false
+	}
+	// The leader can't remove itself; its successor does.
+	i := slices.IndexFunc(departed, func(id string) bool { return id != n.raft.ID() })
+	if i < 0 {
 		return "", false
 	}
-	return silent[0], true
+	return departed[i], true
 }
 
 // silentFor returns the members that have not replied for a number of election timeouts,
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -74,6 +74,9 @@
 		Info(ctx context.Context, vm string) (Info, error)
 		// Join asks the replica on a VM to add a learner, which only the leader does.
 		Join(ctx context.Context, vm, id string) error
+		// Leave tells the leader on a VM that a replica stops. It reports whether the replica
+		// may end; otherwise the call has to be repeated.
+		Leave(ctx context.Context, vm, id string) (mayStop bool, err error)
 	}
 
 	// Info describes a replica to others that form or join a group.
@@ -154,6 +157,11 @@
 		leaderTerm       uint64
 		leaderSince      time.Time
 		maintenanceTicks int
+		// leavingSince maps voters that stop to the value of maintenanceTicks at their last
+		// call of Leave.
+		leavingSince map[string]int
+		// stopping is true once this replica has begun to stop.
+		stopping bool
 		// joinLogged is true after the join was logged; only the goroutine that forms or
 		// joins a group uses it.
 		joinLogged bool
@@ -200,6 +208,7 @@
 		n.savedSnapshots = make(chan bfraft.Snapshot, 1)
 		n.commitSaved = make(chan struct{}, 1)
 		n.pendingReads = map[uint64]*read{}
+		n.leavingSince = map[string]int{}
 		// Replies to reads of an earlier process may still arrive and must not match new ones.
 		n.lastReadID = uint64(time.Now().UnixNano())
 		n.pendingCommands.byIndex = map[uint64]*proposal{}
@@ -214,8 +223,8 @@
 	}
 }
 
-// Run runs the replica until the context ends. It then transfers leadership before it
-// returns.
+// Run runs the replica until the context ends. It then transfers leadership, and leaves an
+// open group that does without it, before it returns.
 func (n *Node) Run(ctx context.Context) error {
 	n.setup()
 	defer close(n.stopped)
@@ -288,6 +297,7 @@
 	defer ticker.Stop()
 	done := ctx.Done()
 	var stop shutdown
+	defer stop.end()
 	for {
 		var proposals chan *proposal
 		if n.pendingCommands.size() < n.MaxPending {
@@ -326,7 +336,7 @@
 			return err
 		}
 		n.saveCommit(started)
-		if stop.advance(n) {
+		if stop.advance(workCtx, n) {
 			return nil
 		}
 	}
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -23,6 +23,7 @@
 	procedureRaftStream = "/briarferry.Agreement/Stream"
 	procedureRaftInfo   = "/briarferry.Agreement/Info"
 	procedureRaftJoin   = "/briarferry.Agreement/Join"
+	procedureRaftLeave  = "/briarferry.Agreement/Leave"
 
 	maxBatchMessages = 256
 	raftCallTimeout  = time.Second
@@ -43,11 +44,17 @@
 		Sequence uint64 `cbor:"1,keyasint"`
 	}
 
-	// JoinRequest asks the leader to add a replica as a learner.
-	JoinRequest struct {
+	// MemberRequest asks the leader to add a replica as a learner, or tells it that the
+	// replica stops.
+	MemberRequest struct {
 		ID string `cbor:"1,keyasint"`
 	}
 
+	// LeaveReply reports whether the replica that stops may end.
+	LeaveReply struct {
+		MayStop bool `cbor:"1,keyasint"`
+	}
+
 	// Empty is a message without fields.
 	Empty struct{}
 
@@ -56,6 +63,7 @@
 		Deliver(m bfraft.Message)
 		Info() bfreplica.Info
 		Join(ctx context.Context, id string) error
+		Leave(ctx context.Context, id string) (mayStop bool, err error)
 	}
 
 	// RaftClient sends Raft messages to the replicas on other VMs. The exported fields
@@ -105,11 +113,11 @@
 }
 
 // Validate checks the format of the replica's id.
-func (j *JoinRequest) Validate() briarferry.Findings {
+func (m *MemberRequest) Validate() briarferry.Findings {
 	var f briarferry.Findings
-	vm, disk, ok := strings.Cut(j.ID, "/")
+	vm, disk, ok := strings.Cut(m.ID, "/")
 	if !ok || !briarferry.ValidName(vm) || !briarferry.ValidName(disk) {
-		f.Add("id", "must have the form vm/disk: %q", j.ID)
+		f.Add("id", "must have the form vm/disk: %q", m.ID)
 	}
 	return f
 }
@@ -123,12 +131,19 @@
 		info := r.Info()
 		return &info, nil
 	})
-	Handle(mux, procedureRaftJoin, func(ctx context.Context, j *JoinRequest) (*Empty, error) {
-		if err := r.Join(ctx, j.ID); err != nil {
+	Handle(mux, procedureRaftJoin, func(ctx context.Context, m *MemberRequest) (*Empty, error) {
+		if err := r.Join(ctx, m.ID); err != nil {
 			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 		}
 		return &Empty{}, nil
 	})
+	Handle(mux, procedureRaftLeave, func(ctx context.Context, m *MemberRequest) (*LeaveReply, error) {
+		mayStop, err := r.Leave(ctx, m.ID)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		}
+		return &LeaveReply{MayStop: mayStop}, nil
+	})
 }
 
 func receiveBatches(r RaftReplica, s *connect.BidiStream[RaftBatch, RaftAck]) error {
@@ -233,10 +248,23 @@
 
 // Join asks the replica on a VM to add a learner.
 func (c *RaftClient) Join(ctx context.Context, vm, id string) error {
-	_, err := callRaft[JoinRequest, Empty](ctx, c, vm, procedureRaftJoin, &JoinRequest{ID: id})
+	_, err := callRaft[MemberRequest, Empty](ctx, c, vm, procedureRaftJoin, &MemberRequest{ID: id})
 	return err
 }
 
+// Leave tells the leader on a VM that a replica stops. A leader of an earlier version doesn't
+// know the call and keeps the replica as a member, which may then end at once.
+func (c *RaftClient) Leave(ctx context.Context, vm, id string) (bool, error) {
+	res, err := callRaft[MemberRequest, LeaveReply](ctx, c, vm, procedureRaftLeave, &MemberRequest{ID: id})
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return res.MayStop, nil
+}
+
 func callRaft[Req, Res any](ctx context.Context, c *RaftClient, vm, procedure string, req *Req) (*Res, error) {
 	p := c.peer(vm)
 	if p == nil {
--- a/internal/transport/bfrpc/raft_client_test.go
+++ b/internal/transport/bfrpc/raft_client_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"briarferry"
 	"briarferry/internal/coordination/bfraft"
 	"briarferry/internal/coordination/bfreplica"
 )
@@ -112,6 +114,13 @@
 func (r *commitRecorder) Info() bfreplica.Info               { return bfreplica.Info{} }
 func (r *commitRecorder) Join(context.Context, string) error { return nil }
 
+func (r *commitRecorder) Leave(_ context.Context, id string) (bool, error) {
+	if id == "c/1" {
+		return false, briarferry.ErrNotLeader
+	}
+	return id == "b/1", nil
+}
+
 func (r *commitRecorder) list() []uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,3 +216,30 @@
 		}
 	}
 }
+
+// TestLeave guards against a leader's answer to a stopping replica that is lost or changed on
+// its way, and against a replica that holds up its stop for a leader of an earlier version.
+func TestLeave(t *testing.T) {
+	_, addr := startRecorder(t)
+	earlier := httptest.NewServer(http.NewServeMux())
+	t.Cleanup(earlier.Close)
+	client := &RaftClient{Peers: map[string]netip.AddrPort{
+		"new": netip.MustParseAddrPort(addr), "earlier": netip.MustParseAddrPort(earlier.Listener.Addr().String()),
+	}}
+	for _, tc := range []struct {
+		vm, id          string
+		mayStop, failed bool
+	}{
+		{"new", "a/1", false, false},
+		{"new", "b/1", true, false},
+		{"new", "c/1", false, true},
+		{"new", "no-disk", false, true},
+		{"earlier", "a/1", true, false},
+		{"unknown", "a/1", false, true},
+	} {
+		mayStop, err := client.Leave(t.Context(), tc.vm, tc.id)
+		if mayStop != tc.mayStop || (err != nil) != tc.failed {
+			t.Errorf("leave of %s at %s: %v, %v; want %v, failed %v", tc.id, tc.vm, mayStop, err, tc.mayStop, tc.failed)
+		}
+	}
+}
--- a/internal/transport/bfrpc/raft_test.go
+++ b/internal/transport/bfrpc/raft_test.go
@@ -257,7 +257,7 @@
 			t.Errorf("%s: the batch was accepted", name)
 		}
 	}
-	if f := (&JoinRequest{ID: "a"}).Validate(); f.Err() == nil {
+	if f := (&MemberRequest{ID: "a"}).Validate(); f.Err() == nil {
 		t.Error("an id without a disk was accepted")
 	}
 }
--- a/internal/transport/bfrpc/security_test.go
+++ b/internal/transport/bfrpc/security_test.go
@@ -25,16 +25,17 @@
 )
 
 var allProcedures = []string{
-	procedureRaftStream, procedureRaftInfo, procedureRaftJoin, procedureSync, procedureClaims, procedureChange, procedureConfig, procedureStatus,
+	procedureRaftStream, procedureRaftInfo, procedureRaftJoin, procedureRaftLeave, procedureSync, procedureClaims, procedureChange, procedureConfig, procedureStatus,
 	procedureQuarantineLock, procedureQuarantineUnlock, procedureQuarantineShare, procedureQuarantineFetch,
 }
 
 // countingReplica counts the messages that it receives.
 type countingReplica struct{ delivered atomic.Int64 }
 
-func (r *countingReplica) Deliver(bfraft.Message)             { r.delivered.Add(1) }
-func (r *countingReplica) Info() bfreplica.Info               { return bfreplica.Info{} }
-func (r *countingReplica) Join(context.Context, string) error { return nil }
+func (r *countingReplica) Deliver(bfraft.Message)                      { r.delivered.Add(1) }
+func (r *countingReplica) Info() bfreplica.Info                        { return bfreplica.Info{} }
+func (r *countingReplica) Join(context.Context, string) error          { return nil }
+func (r *countingReplica) Leave(context.Context, string) (bool, error) { return true, nil }
 
 // securedServer serves the procedures on a loopback socket and counts the calls that
 // reach a handler.
