Remove a silent voter of an even group after one election timeout

Cause: a silent voter of an even group was removed after three election timeouts, 3 s. Killed 2 s after the start of its successor, it still counted when the successor had had its 4 s to catch up, and the group could not bear the next lost disk.

Change: one election timeout. The removal costs no fault tolerance, as an even group tolerates no more losses than one with a voter fewer. The rule for odd groups stays.

--- a/internal/coordination/bfreplica/leave_test.go
+++ b/internal/coordination/bfreplica/leave_test.go
@@ -35,6 +35,28 @@
 	}
 }
 
+// TestDiskLostAfterKill guards against a follower that is killed after its successor has joined and
+// counts towards the majority for longer than a new control VM needs to catch up.
+func TestDiskLostAfterKill(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 70+seed, interRegionDelay, memoryFS(70), openMembership)
+			defer c.close()
+			c.propose("first")
+			started := time.Now()
+			c.start("d", memoryFS(9)("d"))
+			time.Sleep(2 * time.Second)
+			leader := slices.Index(vms, c.leader().vm)
+			old := vms[(leader+1)%3]
+			c.isolate(old, true)
+			c.stopVMs(old)
+			time.Sleep(time.Until(started.Add(4500 * time.Millisecond)))
+			c.loseDisk(vms[(leader+2*int(seed%2))%3])
+			c.propose("second")
+		})
+	}
+}
+
 // TestStopBeforeSuccessorIsVoter guards against a stopping replica that ends as a voter because
 // its successor is still a learner.
 func TestStopBeforeSuccessorIsVoter(t *testing.T) {
--- a/internal/coordination/bfreplica/membership.go
+++ b/internal/coordination/bfreplica/membership.go
@@ -11,10 +11,10 @@
 	// which an open group removes a member. This is longer than a restart or a short
 	// network partition.
 	removalElectionTimeouts = 8
-	// replacedElectionTimeouts is that number for a voter of an even group. It is shorter, as
-	// the removal doesn't cost fault tolerance, and as the next control VM may be replaced
-	// soon: the group must not collect voters that are lost for good.
-	replacedElectionTimeouts = 3
+	// evenElectionTimeouts is that number for a voter of an even group. The removal costs no
+	// fault tolerance, and until then a group whose voter was replaced tolerates one loss
+	// fewer.
+	evenElectionTimeouts = 1
 	// leastVoters is the smallest number of voters to which an open group shrinks.
 	leastVoters = 3
 )
@@ -86,7 +86,7 @@
 	if len(voters) <= max(n.MinVoters, leastVoters) {
 		return "", false
 	}
-	timeouts, needed := replacedElectionTimeouts, 1
+	timeouts, needed := evenElectionTimeouts, 1
 	if len(voters)%2 == 1 {
 		timeouts, needed = removalElectionTimeouts, 2
 	}
