Don't take a reset answer without a length for a complete one

Callers saw: a part of an answer as the whole one. A backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: an answer without a length ends with its connection. Linux reports a reset to the call that comes first; if that is the write of the upload, the next read returns io.EOF, which completes such an answer.

The other hypothesis, that the entry closes the connection itself, gives the reader net.ErrClosed and not io.EOF.

Change: the end of the connection completes an answer without a length only if no write on it has failed. A write that is under way has 100 ms to return.

--- a/internal/transport/bfupstream/answer_reader.go
+++ b/internal/transport/bfupstream/answer_reader.go
@@ -25,6 +25,8 @@
 	smallBodyBytes = 8 << 10
 )
 
+var errReset = errors.New("connection may have been reset before the end of an answer without a length")
+
 type (
 	// answerReader reads answers from a connection within limits for each request.
 	answerReader struct {
@@ -34,6 +36,9 @@
 		memory  *answerMemory
 		// drop closes the connection.
 		drop func()
+		// endedInOrder reports whether the end of the connection is that of an answer without
+		// a length.
+		endedInOrder func() bool
 		// headBytes and bodyBytes are how many more bytes of heads and bodies may be read
 		// for the current request.
 		headBytes, bodyBytes int64
@@ -49,9 +54,13 @@
 	}
 )
 
-func newAnswerReader(r io.Reader, c *Client, drop func()) *answerReader {
-	limited := &io.LimitedReader{R: r}
-	return &answerReader{limited: limited, br: bufio.NewReader(limited), dialect: c.dialect(), memory: c.answers(), drop: drop}
+func newAnswerReader(c *conn) *answerReader {
+	limited := &io.LimitedReader{R: c.raw}
+	client := c.pool.client
+	return &answerReader{
+		limited: limited, br: bufio.NewReader(limited), dialect: client.dialect(), memory: client.answers(),
+		drop: c.close, endedInOrder: c.endedInOrder,
+	}
 }
 
 // wait waits for the first byte of an answer, or of bytes that belong to none.
@@ -88,7 +97,8 @@
 }
 
 // readNext reads one answer and skips informational ones. Unless AllowCloseDelimited is set,
-// an answer whose end is only marked by the end of the connection counts as truncated.
+// an answer whose end is only marked by the end of the connection counts as truncated, and so
+// it does if the connection may have been reset.
 func (ar *answerReader) readNext(p *pendingRequest) result {
 	r := p.request
 	var resp *http.Response
@@ -105,7 +115,8 @@
 	if !briarferry.IsFinalStatus(resp.StatusCode) {
 		return result{err: fmt.Errorf("%w: %03d", ErrInvalidStatus, resp.StatusCode)}
 	}
-	if !ar.dialect.AllowCloseDelimited && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead {
+	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.Method != http.MethodHead
+	if closeDelimited && !ar.dialect.AllowCloseDelimited {
 		return result{err: fmt.Errorf("%w: neither length nor chunks", ErrTruncated)}
 	}
 	got := result{response: resp, memory: ar.memory.reserve(ar.drop)}
@@ -114,6 +125,9 @@
 		got.body, err = readBody(resp, got.memory, streamed)
 		return err
 	})
+	if got.err == nil && closeDelimited && !ar.endedInOrder() {
+		got.err = fmt.Errorf("%w: %w", ErrTruncated, errReset)
+	}
 	if !got.memory.finishReading() {
 		got.err = fmt.Errorf("%w: %w", ErrTooLarge, errAnswerMemory)
 	}
--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -17,6 +17,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// writeSettleTime is how long the end of an answer without a length waits for a write that is
+// under way. A reset ends a blocked write at once.
+const writeSettleTime = 100 * time.Millisecond
+
 var errNoAnswer = errors.New("connection ended before its answer")
 
 type (
@@ -27,6 +31,9 @@
 		// sequence orders the connections of a pool by the time of their opening.
 		sequence uint64
 		writer   *bufio.Writer
+		// writing holds a value while a write is under way. It guards writeFailed.
+		writing     chan struct{}
+		writeFailed bool
 		// written counts the bytes of the current request that were written.
 		written atomic.Int64
 
@@ -59,11 +66,27 @@
 
 // Write writes to the connection and counts the bytes.
 func (c *conn) Write(data []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	n, err := c.raw.Write(data)
 	c.written.Add(int64(n))
+	c.writeFailed = c.writeFailed || err != nil
 	return n, err
 }
 
+// endedInOrder reports whether the end of the connection, which the reader has seen, may be
+// the end of an answer without a length. The operating system reports a reset once: if a
+// write fails with it, the next read returns the same as after an ordinary end.
+func (c *conn) endedInOrder() bool {
+	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
+		return !c.writeFailed
+	case <-time.After(writeSettleTime):
+		return false
+	}
+}
+
 // send writes the request. The answer arrives on the returned channel, possibly before the
 // whole request is written.
 func (c *conn) send(t try) (<-chan result, error) {
@@ -105,7 +128,7 @@
 // pending belong to the answer to an abandoned request, so the connection is closed.
 func (c *conn) read() {
 	defer c.close()
-	answers := newAnswerReader(c.raw, c.pool.client, c.close)
+	answers := newAnswerReader(c)
 	for {
 		err := answers.wait()
 		p := c.takePending()
--- a/internal/transport/bfupstream/pool.go
+++ b/internal/transport/bfupstream/pool.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("bfupstream: connect: %w", err)
 	}
-	c := &conn{pool: p, raw: raw, sequence: sequence, answered: true}
+	c := &conn{pool: p, raw: raw, sequence: sequence, answered: true, writing: make(chan struct{}, 1)}
 	c.writer = bufio.NewWriter(c)
 	p.conns = append(p.conns, c)
 	p.client.acquirePool(p.address)
