Release a stopping replica only once nothing is left to change

Cause: Leave released a replica if no membership change was in the log. A new leader can't propose a change before it has committed an entry of its term, so a leader that transferred leadership and called it at once ended as a voter, and the group kept one voter too many until its silence was noticed. The same held for a leader in the middle of a transfer. A learner that stopped waited for its own promotion.

Change: a replica is released when no change is due and the last one is committed. A stopping learner doesn't wait for itself, and a replica that is no member ends at once.

--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -61,8 +61,8 @@
 }
 
 // tryRejoin asks the leader to add this replica if no leader was heard from for two
-// election timeouts or since the start, as the replica may have left the group before. It finds the leader by asking the other replicas. The leader ignores
-// the request of a member.
+// election timeouts or since the start, as the replica may have left the group before. It
+// finds the leader by asking the other replicas. The leader ignores the request of a member.
 func (n *Node) tryRejoin(ctx context.Context) {
 	if !n.leaderLost.Load() {
 		return
--- a/internal/coordination/bfreplica/leave.go
+++ b/internal/coordination/bfreplica/leave.go
@@ -7,11 +7,11 @@
 	"briarferry/internal/coordination/bfraft"
 )
 
-// Leave is the leader's part of another replica's planned stop. A voter that is gone counts
-// towards the majority until its removal, so that a group with one voter too many couldn't
-// bear the next loss. Leave therefore removes the replica while it still runs, if the group
+// Leave is the leader's part of another replica's planned stop. A stopped voter raises the
+// majority until its removal, so that a group with one voter too many doesn't tolerate the
+// next failure. Leave therefore removes the replica while it still runs, if the group
 // tolerates as many failures without it. It reports whether the replica may end: the removal
-// is committed, or the group keeps its members.
+// is committed, or the group keeps it.
 func (n *Node) Leave(ctx context.Context, id string) (mayStop bool, err error) {
 	var released bool
 	var leaveErr error
@@ -32,15 +32,14 @@
 		return false, briarferry.ErrNotLeader
 	}
 	n.leavingSince[id] = n.maintenanceTicks
-	n.proposeDueChange()
-	return !n.raft.ChangePending() && !n.hasActiveLearner(), nil
+	return n.proposeDueChange() && !n.hasActiveLearner(id), nil
 }
 
-// hasActiveLearner reports whether a learner replies, which may be the successor of a replica
-// that stops. Once it is a voter, the group may do without that replica.
-func (n *Node) hasActiveLearner() bool {
+// hasActiveLearner reports whether a learner replies that may be the successor of the stopping
+// replica. Once it is a voter, the group may do without that replica.
+func (n *Node) hasActiveLearner(stopping string) bool {
 	for _, id := range n.raft.Membership().Learners {
-		if n.raft.TicksSinceReply(id) < n.ticks(n.ElectionTimeout) {
+		if id != stopping && n.raft.TicksSinceReply(id) < n.ticks(n.ElectionTimeout) {
 			return true
 		}
 	}
--- a/internal/coordination/bfreplica/leave_test.go
+++ b/internal/coordination/bfreplica/leave_test.go
@@ -130,6 +130,35 @@
 	})
 }
 
+// promptCalls delivers calls of Leave at once, before the messages of a new leader have been
+// acknowledged.
+type promptCalls struct{ *endpoint }
+
+func (p promptCalls) Leave(ctx context.Context, vm, id string) (bool, error) {
+	return p.c.member(vm).node.Leave(ctx, id)
+}
+
+// TestLeaveBeforeFirstCommit guards against a new leader that releases a replica although it
+// can't remove it yet, as it has committed nothing in its term.
+func TestLeaveBeforeFirstCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The delay is longer than the interval between two calls of Leave.
+		c := newCluster(t, 68, leaveRetryInterval+20*time.Millisecond, memoryFS(68), func(n *Node) {
+			n.OpenMembership, n.Discovery = true, promptCalls{n.Discovery.(*endpoint)}
+		})
+		defer c.close()
+		c.propose("first")
+		c.start("d", memoryFS(9)("d"))
+		c.waitFor("four voters", func() bool { return len(c.voterVMs()) == 4 })
+		old := c.leader().vm
+		c.stopVMs(old)
+		c.waitFor("a leader", func() bool { return c.leader() != nil })
+		if got := c.voterVMs(); len(got) != 3 || slices.Contains(got, old) {
+			t.Errorf("voters %v after the stop of %s, want the three others", got, old)
+		}
+	})
+}
+
 // TestAbandonedLeave guards against a leader that was frozen and removes a replica whose call
 // ended long ago, as the replica may run again.
 func TestAbandonedLeave(t *testing.T) {
--- a/internal/coordination/bfreplica/membership.go
+++ b/internal/coordination/bfreplica/membership.go
@@ -34,12 +34,17 @@
 	}
 }
 
-func (n *Node) proposeDueChange() {
-	if c, ok := n.dueMembershipChange(); ok {
-		if _, err := n.raft.ProposeChange(c); err == nil {
-			n.Log.Info().Str("id", c.ID).Uint8("kind", uint8(c.Kind)).Msg("membership change proposed")
-		}
+// proposeDueChange proposes the next due membership change. It reports whether the membership
+// is settled: no change is due, and the last one is committed.
+func (n *Node) proposeDueChange() (settled bool) {
+	c, ok := n.dueMembershipChange()
+	if !ok {
+		return !n.raft.ChangePending()
+	}
+	if _, err := n.raft.ProposeChange(c); err == nil {
+		n.Log.Info().Str("id", c.ID).Uint8("kind", uint8(c.Kind)).Msg("membership change proposed")
 	}
+	return false
 }
 
 // dueMembershipChange returns the next membership change to propose: the promotion of a
--- a/internal/coordination/bfreplica/stop.go
+++ b/internal/coordination/bfreplica/stop.go
@@ -53,8 +53,8 @@
 }
 
 // transfer starts the leadership transfer once the lease has expired and no membership change
-// is pending. It reports whether the
-// replica must end as the leader, as there is no target or the transfer failed.
+// is pending. It reports whether the replica must end as the leader, as there is no target or
+// the transfer failed.
 func (s *shutdown) transfer(n *Node) bool {
 	if s.transferred {
 		return !n.raft.Transferring()
@@ -70,7 +70,7 @@
 
 // leave makes the replica of an open group leave it and reports whether that has ended.
 func (s *shutdown) leave(ctx context.Context, n *Node) bool {
-	if !n.OpenMembership {
+	if !n.OpenMembership || !n.raft.Membership().Contains(n.raft.ID()) {
 		return true
 	}
 	if s.left == nil {
