Let the target of a leadership transfer wait for its votes

Callers saw: with a leader that stops right after its successor has joined, no leader for 1.5 s, and reads and orders answered 503.

Cause: the target of a transfer repeated its campaign after 0.3 to 0.55 s. A control VM that has just joined has no connections yet to the voters that it asks, and their votes came later. All others then held their votes back for the rest of the election timeout.

Change: a campaign of a transfer lasts an election timeout.

--- a/internal/coordination/bfraft/election.go
+++ b/internal/coordination/bfraft/election.go
@@ -17,7 +17,13 @@
 
 // campaign requests pre-votes as a PreCandidate, or votes for a new term as a Candidate.
 func (r *Raft) campaign(role Role) {
-	r.resetRetryTimer()
+	if r.transferCampaign {
+		// The others hold their votes back from any other replica for an election timeout, so
+		// an earlier end of this campaign would gain nothing.
+		r.resetElectionTimer()
+	} else {
+		r.resetRetryTimer()
+	}
 	r.role, r.leader = role, ""
 	r.votes = map[string]bool{r.cfg.ID: true}
 	m := Message{Type: MsgPreVote, Term: r.term + 1, Index: r.log.last(), LogTerm: r.log.lastTerm()}
--- a/internal/coordination/bfraft/rules_test.go
+++ b/internal/coordination/bfraft/rules_test.go
@@ -297,3 +297,20 @@
 		t.Errorf("the second leader counts %d ticks of silence of a member that is back", got)
 	}
 }
+
+// TestTransferWaitsForVotes guards against a target of a leadership transfer that gives its
+// campaign up before the votes can arrive: a replica that has just joined has no connections
+// yet to the voters that it asks.
+func TestTransferWaitsForVotes(t *testing.T) {
+	r := newFollower(t, 2)
+	r.Step(Message{Type: MsgHeartbeat, From: "b/0", To: "a/0", Term: 2})
+	r.Step(Message{Type: MsgTimeoutNow, From: "b/0", To: "a/0", Term: 2})
+	campaign := r.Term()
+	for range r.cfg.ElectionTicks - 1 {
+		r.Tick()
+	}
+	r.Step(Message{Type: MsgVoteReply, From: "c/0", To: "a/0", Term: campaign})
+	if r.Role() != Leader || r.Term() != campaign {
+		t.Errorf("role %d in term %d after a vote of term %d, want the leader", r.Role(), r.Term(), campaign)
+	}
+}
