Keep a stopping replica running through an election

Cause: a stopping replica gave up after an election timeout without a leader, which is shorter than an election, or was elected again itself and ended as the leader. Both left it in the group as a voter.

Change: it goes on for three election timeouts without a leader, within a limit of four for the whole stop, and starts no elections itself. It still votes and accepts a transfer.

--- a/internal/coordination/bfraft/election.go
+++ b/internal/coordination/bfraft/election.go
@@ -15,6 +15,10 @@
 	return r.role != Leader && r.log.last() > 0 && slices.Contains(r.log.membership.Voters, r.cfg.ID)
 }
 
+// BePassive keeps a replica that is about to stop from starting elections. It still votes, and
+// accepts a leadership transfer.
+func (r *Raft) BePassive() { r.passive = true }
+
 // campaign requests pre-votes as a PreCandidate, or votes for a new term as a Candidate.
 func (r *Raft) campaign(role Role) {
 	if r.transferCampaign {
--- a/internal/coordination/bfraft/raft.go
+++ b/internal/coordination/bfraft/raft.go
@@ -26,6 +26,7 @@
 	heartbeatElapsed int // ticks since the last heartbeat round
 	votes            map[string]bool
 	transferCampaign bool // the current campaign is part of a leadership transfer
+	passive          bool // this replica campaigns only as the target of a leadership transfer
 
 	progress         map[string]*progress
 	heartbeatRound   uint64 // newest heartbeat round
@@ -99,7 +100,7 @@
 	if r.electionElapsed < r.electionTimeout {
 		return
 	}
-	if r.canCampaign() {
+	if r.canCampaign() && !r.passive {
 		r.transferCampaign = false
 		r.campaign(PreCandidate)
 	} else {
--- a/internal/coordination/bfreplica/stop.go
+++ b/internal/coordination/bfreplica/stop.go
@@ -9,8 +9,12 @@
 
 const (
 	// stopElectionTimeouts is the number of election timeouts within which a replica stops.
-	stopElectionTimeouts = 3
-	leaveRetryInterval   = 100 * time.Millisecond
+	stopElectionTimeouts = 4
+	// leaveElectionTimeouts is the number of election timeouts without a leader's reply after
+	// which a replica stops without its release. An election takes two of them, or a little
+	// more if votes are split.
+	leaveElectionTimeouts = 3
+	leaveRetryInterval    = 100 * time.Millisecond
 )
 
 // shutdown transfers leadership and leaves the group when the replica stops.
@@ -32,6 +36,7 @@
 	s.deadline = time.Now().Add(stopElectionTimeouts * n.ElectionTimeout)
 	n.lease.frozen = true
 	n.stopping = true
+	n.raft.BePassive()
 	if n.raft.Role() == bfraft.Leader {
 		n.proposeDueChange()
 	}
@@ -97,12 +102,12 @@
 	}
 }
 
-// leaveGroup tells the leader that this replica stops, until the leader has no further use
-// for it or no leader has replied for an election timeout.
+// leaveGroup tells the leader that this replica stops, until the leader releases it or no
+// leader has replied for too long.
 func (n *Node) leaveGroup(ctx context.Context) {
 	started := time.Now()
 	replied := started
-	for ctx.Err() == nil && time.Since(replied) < n.ElectionTimeout {
+	for ctx.Err() == nil && time.Since(replied) < leaveElectionTimeouts*n.ElectionTimeout {
 		info := n.Info()
 		if leader := VMOf(info.Leader); leader != "" && leader != n.VM {
 			mayStop, err := n.Discovery.Leave(ctx, leader, info.ID)
