Replace a control VM at the end of the soak and lose another disk

Change: after its random faults, the soak starts a further control VM, stops another one 2 s later and deletes the data of a third one 4.5 s after the start, while callers and operators go on.

--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -30,7 +30,11 @@
 	soakDuration = 12 * time.Second
 	// soakCatchUpTime is the assumed time until a control VM has caught up after a fault or
 	// a lost disk.
-	soakCatchUpTime    = 6 * time.Second
+	soakCatchUpTime = 6 * time.Second
+	// soakStopAfter is the time from the start of a control VM to the stop of the one that it
+	// replaces, and soakSuccessorTime that after which the latter no longer counts as lost.
+	soakStopAfter      = 2 * time.Second
+	soakSuccessorTime  = 4500 * time.Millisecond
 	soakMinServedShare = 0.95
 )
 
@@ -48,6 +52,8 @@
 	entries   []*soakVM
 	seedAddrs []netip.Addr
 	operator  *operator
+	// successor is the control VM that takes the place of another one after the random faults.
+	successor *soakVM
 	// faultsOver is set after the last fault. From then on ready backend servers are not
 	// replaced any more.
 	faultsOver atomic.Bool
@@ -69,7 +75,8 @@
 // that are killed, stopped, frozen or lose their disks; connections that are delayed,
 // reset, stalled or blocked; backend servers that start, crash, drain, say that they leave
 // or ask for a pause; and operators that send conflicting changes and evacuate failure
-// domains, withdraw that and order it again. BRIARFERRY_SOAK_SEED and BRIARFERRY_SOAK_COUNT select
+// domains, withdraw that and order it again; finally, a planned replacement of a control VM and
+// the loss of another one's disk. BRIARFERRY_SOAK_SEED and BRIARFERRY_SOAK_COUNT select
 // other seeds, BRIARFERRY_SOAK_FOR the time for which faults are injected, and
 // BRIARFERRY_SOAK_VMS the number of VMs.
 func TestSoak(t *testing.T) {
@@ -147,6 +154,7 @@
 	group.Go(func() { s.operator.readPeriodically(ctx) })
 	s.waitFor(ctx, "requests are served", func() bool { return s.servedShare(time.Second) >= soakMinServedShare })
 	s.injectFaults(ctx, stream(1), length)
+	s.replaceControlVM(ctx, stream(2))
 	s.checkRecovery(ctx, stopChanges)
 }
 
@@ -161,6 +169,8 @@
 			s.seedAddrs = append(s.seedAddrs, v.address)
 		}
 	}
+	s.successor = newSoakVM(t, dir, "control", controls, s.seedAddrs)
+	s.successor.writeSettings(s.seedAddrs, false)
 	for i := range max(3, vms-controls) {
 		s.entries = append(s.entries, newSoakVM(t, dir, "entry", i, s.seedAddrs))
 	}
@@ -312,6 +322,33 @@
 	}
 }
 
+// replaceControlVM waits until all control VMs have caught up and replaces one as planned by
+// one under a new address. As soon as the old one no longer counts as lost, another one loses
+// its disk.
+func (s *soak) replaceControlVM(ctx context.Context, r *rand.Rand) {
+	time.Sleep(soakCatchUpTime)
+	order := r.Perm(len(s.controls))
+	old, wiped := s.controls[order[0]], s.controls[order[1]]
+	s.t.Logf("%s %s: replaced, then %s: lost disk", time.Now().Format("15:04:05.000"), old.name, wiped.name)
+	var group sync.WaitGroup
+	s.runFault(&group, func() {
+		started := time.Now()
+		s.successor.start()
+		time.Sleep(soakStopAfter)
+		old.stop()
+		time.Sleep(time.Until(started.Add(soakSuccessorTime)))
+		wiped.kill()
+		wiped.wipe(s.seedAddrs)
+		wiped.start()
+		time.Sleep(soakCatchUpTime)
+	})
+	group.Wait()
+	s.waitFor(ctx, "the route table is read after the replacement", func() bool {
+		_, ok := s.operator.read(ctx)
+		return ok
+	})
+}
+
 // checkRecovery checks that requests are served and the latest confirmed route table is in
 // force within the limit after the last fault. stopChanges stops the operator's changes and
 // returns once the one in progress has ended.
