Log the home regions of tables and the regions and times of tries

Change: a control VM logs the routes whose homes a table changes, request lines have the homes, and for each try its region and start. The counter tries_outside_homes counts tries in a region that the newest table of the entry excludes; request lines of these are never sampled.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -54,6 +54,8 @@
 	// once.
 	Try struct {
 		Backend briarferry.Backend
+		// Region is the region of the server.
+		Region string
 		// Expected is the time after which the answer is expected.
 		Expected time.Duration
 		// Warm reports whether the server is expected to have the key in its cache. Load is
@@ -395,7 +397,7 @@
 	s.shift.record(now, srv.region)
 	key := r.key()
 	return &Try{
-		Backend: srv.backend(&v.config), Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.loadReportedAt),
+		Backend: srv.backend(&v.config), Region: srv.region, Expected: c.estimate, Warm: c.warm, Load: c.load + 1, LoadAge: now.Sub(srv.loadReportedAt),
 		steering: s, service: v, server: srv, model: m, key: key, network: c.network, started: now,
 		queued: c.load+1 > float64(srv.Slots), Measured: m.cold.samples >= minMeasuredSamples,
 		Reliable: srv.errorRate.get(now, errorHalfLife) <= reliableErrorRate, missClass: c.missClass,
--- a/internal/transport/bfcontrol/operator.go
+++ b/internal/transport/bfcontrol/operator.go
@@ -10,14 +10,19 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"briarferry"
 	"briarferry/internal/state/bffleet"
 )
 
-// maxSourceBytes is the size at which a stored source is cut off when it is decompressed.
-const maxSourceBytes = 64 << 20
+const (
+	// maxSourceBytes is the size at which a stored source is cut off when it is decompressed.
+	maxSourceBytes = 64 << 20
+	// maxHomesLogged limits the routes with other home regions that are logged for a table.
+	maxHomesLogged = 20
+)
 
 // PutRoutes replaces the route table if the current version is base. The source is the table
 // as the operator sent it, which Routes returns. Repeating an accepted change succeeds.
@@ -27,16 +32,39 @@
 		return err
 	}
 	digest := sha256.Sum256(fmt.Appendf(nil, "%d\n%s", base, source))
-	started := time.Now()
+	started, before := time.Now(), n.machine.State().Routes
 	r, err := n.propose(ctx, bffleet.Command{PutRoutes: &bffleet.PutRoutes{Base: base, Table: *table, Source: compressed, Digest: digest[:]}})
 	n.Log.Info().Err(err).Uint64("base", base).Uint64("version", table.Version).Int("routes", len(table.Routes)).Str("code", string(r.Code)).
 		Uint64("current", r.Version).Uint64("revision", r.Revision).Dur("took_ms", time.Since(started)).Msg("route table change requested")
 	if err != nil {
 		return err
 	}
+	if r.Code == bffleet.CodeOK {
+		n.logHomes(before, table)
+	}
 	return codeError(r.Code)
 }
 
+// logHomes logs the routes of the new table whose home regions differ from those before.
+func (n *Node) logHomes(before, table *briarferry.RouteTable) {
+	old := map[bffleet.RouteKey][]string{}
+	if before != nil {
+		for i := range before.Routes {
+			r := &before.Routes[i]
+			old[bffleet.RouteKey{Host: r.Host, Prefix: r.Prefix}] = r.HomeRegions
+		}
+	}
+	lines := 0
+	for i := range table.Routes {
+		r := &table.Routes[i]
+		from := old[bffleet.RouteKey{Host: r.Host, Prefix: r.Prefix}]
+		if !slices.Equal(from, r.HomeRegions) && lines < maxHomesLogged {
+			lines++
+			n.Log.Info().Uint64("version", table.Version).Str("route", r.Name).Strs("from", from).Strs("to", r.HomeRegions).Msg("home regions changed")
+		}
+	}
+}
+
 // Routes returns the source of the newest route table, as the operator sent it, and its
 // version, or nil and 0 if there is none. The read is linearizable: it fails unless a leader
 // confirms that no newer one exists.
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -78,8 +78,10 @@
 
 	// tryRecord describes a try in the request's log line.
 	tryRecord struct {
-		instance string
-		outcome  bfsteering.Outcome
+		instance, region string
+		outcome          bfsteering.Outcome
+		// after is the time from the arrival of the request to the start of the try.
+		after    time.Duration
 		took     time.Duration
 		expected time.Duration
 		load     float64
@@ -142,6 +144,7 @@
 	if err != nil {
 		return err
 	}
+	f.node.countOutsideHomes(f.call, try.Region)
 	f.avoid = append(f.avoid, try.Backend.InstanceID)
 	f.plannedRegion = try.PlannedRegion
 	f.tries = append(f.tries, try)
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tries = append(c.tries, tryRecord{
-		instance: t.Backend.InstanceID, outcome: o, took: took, expected: t.Expected,
+		instance: t.Backend.InstanceID, region: t.Region, outcome: o, after: t.Started().Sub(c.received), took: took, expected: t.Expected,
 		load: t.Load, loadAge: t.LoadAge, warm: t.Warm, left: t.LeaveReason,
 	})
 }
@@ -118,7 +118,7 @@
 	c.mu.Lock()
 	tries := c.tries
 	c.mu.Unlock()
-	ordinary := r == nil && status < 300 && !late && len(tries) == 1 && result == "answered"
+	ordinary := r == nil && status < 300 && !late && len(tries) == 1 && result == "answered" && !c.leftHomes.Load()
 	if !n.logSampler.allow(ordinary) {
 		return
 	}
@@ -140,9 +140,15 @@
 		line = line.Str("fastest", s.Instance).Dur("estimate_ms", s.Estimate).Dur("limit_ms", s.Limit).Float64("load", s.Load).
 			Dur("load_age_ms", min(s.LoadAge, maxLoadAge)).Int("candidates", s.Candidates)
 	}
+	if homes := c.homeRegions(); len(homes) > 0 {
+		line = line.Strs("homes", homes)
+	}
+	if c.leftHomes.Load() {
+		line = line.Uint64("newest_version", n.routes.Load().Version)
+	}
 	list := zerolog.Arr()
 	for _, t := range tries {
-		try := zerolog.Dict().Str("instance", t.instance).Str("outcome", string(t.outcome)).Dur("took_ms", t.took).
+		try := zerolog.Dict().Str("instance", t.instance).Str("region", t.region).Str("outcome", string(t.outcome)).Dur("after_ms", t.after).Dur("took_ms", t.took).
 			Dur("expected_ms", t.expected).Float64("load", t.load).Dur("load_age_ms", min(t.loadAge, maxLoadAge)).Bool("warm", t.warm)
 		if t.left != "" {
 			try = try.Str("left_region", string(t.left))
