Check a request's home regions at each try and before its first byte

What callers saw: a request that was read before a change of its route's home regions ran in a region that was no home any more. The entry bound it to its route once, when its head was read; retries, hedges, waits for a token or a lock and connections that open slowly came after that.

Cause: a permission that was checked once and used later.

Change: the home regions of the request's route and organisation in the newest table apply beside those that it was bound to, at each choice of a server and before the first byte. Where they have no region in common, the request is refused at once: 503, not run, Retry-After 0.1 s, unless a server may have run it. The counter refused_after_homes_changed replaces tries_outside_homes, as such tries can't begin any more.

--- a/internal/coordination/bfsteering/plan.go
+++ b/internal/coordination/bfsteering/plan.go
@@ -107,8 +107,7 @@
 // plannable reports whether the plan may place the request. Requests that are bound to regions
 // have no other place, and large bodies cost too much between regions.
 func (r *Request) plannable() bool {
-	bound := len(r.Route.HomeRegions) > 0 || r.Organisation != nil && len(r.Organisation.HomeRegions) > 0
-	return !bound && !r.Route.LargeAnswers && !r.Route.LargeBodies
+	return !r.HasHomes() && !r.Route.LargeAnswers && !r.Route.LargeBodies
 }
 
 // place returns the number from 0 to 1 that determines to which region requests with the key
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -83,7 +83,12 @@
 		Route *briarferry.Route
 		// Organisation is that of the caller; nil means an anonymous caller.
 		Organisation *briarferry.Organisation
-		Service      string
+		// CurrentRoute and CurrentOrganisation are those of the newest route table. Their home
+		// regions apply too, as they may have changed since the request was bound to Route.
+		// They are nil if the table has none.
+		CurrentRoute        *briarferry.Route
+		CurrentOrganisation *briarferry.Organisation
+		Service             string
 		// Key names the object that the request concerns; it may be empty.
 		Key string
 		// Remaining is the time left until the request must be answered.
@@ -123,9 +128,35 @@
 )
 
 // ServesIn reports whether servers in the region may handle the request: the home regions of
-// its route and of its organisation both apply.
+// its route and of its organisation both apply, as it was bound to them and as they are now.
 func (r *Request) ServesIn(region string) bool {
-	return r.Route.ServesIn(region) && r.Organisation.ServesIn(region)
+	return r.Route.ServesIn(region) && r.Organisation.ServesIn(region) &&
+		(r.CurrentRoute == nil || r.CurrentRoute.ServesIn(region)) && r.CurrentOrganisation.ServesIn(region)
+}
+
+// HasHomes reports whether only some regions may handle the request.
+func (r *Request) HasHomes() bool {
+	return len(r.Route.HomeRegions) > 0 || r.CurrentRoute != nil && len(r.CurrentRoute.HomeRegions) > 0 ||
+		r.Organisation.HasHomes() || r.CurrentOrganisation.HasHomes()
+}
+
+// HasRegion reports whether any region may handle the request: no homes are set, or they have
+// a region in common.
+func (r *Request) HasRegion() bool {
+	if !r.HasHomes() {
+		return true
+	}
+	homes := r.Route.HomeRegions
+	switch {
+	case len(homes) > 0:
+	case r.Organisation.HasHomes():
+		homes = r.Organisation.HomeRegions
+	case r.CurrentRoute != nil && len(r.CurrentRoute.HomeRegions) > 0:
+		homes = r.CurrentRoute.HomeRegions
+	default:
+		homes = r.CurrentOrganisation.HomeRegions
+	}
+	return slices.ContainsFunc(homes, r.ServesIn)
 }
 
 // Urgency returns the request's urgency: that of its organisation, or else of its route.
--- a/internal/transport/bfgateway/forward.go
+++ b/internal/transport/bfgateway/forward.go
@@ -134,17 +134,14 @@
 	if err := f.rewindUpload(); err != nil {
 		return err
 	}
-	now := time.Now()
-	try, err := f.node.steering.Choose(now, bfsteering.Request{
-		Route: f.call.route.Route, Organisation: f.call.organisation, Service: f.call.service, Key: f.call.affinityKey,
-		Remaining: f.node.timeForTry(time.Until(f.call.request.Deadline)), Avoid: f.avoid, Retry: f.sent > 0, OnTimeOnly: hedge,
-		StreamedBytes: f.call.streamedBytes(),
-		PlannedRegion: f.plannedRegion,
-	})
+	r := f.steeringRequest(hedge)
+	if err := f.node.checkHomes(&r); err != nil {
+		return err
+	}
+	try, err := f.node.steering.Choose(time.Now(), r)
 	if err != nil {
 		return err
 	}
-	f.node.countOutsideHomes(f.call, try.Region)
 	f.avoid = append(f.avoid, try.Backend.InstanceID)
 	f.plannedRegion = try.PlannedRegion
 	f.tries = append(f.tries, try)
@@ -154,6 +151,7 @@
 	a := &attempt{cancel: cancel, ended: make(chan struct{})}
 	f.attempts = append(f.attempts, a)
 	request := *f.call.request
+	request.MaySend = func() bool { return f.node.mayRunIn(f.call, try.Region) }
 	// An incomplete answer can't be replaced by that of another server once it is streamed,
 	// so only answers of reliable servers are.
 	if f.call.route.LargeAnswers && try.Reliable && request.Stream == nil {
@@ -169,6 +167,15 @@
 	return nil
 }
 
+// steeringRequest describes the request's next try.
+func (f *forwarder) steeringRequest(hedge bool) bfsteering.Request {
+	r := f.node.homesRequest(f.call)
+	r.Service, r.Key, r.StreamedBytes = f.call.service, f.call.affinityKey, f.call.streamedBytes()
+	r.Remaining = f.node.timeForTry(time.Until(f.call.request.Deadline))
+	r.Avoid, r.Retry, r.OnTimeOnly, r.PlannedRegion = f.avoid, f.sent > 0, hedge, f.plannedRegion
+	return r
+}
+
 // cancelAttempts cancels all attempts but the one whose answer is streamed, which ends with
 // the caller's request.
 func (f *forwarder) cancelAttempts() {
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -63,8 +63,6 @@
 	tryEnded <-chan struct{}
 	// leftBeforeDispatch is true if the caller had closed its connection before a try.
 	leftBeforeDispatch atomic.Bool
-	// leftHomes is true if a try began in a region that the newest route table excludes.
-	leftHomes atomic.Bool
 	// noServer is the reason why no server was chosen; it may be nil.
 	noServer *bfsteering.NoServerError
 	// upload is the body if it is sent to a server while it arrives, or nil.
--- a/internal/transport/bfgateway/homes.go
+++ b/internal/transport/bfgateway/homes.go
@@ -1,34 +1,49 @@
 package bfgateway
 
 import (
+	"net/http"
 	"strings"
+	"time"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfsteering"
 )
 
-// currentBinding returns the route and the organisation of the request in the newest route
-// table. The route is nil if the table has none for it any more.
-func (n *Node) currentBinding(c *call) (*briarferry.Route, *briarferry.Organisation) {
+// homesRetryAfter is the Retry-After of requests whose home regions have changed. A request that
+// comes again is bound to the newest route table.
+const homesRetryAfter = 100 * time.Millisecond
+
+// homesRequest returns what the home regions of the request depend on: its route and its
+// organisation, as it was bound to them and in the newest route table.
+func (n *Node) homesRequest(c *call) bfsteering.Request {
+	r := bfsteering.Request{Route: c.route.Route, Organisation: c.organisation}
 	table := n.routes.Load()
 	if table.Version == c.tableVersion {
-		return c.route.Route, c.organisation
+		return r
 	}
 	path, _, _ := strings.Cut(c.request.Target, "?")
-	organisation := table.Organisation(c.keys.only())
-	if r := table.Find(c.request.Host, path); r != nil {
-		return r.Route, organisation
+	if route := table.Find(c.request.Host, path); route != nil {
+		r.CurrentRoute = route.Route
 	}
-	return nil, organisation
+	r.CurrentOrganisation = table.Organisation(c.keys.only())
+	return r
 }
 
-// countOutsideHomes counts a try in a region that the newest route table excludes.
-func (n *Node) countOutsideHomes(c *call, region string) {
-	route, organisation := n.currentBinding(c)
-	if (route == nil || route.ServesIn(region)) && organisation.ServesIn(region) {
-		return
+// checkHomes returns a refusal if no region may handle the request any more.
+func (n *Node) checkHomes(r *bfsteering.Request) error {
+	if r.HasRegion() {
+		return nil
+	}
+	counters.homesChanged.Add(1)
+	return &briarferry.Refusal{
+		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "the home regions of the request have changed", RetryAfter: homesRetryAfter,
 	}
-	c.leftHomes.Store(true)
-	counters.triesOutsideHomes.Add(1)
+}
+
+// mayRunIn reports whether the request may be sent to a server in the region now.
+func (n *Node) mayRunIn(c *call, region string) bool {
+	r := n.homesRequest(c)
+	return r.ServesIn(region)
 }
 
 // homeRegions returns the home regions of the request's route and of its organisation.
@@ -37,7 +52,7 @@
 		return nil
 	}
 	homes := c.route.HomeRegions
-	if c.organisation != nil && len(c.organisation.HomeRegions) > 0 {
+	if c.organisation.HasHomes() {
 		homes = append(homes[:len(homes):len(homes)], c.organisation.HomeRegions...)
 	}
 	return homes
--- /dev/null
+++ b/internal/transport/bfgateway/homes_test.go
@@ -0,0 +1,126 @@
+package bfgateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"briarferry"
+	"briarferry/internal/state/bffleet"
+)
+
+// homesEntry is an entry in region r with two servers in region r and two in region q. The route
+// "read" is bound to some of these regions.
+type homesEntry struct {
+	*testEntry
+	// inR and inQ count the requests that reached servers of each region.
+	inR, inQ atomic.Int64
+}
+
+// newHomesEntry starts the entry. Its servers handle the n-th request with the n-th behaviour.
+func newHomesEntry(t *testing.T, homes []string, behaviours ...behaviour) *homesEntry {
+	t.Helper()
+	h := &homesEntry{testEntry: newTestEntry(t, answer(200, "X-Signature"))}
+	h.node.Regions["b"] = "q"
+	var runs atomic.Int64
+	h.state.Servers = nil
+	for i, domain := range []string{"a", "a", "b", "b"} {
+		count := &h.inR
+		if domain == "b" {
+			count = &h.inQ
+		}
+		h.addServer(string(rune('0'+i)), domain, func(w http.ResponseWriter, r *http.Request) {
+			count.Add(1)
+			behaviours[min(int(runs.Add(1)), len(behaviours))-1](w, r)
+		})
+	}
+	h.setHomes(homes...)
+	return h
+}
+
+func (h *homesEntry) addServer(id, domain string, b behaviour) {
+	backend := httptest.NewServer(http.HandlerFunc(b))
+	h.t.Cleanup(backend.Close)
+	h.state.Servers = append(h.state.Servers, bffleet.Server{Instance: briarferry.Instance{
+		ID: "j-" + id, Service: "s", FailureDomain: domain, Slots: 8, Address: netip.MustParseAddrPort(backend.Listener.Addr().String()),
+	}})
+}
+
+// setHomes puts a table in force in which the route "read" has the home regions.
+func (h *homesEntry) setHomes(homes ...string) {
+	next := *h.state
+	table := *next.Routes
+	table.Version++
+	table.Routes = []briarferry.Route{route("read", true), route("order", false), route("chart", true)}
+	table.Routes[0].HomeRegions = homes
+	next.Routes = &table
+	next.Revision++
+	h.state = &next
+	h.node.update(h.state)
+}
+
+// TestRetryOutsideNewHomes guards against a retry in a region that stopped being a home of the
+// route after the request had come.
+func TestRetryOutsideNewHomes(t *testing.T) {
+	cases := []struct {
+		name        string
+		first       behaviour
+		before, now []string
+		status      int
+		outcome     briarferry.Outcome
+		inR, inQ    int64
+	}{
+		{"homes swapped, first server lost", abortConnection, []string{"q"}, []string{"r"}, 502, briarferry.OutcomeUnknown, 0, 1},
+		{"homes swapped, first server full", answer(503, "X-Not-Run"), []string{"q"}, []string{"r"}, 503, briarferry.OutcomeNotRun, 0, 1},
+		{"one home of two left", answer(503, "X-Not-Run"), []string{"q", "r"}, []string{"q"}, 200, "", 1, 1},
+		{"home added", answer(503, "X-Not-Run"), []string{"q"}, []string{"q", "r"}, 200, "", 0, 2},
+		{"bound to its own region", answer(503, "X-Not-Run"), nil, []string{"r"}, 200, "", 2, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var h *homesEntry
+			h = newHomesEntry(t, c.before, func(w http.ResponseWriter, r *http.Request) {
+				h.setHomes(c.now...)
+				c.first(w, r)
+			}, answer(200, "X-Signature"))
+			got, err := h.send(t.Context(), "/read/1", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.status != c.status || got.problem.Outcome != c.outcome {
+				t.Errorf("status %d (%s), want %d (%s)", got.status, got.problem.Outcome, c.status, c.outcome)
+			}
+			if r, q := h.inR.Load(), h.inQ.Load(); r != c.inR || q != c.inQ {
+				t.Errorf("%d requests reached region r and %d region q, want %d and %d", r, q, c.inR, c.inQ)
+			}
+		})
+	}
+}
+
+// TestSentOutsideNewHomes guards against sending a request, once its connection is open, to a
+// region that stopped being a home of the route meanwhile.
+func TestSentOutsideNewHomes(t *testing.T) {
+	h := newHomesEntry(t, []string{"q"}, answer(200, "X-Signature"))
+	var opened atomic.Int64
+	h.node.upstream.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		if opened.Add(1) == 1 {
+			h.setHomes("r")
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", to.String())
+	}
+	got, err := h.send(t.Context(), "/read/1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.status != http.StatusServiceUnavailable || got.problem.Outcome != briarferry.OutcomeNotRun {
+		t.Errorf("status %d (%s), want 503 (not_run)", got.status, got.problem.Outcome)
+	}
+	if r, q := h.inR.Load(), h.inQ.Load(); r+q != 0 {
+		t.Errorf("%d requests reached region r and %d region q, want none", r, q)
+	}
+}
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -22,7 +22,7 @@
 		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted expvar.Int
 		invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
-		quotaOwnerProbes, triesOutsideHomes                              expvar.Int
+		quotaOwnerProbes, homesChanged                                   expvar.Int
 		planReports                                                      expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
@@ -95,7 +95,7 @@
 		m.Set("plan_reports", &counters.planReports)
 		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
-		m.Set("tries_outside_homes", &counters.triesOutsideHomes)
+		m.Set("refused_after_homes_changed", &counters.homesChanged)
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
 		m.Set("refused_keys", &counters.keyRefusals)
--- a/internal/transport/bfgateway/request_log.go
+++ b/internal/transport/bfgateway/request_log.go
@@ -118,7 +118,7 @@
 	c.mu.Lock()
 	tries := c.tries
 	c.mu.Unlock()
-	ordinary := r == nil && status < 300 && !late && len(tries) == 1 && result == "answered" && !c.leftHomes.Load()
+	ordinary := r == nil && status < 300 && !late && len(tries) == 1 && result == "answered"
 	if !n.logSampler.allow(ordinary) {
 		return
 	}
@@ -143,9 +143,6 @@
 	if homes := c.homeRegions(); len(homes) > 0 {
 		line = line.Strs("homes", homes)
 	}
-	if c.leftHomes.Load() {
-		line = line.Uint64("newest_version", n.routes.Load().Version)
-	}
 	list := zerolog.Arr()
 	for _, t := range tries {
 		try := zerolog.Dict().Str("instance", t.instance).Str("region", t.region).Str("outcome", string(t.outcome)).Dur("after_ms", t.after).Dur("took_ms", t.took).
--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -109,7 +109,7 @@
 	if r.CallerLeft != nil && r.CallerLeft() {
 		return ErrCallerLeft
 	}
-	if c.MayUse != nil && !c.MayUse(b) {
+	if c.MayUse != nil && !c.MayUse(b) || r.MaySend != nil && !r.MaySend() {
 		return ErrWithdrawn
 	}
 	return nil
--- a/organisation.go
+++ b/organisation.go
@@ -70,16 +70,19 @@
 // Limited reports whether the quota sets a limit.
 func (q Quota) Limited() bool { return q.Rate > 0 }
 
+// HasHomes reports whether the organisation has home regions. For nil, it has none.
+func (o *Organisation) HasHomes() bool { return o != nil && len(o.HomeRegions) > 0 }
+
 // ServesIn reports whether servers in the region may handle the organisation's requests. For
 // nil, the requests of anonymous callers, every region may.
 func (o *Organisation) ServesIn(region string) bool {
-	return o == nil || len(o.HomeRegions) == 0 || slices.Contains(o.HomeRegions, region)
+	return !o.HasHomes() || slices.Contains(o.HomeRegions, region)
 }
 
 // SharesRegion reports whether the home regions leave a region in which the organisation's
 // requests on the route may run.
 func (o *Organisation) SharesRegion(r *Route) bool {
-	return o == nil || len(o.HomeRegions) == 0 || len(r.HomeRegions) == 0 || slices.ContainsFunc(o.HomeRegions, r.ServesIn)
+	return !o.HasHomes() || len(r.HomeRegions) == 0 || slices.ContainsFunc(o.HomeRegions, r.ServesIn)
 }
 
 // UrgencyOn returns the urgency of the organisation's requests on the route.
--- a/request.go
+++ b/request.go
@@ -59,6 +59,9 @@
 		OnHead func(*Answer)
 		// CallerLeft, if set, reports whether the caller no longer waits for the answer.
 		CallerLeft func() bool
+		// MaySend, if set, reports whether the request may still be sent to the chosen server.
+		// It is asked before the first byte.
+		MaySend func() bool
 	}
 
 	// BodyStream is a request's body that is sent to a server while it arrives from the
