Use home regions only while the leader confirms the route table

What callers saw: requests ran in regions that were no homes any more, at entries that were cut off, frozen, or started again beside control VMs that had not caught up.

Cause: a permission without an end. Nothing bounds the age of an entry's route table. A control VM that starts again announces the state that it had when it last wrote its commit index, and an entry that starts at the same time takes it.

Change: while a table has homes, the leader confirms with a majority every 300 ms that its table is the newest, and says so in a new datagram that answers the heartbeats of entries. Without a confirmation of the last 2.25 s, counted from the entry's own question by a clock that includes suspensions, an entry refuses requests with homes (503, not run) and serves all others. Counters and a log line show it. Control VMs of earlier versions don't confirm, and their entries go on as before.

--- a/internal/protocol/bfwire/fleet.go
+++ b/internal/protocol/bfwire/fleet.go
@@ -71,6 +71,9 @@
 	FleetReply struct {
 		Update  bffleet.Update `cbor:"1,keyasint"`
 		Entries []EntryInfo    `cbor:"2,keyasint,omitempty"`
+		// ConfirmsTables is true if the control VM sends TableConfirmations. Those of earlier
+		// versions don't.
+		ConfirmsTables bool `cbor:"3,keyasint,omitempty"`
 	}
 
 	// FleetChange carries an encoded bffleet.Command to the leader.
--- a/internal/protocol/bfwire/gossip.go
+++ b/internal/protocol/bfwire/gossip.go
@@ -209,6 +209,8 @@
 		m = new(PlanReport)
 	case KindPlanReply:
 		m = new(PlanReply)
+	case KindTableConfirmation:
+		m = new(TableConfirmation)
 	default:
 		return nil, ErrUnknownKind
 	}
@@ -244,6 +246,8 @@
 		return KindPlanReport, nil
 	case *PlanReply:
 		return KindPlanReply, nil
+	case *TableConfirmation:
+		return KindTableConfirmation, nil
 	}
 	return 0, ErrUnknownKind
 }
--- a/internal/protocol/bfwire/gossip_test.go
+++ b/internal/protocol/bfwire/gossip_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"testing"
+	"time"
 
 	"briarferry/internal/coordination/bfmember"
 	"briarferry/internal/coordination/bfquota"
@@ -28,6 +29,7 @@
 		&bfquota.Report{Entry: "e1", Incarnation: 7, Sequence: 9, Term: 3, ReplyTo: addr, Items: []bfquota.Demand{{Key: 1 << 63, Born: 2, Ack: 8, RateMilli: 1500, Share: 40_000, Spent: 6, Returned: 1, Held: 1, Waiting: 2, Ahead: 1}}},
 		&bfquota.Grant{Sequence: 9, Owner: addr.Addr(), Term: 3, Items: []bfquota.Granted{{Key: 1 << 63, Share: 40_000, Rate: 12.5, Burst: 12.5, Tokens: 2, Keep: 1, TokenMillis: 1000, RetryMillis: 80}}},
 		planReport(2), planReply(2),
+		&TableConfirmation{EchoSequence: 3, Version: 4, Age: 250 * time.Millisecond},
 	}
 }
 
@@ -54,6 +56,7 @@
 		}
 	}
 	for _, m := range []any{&Pull{}, &bfslot.Request{From: "e1"}, &bfslot.Grant{From: "e1", To: "e2"}, &Heartbeat{}, &Page{From: "?"}, &PlanReport{Entry: "e1"}, &PlanReply{Part: 1},
+		&TableConfirmation{}, &TableConfirmation{Version: 1, Age: -1},
 		&bfquota.Report{Entry: "e1", Sequence: 1}, &bfquota.Grant{Items: []bfquota.Granted{{Rate: -1}}}, &bfquota.Grant{Items: make([]bfquota.Granted, bfquota.MaxItems+1)}} {
 		data, _ := Encode(m)
 		if _, err := Decode(data); err == nil {
--- a/internal/transport/bfcontrol/metrics.go
+++ b/internal/transport/bfcontrol/metrics.go
@@ -11,6 +11,8 @@
 		// quotaLimited is the number of organisations that are limited now.
 		quotaReports, quotaRedirects, quotaTokens, quotaLimited expvar.Int
 		planReports, planReportsIgnored                         expvar.Int
+		// unconfirmedTables counts the confirmations of the route table that failed.
+		unconfirmedTables expvar.Int
 	}
 	publishOnce sync.Once
 )
@@ -30,6 +32,7 @@
 		m.Set("quota_single_tokens", &counters.quotaTokens)
 		m.Set("quota_limited_organisations", &counters.quotaLimited)
 		m.Set("quotas", expvar.Func(n.quotas.metrics))
+		m.Set("unconfirmed_tables", &counters.unconfirmedTables)
 		m.Set("plan_reports", &counters.planReports)
 		m.Set("plan_reports_ignored", &counters.planReportsIgnored)
 		m.Set("plan", expvar.Func(func() any { return n.plan.status() }))
--- a/internal/transport/bfcontrol/node.go
+++ b/internal/transport/bfcontrol/node.go
@@ -80,6 +80,7 @@
 		clients    fleetClients
 		homes      homeHosts
 		quotas     *quotaOwner
+		confirmer  tableConfirmer
 		plan       planState
 	}
 )
@@ -148,6 +149,7 @@
 	group.Go(func() error { n.expireLoop(runCtx); return nil })
 	group.Go(func() error { n.quotas.run(runCtx); return nil })
 	group.Go(func() error { n.planLoop(runCtx); return nil })
+	group.Go(func() error { n.confirmLoop(runCtx); return nil })
 	err = n.replica.Run(ctx)
 	n.Log.Info().Err(err).Msg("stopping control VM")
 	cancel()
@@ -226,6 +228,7 @@
 		if data, ok := n.encodeHeartbeat(heartbeat.Sequence); ok {
 			n.gossip.Send(heartbeat.Entry.Gossip, data)
 		}
+		n.sendConfirmation(heartbeat)
 	}
 }
 
--- a/internal/transport/bfcontrol/propose.go
+++ b/internal/transport/bfcontrol/propose.go
@@ -143,7 +143,7 @@
 
 // Query returns the changes since an entry's revision and, if asked for, the live entries.
 func (n *Node) Query(_ context.Context, q *bfwire.FleetQuery) (*bfwire.FleetReply, error) {
-	reply := &bfwire.FleetReply{Update: *n.machine.State().UpdateSince(q.Revision, q.AcceptsRouteChange)}
+	reply := &bfwire.FleetReply{Update: *n.machine.State().UpdateSince(q.Revision, q.AcceptsRouteChange), ConfirmsTables: true}
 	if q.IncludeEntries {
 		reply.Entries = n.entries.live(time.Now())
 	}
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -14,8 +14,10 @@
 
 	"briarferry"
 	"briarferry/internal/coordination/bfquota"
+	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
+	"briarferry/internal/transport/bfclock"
 	"briarferry/internal/transport/bfgossip"
 	"briarferry/internal/transport/bfrpc"
 )
@@ -61,6 +63,10 @@
 		log     zerolog.Logger
 		// onPlan is called with each reply about the plan of regions.
 		onPlan func(now time.Time, r *bfwire.PlanReply)
+		// confirmations tell whether the route table is known to be the newest, by the clock,
+		// which also counts the suspension of the VM.
+		confirmations bfroute.Confirmations
+		clock         func() time.Duration
 
 		gossip *bfgossip.UDPNetwork
 		client *http.Client
@@ -79,8 +85,10 @@
 
 		mu       sync.Mutex
 		sequence uint64
+		// tableUnconfirmed is true while the log says that the route table isn't confirmed.
+		tableUnconfirmed bool
 		// sentAt holds the send times of recent heartbeats by their sequence.
-		sentAt   map[uint64]time.Time
+		sentAt   map[uint64]sendTime
 		controls map[netip.AddrPort]*controlState
 		// controlAddrs holds the addresses of the control VMs according to the last
 		// heartbeat that listed them.
@@ -101,6 +109,12 @@
 		lastFailure time.Time
 	}
 
+	// sendTime is when a heartbeat was sent, by the runtime's clock and by fleetSync.clock.
+	sendTime struct {
+		wall  time.Time
+		clock time.Duration
+	}
+
 	// announcedState is what a control VM had according to its heartbeats when it was chosen
 	// for a fetch.
 	announcedState struct {
@@ -117,7 +131,10 @@
 	f.state.Store(&bffleet.State{})
 	f.live.Store(&[]briarferry.VM{f.self.VM()})
 	f.fetchNow, f.heartbeatNow = make(chan struct{}, signalBuffer), make(chan struct{}, signalBuffer)
-	f.sentAt = map[uint64]time.Time{}
+	f.sentAt = map[uint64]sendTime{}
+	if f.clock == nil {
+		f.clock = bfclock.SinceBoot
+	}
 	f.controls = map[netip.AddrPort]*controlState{}
 	f.client = bfrpc.NewFleetClient()
 }
@@ -166,10 +183,11 @@
 	f.mu.Lock()
 	f.sequence++
 	sequence := f.sequence
-	f.sentAt[sequence] = now
+	f.sentAt[sequence] = sendTime{wall: now, clock: f.clock()}
 	delete(f.sentAt, sequence-16)
 	targets := slices.Concat(f.seeds(), f.controlAddrs)
 	f.markLost(now)
+	f.logConfirmation()
 	f.mu.Unlock()
 	data, err := bfwire.Encode(&bfwire.EntryHeartbeat{Entry: f.self, Ready: f.isReady(), Revision: f.state.Load().Revision, Sequence: sequence, Load: f.linkUtilization(now)})
 	if err != nil {
@@ -207,6 +225,10 @@
 		f.onPlan(time.Now(), r)
 		return
 	}
+	if c, ok := m.(*bfwire.TableConfirmation); ok {
+		f.confirm(c)
+		return
+	}
 	b, ok := m.(*bfwire.ControlHeartbeat)
 	if !ok {
 		counters.badDatagrams.Add(1)
@@ -225,7 +247,7 @@
 	// Datagrams may arrive out of order, but a control VM's revision never decreases.
 	c.revision, c.entriesDigest = max(c.revision, b.Revision), b.EntriesDigest
 	if at, ok := f.sentAt[b.EchoSequence]; ok {
-		c.rtt = now.Sub(at)
+		c.rtt = now.Sub(at.wall)
 		if region := f.regions[b.FailureDomain]; region != "" {
 			f.onRTT(region, c.rtt)
 		}
@@ -271,6 +293,9 @@
 		return true
 	}
 	f.timeouts = 0
+	if reply.ConfirmsTables {
+		f.confirmations.Require()
+	}
 	next, newer := current.Apply(&reply.Update)
 	// A change of another table than this entry's can't be applied.
 	f.needsWholeTable = !newer && reply.Update.RouteChange != nil && reply.Update.Revision > current.Revision
--- a/internal/transport/bfgateway/homes.go
+++ b/internal/transport/bfgateway/homes.go
@@ -9,9 +9,14 @@
 	"briarferry/internal/coordination/bfsteering"
 )
 
-// homesRetryAfter is the Retry-After of requests whose home regions have changed. A request that
-// comes again is bound to the newest route table.
-const homesRetryAfter = 100 * time.Millisecond
+const (
+	// homesRetryAfter is the Retry-After of requests whose home regions have changed. A request
+	// that comes again is bound to the newest route table.
+	homesRetryAfter = 100 * time.Millisecond
+	// unconfirmedRetryAfter is the Retry-After of requests with home regions while the route
+	// table may not be the newest. It spans one heartbeat.
+	unconfirmedRetryAfter = heartbeatInterval
+)
 
 // homesRequest returns what the home regions of the request depend on: its route and its
 // organisation, as it was bound to them and in the newest route table.
@@ -29,8 +34,15 @@
 	return r
 }
 
-// checkHomes returns a refusal if no region may handle the request any more.
+// checkHomes returns a refusal if no region may handle the request any more, or if the request
+// has home regions and the entry can't tell whether they are the newest.
 func (n *Node) checkHomes(r *bfsteering.Request) error {
+	if !n.knowsHomes(r) {
+		counters.homesUnconfirmed.Add(1)
+		return &briarferry.Refusal{
+			Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun, Reason: "the entry can't tell whether its route table is the newest", RetryAfter: unconfirmedRetryAfter,
+		}
+	}
 	if r.HasRegion() {
 		return nil
 	}
@@ -43,7 +55,12 @@
 // mayRunIn reports whether the request may be sent to a server in the region now.
 func (n *Node) mayRunIn(c *call, region string) bool {
 	r := n.homesRequest(c)
-	return r.ServesIn(region)
+	return r.ServesIn(region) && n.knowsHomes(&r)
+}
+
+// knowsHomes reports whether the request has no home regions, or those of the newest table.
+func (n *Node) knowsHomes(r *bfsteering.Request) bool {
+	return !r.HasHomes() || n.fleet.confirmations.IsCurrent(n.fleet.clock())
 }
 
 // homeRegions returns the home regions of the request's route and of its organisation.
--- a/internal/transport/bfgateway/homes_test.go
+++ b/internal/transport/bfgateway/homes_test.go
@@ -8,8 +8,11 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfroute"
+	"briarferry/internal/protocol/bfwire"
 	"briarferry/internal/state/bffleet"
 )
 
@@ -124,3 +127,93 @@
 		t.Errorf("%d requests reached region r and %d region q, want none", r, q)
 	}
 }
+
+// useClock makes the entry take the time for confirmations of its table from the returned clock.
+func (h *homesEntry) useClock() *atomic.Int64 {
+	var now atomic.Int64
+	now.Store(int64(time.Minute))
+	h.node.fleet.clock = func() time.Duration { return time.Duration(now.Load()) }
+	return &now
+}
+
+// TestHomesOfUnconfirmedTable guards against an entry that is cut off from the control VMs, frozen
+// or just restarted, and runs requests in the home regions of an outdated table.
+func TestHomesOfUnconfirmedTable(t *testing.T) {
+	h := newHomesEntry(t, []string{"q"}, answer(200, "X-Signature"))
+	now := h.useClock()
+	f := h.node.fleet
+	steps := []struct {
+		name          string
+		before        func()
+		bound, others int
+	}{
+		{"control VMs confirm nothing", func() {}, 200, 200},
+		{"restarted, not confirmed yet", func() { f.confirmations.Require() }, 503, 200},
+		{"confirmed", func() { f.confirmations.Confirm(h.state.RoutesVersion(), f.clock()) }, 200, 200},
+		{"almost too old", func() { now.Add(int64(bfroute.MaxConfirmationAge)) }, 200, 200},
+		{"cut off or frozen", func() { now.Add(1) }, 503, 200},
+		{"a newer table is confirmed", func() { f.confirmations.Confirm(h.state.RoutesVersion()+1, f.clock()) }, 503, 200},
+		{"newer table in use", func() { h.setHomes("r") }, 200, 200},
+	}
+	for _, s := range steps {
+		s.before()
+		for path, want := range map[string]int{"/read/1": s.bound, "/order/1": s.others} {
+			ran := h.inR.Load() + h.inQ.Load()
+			got, err := h.send(t.Context(), path, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.status != want {
+				t.Errorf("%s: %s has status %d, want %d (%s)", s.name, path, got.status, want, got.problem.Detail)
+			}
+			if reached := h.inR.Load()+h.inQ.Load() > ran; reached != (want == 200) {
+				t.Errorf("%s: %s reached a server: %v", s.name, path, reached)
+			}
+		}
+	}
+}
+
+// TestFrozenBeforeSending guards against an entry that chose a server, was frozen while the
+// connection opened, and sends the request although newer homes may be in force.
+func TestFrozenBeforeSending(t *testing.T) {
+	h := newHomesEntry(t, []string{"q"}, answer(200, "X-Signature"))
+	now := h.useClock()
+	h.node.fleet.confirmations.Confirm(h.state.RoutesVersion(), h.node.fleet.clock())
+	h.node.upstream.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		now.Add(int64(10 * time.Second))
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", to.String())
+	}
+	got, err := h.send(t.Context(), "/read/1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ran := h.inR.Load() + h.inQ.Load(); got.status != http.StatusServiceUnavailable || got.problem.Outcome != briarferry.OutcomeNotRun || ran != 0 {
+		t.Errorf("status %d (%s) and %d requests at servers, want 503 (not_run) and none", got.status, got.problem.Outcome, ran)
+	}
+}
+
+// TestConfirmationCountsFromQuestion guards against a confirmation that was delayed on its way and
+// makes a table look newer than it is known to be.
+func TestConfirmationCountsFromQuestion(t *testing.T) {
+	h := newHomesEntry(t, []string{"q"}, answer(200, "X-Signature"))
+	now := h.useClock()
+	f := h.node.fleet
+	f.sentAt[7] = sendTime{clock: f.clock()}
+	receive := func(sequence uint64, age time.Duration) {
+		data, err := bfwire.Encode(&bfwire.TableConfirmation{EchoSequence: sequence, Version: h.state.RoutesVersion(), Age: age})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.receive(data)
+	}
+	now.Add(int64(time.Second))
+	receive(8, 0)
+	if _, ok := f.confirmations.Age(f.clock()); ok {
+		t.Error("an answer to an unknown heartbeat confirmed the table")
+	}
+	receive(7, 500*time.Millisecond)
+	if age, _ := f.confirmations.Age(f.clock()); age != 1500*time.Millisecond {
+		t.Errorf("the confirmation is %v old, want 1.5s", age)
+	}
+}
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -22,7 +22,7 @@
 		badDatagrams, acceptErrors, hedges, hedgesDenied, streamsAborted expvar.Int
 		invalidLoads, invalidNotices, lateHeartbeats, leftBeforeDispatch expvar.Int
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
-		quotaOwnerProbes, homesChanged                                   expvar.Int
+		quotaOwnerProbes, homesChanged, homesUnconfirmed                 expvar.Int
 		planReports                                                      expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
@@ -96,6 +96,8 @@
 		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
 		m.Set("refused_after_homes_changed", &counters.homesChanged)
+		m.Set("refused_without_confirmation", &counters.homesUnconfirmed)
+		m.Set("table_confirmed_ms_ago", expvar.Func(n.fleet.confirmationAge))
 		m.Set("requests", expvar.Func(latencies.summary))
 		m.Set("left_before_dispatch", &counters.leftBeforeDispatch)
 		m.Set("refused_keys", &counters.keyRefusals)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -175,6 +175,7 @@
 			n.server.configure(n.listener.Addr(), s.Routes.Limits)
 			n.quotas.update(s.Routes)
 			n.routes.Store(bfroute.New(s.Routes))
+			n.fleet.confirmations.Use(s.Routes.Version)
 			if old == nil {
 				n.fleet.announce()
 			}
--- a/route.go
+++ b/route.go
@@ -221,6 +221,16 @@
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
 }
 
+// HasHomes reports whether a route or an organisation of the table has home regions. A nil table
+// has none.
+func (t *RouteTable) HasHomes() bool {
+	if t == nil {
+		return false
+	}
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.HomeRegions) > 0 }) ||
+		slices.ContainsFunc(t.Organisations, func(o Organisation) bool { return o.HasHomes() })
+}
+
 // Service returns the service with the given name.
 func (t *RouteTable) Service(name string) (RouteService, bool) {
 	for _, s := range t.Services {
