Name no entries outside the home regions of a host

Callers of a host with home regions were sent, with the bodies of their requests, to entries in regions that are neither a home nor their own.

Cause: where the caller's region had no ready entry, as during a restart of its entries, a look-up named the ready entries of all regions. The home regions of routes and organisations limited only the callers that are sent elsewhere because of busy links. A caller whose failure domain belongs to another region than the one it names got entries there too.

Change: the entries are limited to the caller's region and the homes of the host before any choice. A look-up names neither path nor organisation, so a region counts as a home only if it is one for every bound route of the host and every organisation with homes. Where none of these entries is ready the answer has no addresses, and the caller keeps the one it has. Busy links still move no callers of such a host between regions.

Tests: TestLookupOfBoundHost demanded the entries of both regions for a caller in a region without entries, although one of them was no home. It now demands the one in the home region, and still exact answers otherwise. TestSpillover and TestLookup pass the limits as a struct; their checks are unchanged. TestHomeHosts asks the struct. TestHostWithDifferentHomes, TestBoundHostDuringRestart and TestLookupsKeepHomes are new.

--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -171,8 +171,8 @@
 
 // lookup returns the entries for a caller in a failure domain: the ready ones there, or
 // else those of the region, or else all. If their links are busy, a share of the callers
-// is sent to other entries; regionOnly limits these to the caller's region.
-func (t *entryTable) lookup(now time.Time, region, domain string, regionOnly bool) []netip.AddrPort {
+// is sent to other entries. The answer has only entries that the limits of the host allow.
+func (t *entryTable) lookup(now time.Time, region, domain string, limits lookupLimits) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if region == "" {
@@ -185,7 +185,8 @@
 		}
 	}
 	t.spillover.step(now, ready)
-	if others := t.spillover.entries(ready, region, domain, regionOnly); len(others) > 0 {
+	ready = slices.DeleteFunc(ready, func(e *entryState) bool { return !limits.allow(region, e.info.Region) })
+	if others := t.spillover.entries(ready, region, domain, limits.bound); len(others) > 0 {
 		return others
 	}
 	return nearest(ready, region, domain)
--- a/internal/transport/bfcontrol/home_hosts.go
+++ b/internal/transport/bfcontrol/home_hosts.go
@@ -14,33 +14,67 @@
 
 	tableHomes struct {
 		table *briarferry.RouteTable
-		hosts map[string]bool
+		hosts map[string]lookupLimits
+	}
+
+	// lookupLimits says in which regions the entries for callers of a host may be.
+	lookupLimits struct {
+		// bound limits the entries to the caller's region and the homes.
+		bound bool
+		// homes are the regions that are homes for all requests to the host.
+		homes []string
 	}
 )
 
-// bound reports whether requests to the host may be limited to some regions, by a route of
-// the host or by the home regions of an organisation.
-func (h *homeHosts) bound(t *briarferry.RouteTable, host string) bool {
+// allow reports whether callers in a region may get entries of another one. An empty region
+// is unknown.
+func (l lookupLimits) allow(caller, entry string) bool {
+	return !l.bound || caller != "" && entry == caller || slices.Contains(l.homes, entry)
+}
+
+// within returns the limits with those of a route's or organisation's home regions added.
+func (l lookupLimits) within(homes []string) lookupLimits {
+	switch {
+	case len(homes) == 0:
+		return l
+	case !l.bound:
+		return lookupLimits{bound: true, homes: homes}
+	}
+	isOther := func(region string) bool { return !slices.Contains(homes, region) }
+	return lookupLimits{bound: true, homes: slices.DeleteFunc(slices.Clone(l.homes), isOther)}
+}
+
+// limits returns the limits of the host: by its routes, and by the home regions of
+// organisations.
+func (h *homeHosts) limits(t *briarferry.RouteTable, host string) lookupLimits {
 	if t == nil {
-		return false
+		return lookupLimits{}
 	}
 	homes := h.current.Load()
 	if homes == nil || homes.table != t {
-		homes = &tableHomes{table: t, hosts: boundHosts(t)}
+		homes = &tableHomes{table: t, hosts: hostLimits(t)}
 		h.current.Store(homes)
 	}
 	return homes.hosts[briarferry.HostName(host)]
 }
 
-// boundHosts returns the hosts of the table with home regions. Every organisation may use
-// every route, so one with home regions binds all hosts.
-func boundHosts(t *briarferry.RouteTable) map[string]bool {
-	all := slices.ContainsFunc(t.Organisations, func(o briarferry.Organisation) bool { return len(o.HomeRegions) > 0 })
-	hosts := map[string]bool{}
+// hostLimits returns the limits of the table's hosts. A look-up names neither the path nor the
+// organisation of the requests that follow, and every organisation may use every route. So a
+// region counts as a home of the host only if it is one for every route and organisation that
+// has any.
+func hostLimits(t *briarferry.RouteTable) map[string]lookupLimits {
+	var all lookupLimits
+	for i := range t.Organisations {
+		all = all.within(t.Organisations[i].HomeRegions)
+	}
+	hosts := map[string]lookupLimits{}
 	for i := range t.Routes {
-		if r := &t.Routes[i]; all || len(r.HomeRegions) > 0 {
-			hosts[briarferry.HostName(r.Host)] = true
+		name := briarferry.HostName(t.Routes[i].Host)
+		l, known := hosts[name]
+		if !known {
+			l = all
 		}
+		hosts[name] = l.within(t.Routes[i].HomeRegions)
 	}
 	return hosts
 }
--- a/internal/transport/bfcontrol/home_hosts_test.go
+++ b/internal/transport/bfcontrol/home_hosts_test.go
@@ -4,10 +4,15 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
 	"briarferry"
+	"briarferry/internal/protocol/bfwire"
 )
 
 // TestHomeHosts guards against callers that are sent to entries of other regions although
@@ -28,16 +33,46 @@
 		{table(nil, free, bound), true, true}, {table([]string{"r"}, free), true, false}, {table(nil), false, false},
 	} {
 		for host, want := range map[string]bool{"shop.example": c.shop, "SHOP.example:80": c.shop, "till.example": c.till, "none.example": false} {
-			if got := h.bound(c.table, host); got != want {
-				t.Errorf("table %d, %s: bound to regions %v, want %v", i, host, got, want)
+			if got := h.limits(c.table, host); got.bound != want {
+				t.Errorf("table %d, %s: bound to regions %v, want %v", i, host, got.bound, want)
 			}
 		}
 	}
 }
 
+// TestHostWithDifferentHomes guards against a region that counts as a home of a host although
+// one of its routes or an organisation may not use it.
+func TestHostWithDifferentHomes(t *testing.T) {
+	for _, c := range []struct {
+		routes, organisations [][]string
+		want                  []string
+	}{
+		{[][]string{{"p", "q"}}, nil, []string{"p", "q"}},
+		{[][]string{nil, {"p", "q"}}, nil, []string{"p", "q"}},
+		{[][]string{{"p", "q"}, {"q", "r"}}, nil, []string{"q"}},
+		{[][]string{{"p"}, {"q"}}, nil, nil},
+		{[][]string{{"p"}, {"q"}, {"p", "q"}}, nil, nil},
+		{[][]string{nil}, [][]string{{"p", "q"}, nil, {"q"}}, []string{"q"}},
+		{[][]string{{"p", "q"}}, [][]string{{"q", "r"}}, []string{"q"}},
+		{[][]string{{"p"}}, [][]string{{"r"}}, nil},
+	} {
+		table := &briarferry.RouteTable{}
+		for _, homes := range c.routes {
+			table.Routes = append(table.Routes, briarferry.Route{Host: "shop.example", HomeRegions: homes})
+		}
+		for _, homes := range c.organisations {
+			table.Organisations = append(table.Organisations, briarferry.Organisation{HomeRegions: homes})
+		}
+		var h homeHosts
+		if got := h.limits(table, "shop.example"); !got.bound || !slices.Equal(got.homes, c.want) {
+			t.Errorf("routes %v, organisations %v: %+v, want bound to %v", c.routes, c.organisations, got, c.want)
+		}
+	}
+}
+
 // TestLookupOfBoundHost guards against a look-up that names entries of other regions for a
-// host that an organisation with home regions may use, while the links of the region are busy,
-// and against one that names none where the region has no entry.
+// host that an organisation with home regions may use, while the links of the region are busy
+// or where the region has no entry.
 func TestLookupOfBoundHost(t *testing.T) {
 	n := newIdleNode(t)
 	near, far := testHeartbeat("one", "r", "a", 1, true), testHeartbeat("two", "q", "c", 1, true)
@@ -46,28 +81,118 @@
 	n.entries.heartbeat(time.Now(), far)
 	n.entries.spillover.randomFloat = func() float64 { return 0 }
 	for version, homes := range [][]string{nil, {"r"}} {
-		table := testTable(uint64(version) + 1)
+		table := boundTable(uint64(version)+1, nil)
 		table.KeySalt = bytes.Repeat([]byte{1}, briarferry.KeySaltBytes)
 		table.Organisations = []briarferry.Organisation{{Name: "one", HomeRegions: homes}}
-		table.Routes = []briarferry.Route{{
-			Name: "read", Host: "shop.example", Prefix: "/", Timeout: briarferry.Duration(time.Second), MaxAttempts: 1, Split: []briarferry.SplitPart{{Service: "s", Weight: 1}},
-		}}
 		applyTable(t, n, uint64(version), table)
-		want := far.Entry.HTTP
+		want, elsewhere := []netip.AddrPort{far.Entry.HTTP}, []netip.AddrPort{near.Entry.HTTP, far.Entry.HTTP}
 		if homes != nil {
-			want = near.Entry.HTTP
+			want, elsewhere = []netip.AddrPort{near.Entry.HTTP}, []netip.AddrPort{near.Entry.HTTP}
 		}
-		for caller, want := range map[string]netip.AddrPort{"a": want, "c": far.Entry.HTTP} {
-			if got, _ := n.Lookup("Shop.example", "", caller); len(got) != 1 || got[0] != want {
+		for caller, want := range map[string][]netip.AddrPort{"a": want, "c": {far.Entry.HTTP}, "none": elsewhere} {
+			if got, _ := n.Lookup("Shop.example", "", caller); !slices.Equal(got, want) {
 				t.Errorf("homes %v, caller in %s: %v, want %v", homes, caller, got, want)
 			}
 		}
-		if got, _ := n.Lookup("shop.example", "none", "none"); len(got) != 2 {
-			t.Errorf("homes %v, region without entries: %v, want both", homes, got)
+	}
+}
+
+// TestBoundHostDuringRestart guards against callers of a host with home regions that are sent
+// to a region which is neither a home nor their own while the entries of their region restart.
+func TestBoundHostDuringRestart(t *testing.T) {
+	n := newIdleNode(t)
+	applyTable(t, n, 0, boundTable(1, []string{"q"}))
+	own, home, other := placedHeartbeat(1, "r", "a"), placedHeartbeat(2, "q", "c"), placedHeartbeat(3, "p", "d")
+	for sequence, c := range []struct {
+		ownReady, homeReady bool
+		want                []netip.AddrPort
+	}{
+		{true, true, []netip.AddrPort{own.Entry.HTTP}}, {false, true, []netip.AddrPort{home.Entry.HTTP}}, {false, false, nil}, {true, false, []netip.AddrPort{own.Entry.HTTP}},
+	} {
+		own.Ready, home.Ready = c.ownReady, c.homeReady
+		for _, h := range []*bfwire.EntryHeartbeat{own, home, other} {
+			h.Sequence = uint64(sequence) + 1
+			n.entries.heartbeat(time.Now(), h)
+		}
+		// The failure domain of another region must not override the caller's region.
+		for _, domain := range []string{"a", "none", "d"} {
+			if got, _ := n.Lookup("shop.example", "r", domain); !slices.Equal(got, c.want) {
+				t.Errorf("own region ready %v, home ready %v, caller in %s: %v, want %v", c.ownReady, c.homeReady, domain, got, c.want)
+			}
 		}
 	}
 }
 
+// TestLookupsKeepHomes guards against any answer that names an entry in a region which is
+// neither the caller's nor a home of each request to the host, and against one without entries
+// where such a region has some.
+func TestLookupsKeepHomes(t *testing.T) {
+	regions := []string{"r0", "r1", "r2"}
+	rapid.Check(t, func(r *rapid.T) {
+		homes := rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 2, rapid.ID)
+		table := &briarferry.RouteTable{}
+		for range rapid.IntRange(1, 3).Draw(r, "routes") {
+			table.Routes = append(table.Routes, briarferry.Route{Host: "shop.example", HomeRegions: homes.Draw(r, "homes")})
+		}
+		for range rapid.IntRange(0, 2).Draw(r, "organisations") {
+			table.Organisations = append(table.Organisations, briarferry.Organisation{HomeRegions: homes.Draw(r, "homes of organisation")})
+		}
+		entries := &entryTable{regions: map[string]string{"r0-a": "r0", "r1-a": "r1", "r2-a": "r2"}, log: zerolog.Nop()}
+		entries.spillover.randomFloat = func() float64 { return rapid.Float64Range(0, 0.99).Draw(r, "draw") }
+		now, regionOf, hasReady := time.Unix(1000, 0), map[netip.AddrPort]string{}, map[string]bool{}
+		for second := range uint64(3) {
+			now = now.Add(stepInterval)
+			clear(hasReady)
+			for i, region := range regions {
+				h := placedHeartbeat(i, region, region+"-a")
+				h.Sequence, h.Load = second+1, rapid.SampledFrom([]float64{0.1, 0.9}).Draw(r, "utilization")
+				h.Ready = rapid.Bool().Draw(r, "ready")
+				regionOf[h.Entry.HTTP], hasReady[region] = region, h.Ready
+				entries.heartbeat(now, h)
+			}
+			caller := rapid.SampledFrom(append([]string{""}, regions...)).Draw(r, "caller")
+			var h homeHosts
+			got := entries.lookup(now, caller, caller+"-a", h.limits(table, "shop.example"))
+			for _, region := range regions {
+				if len(got) == 0 && hasReady[region] && mayServe(table, caller, region) {
+					r.Errorf("caller in %q: no entries, although %s has one; table %+v", caller, region, table)
+				}
+			}
+			for _, a := range got {
+				if !mayServe(table, caller, regionOf[a]) {
+					r.Errorf("caller in %q: entry in %s; table %+v", caller, regionOf[a], table)
+				}
+			}
+		}
+	})
+}
+
+// mayServe reports whether a region is the caller's or a home of every route and organisation
+// of the table.
+func mayServe(table *briarferry.RouteTable, caller, region string) bool {
+	isHome := func(homes []string) bool { return len(homes) == 0 || slices.Contains(homes, region) }
+	ofRoute := func(r briarferry.Route) bool { return !isHome(r.HomeRegions) }
+	ofOrganisation := func(o briarferry.Organisation) bool { return !isHome(o.HomeRegions) }
+	return region == caller || !slices.ContainsFunc(table.Routes, ofRoute) && !slices.ContainsFunc(table.Organisations, ofOrganisation)
+}
+
+// boundTable returns a table with one route of shop.example, which has the given homes.
+func boundTable(version uint64, homes []string) *briarferry.RouteTable {
+	table := testTable(version)
+	table.Routes = []briarferry.Route{{
+		Name: "read", Host: "shop.example", Prefix: "/", Timeout: briarferry.Duration(time.Second), MaxAttempts: 1, HomeRegions: homes,
+		Split: []briarferry.SplitPart{{Service: "s", Weight: 1}},
+	}}
+	return table
+}
+
+// placedHeartbeat returns the heartbeat of a ready entry in a region and failure domain.
+func placedHeartbeat(i int, region, domain string) *bfwire.EntryHeartbeat {
+	h := entryHeartbeat(i, 80, 1)
+	h.Entry.Region, h.Entry.FailureDomain = region, domain
+	return h
+}
+
 // BenchmarkHomeHosts shows that the time of a look-up doesn't grow with the routes and
 // organisations.
 func BenchmarkHomeHosts(b *testing.B) {
@@ -79,7 +204,7 @@
 		var h homeHosts
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				h.bound(t, "h7.example")
+				h.limits(t, "h7.example")
 			}
 		})
 	}
--- a/internal/transport/bfcontrol/node_test.go
+++ b/internal/transport/bfcontrol/node_test.go
@@ -170,7 +170,7 @@
 	check := func(what, region, domain string, at time.Time, want ...string) {
 		t.Helper()
 		var got []string
-		for _, a := range table.lookup(at, region, domain, false) {
+		for _, a := range table.lookup(at, region, domain, lookupLimits{}) {
 			got = append(got, a.String())
 		}
 		if !slices.Equal(got, want) {
--- a/internal/transport/bfcontrol/operator.go
+++ b/internal/transport/bfcontrol/operator.go
@@ -63,14 +63,15 @@
 }
 
 // Lookup returns the entries for a caller of the host in the region and failure domain,
-// and how long the caller may cache them.
+// and how long the caller may cache them. It returns none rather than entries that the home
+// regions of the host's requests exclude.
 func (n *Node) Lookup(host, region, domain string) ([]netip.AddrPort, time.Duration) {
 	counters.lookups.Add(1)
 	ttl := maxLookupTTL
 	if n.LookupTTL > 0 {
 		ttl = min(ttl, n.LookupTTL)
 	}
-	return n.entries.lookup(time.Now(), region, domain, n.homes.bound(n.machine.State().Routes, host)), ttl
+	return n.entries.lookup(time.Now(), region, domain, n.homes.limits(n.machine.State().Routes, host)), ttl
 }
 
 // HTTPStatus returns the HTTP status for an error of this package.
--- a/internal/transport/bfcontrol/spillover_test.go
+++ b/internal/transport/bfcontrol/spillover_test.go
@@ -38,7 +38,7 @@
 			sendHeartbeats()
 			out = map[string]int{}
 			for range 1000 {
-				list := table.lookup(now, "r1", "r1-a", regionOnly)
+				list := table.lookup(now, "r1", "r1-a", lookupLimits{bound: regionOnly})
 				out[names[list[0]]]++
 			}
 		}
