Name only entries of the caller's region for unknown hosts

A control VM without a route table sent callers of a host with home regions to entries in any region, and so did one whose table lacks the host.

Cause: a look-up without a table, and that of a host which the table doesn't have, counted as one of a host without home regions. A control VM has no table after its first start, with a new disk, and until its replica has read the files, as it answers calls before that. It may also lag behind the table that adds the host.

Change: such look-ups name entries of the caller's region only. Callers of other hosts still get these; without a ready one they get no addresses from this control VM, keep the answer that they have and ask the next one.

Tests: TestHomeHosts demanded the opposite without a table and for unknown hosts, so its cases change. TestLookupOfUnknownHost is new and also checks that a host without home regions still gets entries of other regions.

--- a/internal/transport/bfcontrol/home_hosts.go
+++ b/internal/transport/bfcontrol/home_hosts.go
@@ -45,17 +45,21 @@
 }
 
 // limits returns the limits of the host: by its routes, and by the home regions of
-// organisations.
+// organisations. Any region but the caller's may turn out to be none of the homes of a host
+// that the table doesn't have, or of all hosts if there is no table.
 func (h *homeHosts) limits(t *briarferry.RouteTable, host string) lookupLimits {
 	if t == nil {
-		return lookupLimits{}
+		return lookupLimits{bound: true}
 	}
 	homes := h.current.Load()
 	if homes == nil || homes.table != t {
 		homes = &tableHomes{table: t, hosts: hostLimits(t)}
 		h.current.Store(homes)
 	}
-	return homes.hosts[briarferry.HostName(host)]
+	if l, known := homes.hosts[briarferry.HostName(host)]; known {
+		return l
+	}
+	return lookupLimits{bound: true}
 }
 
 // hostLimits returns the limits of the table's hosts. A look-up names neither the path nor the
--- a/internal/transport/bfcontrol/home_hosts_test.go
+++ b/internal/transport/bfcontrol/home_hosts_test.go
@@ -29,10 +29,10 @@
 		table      *briarferry.RouteTable
 		shop, till bool
 	}{
-		{nil, false, false}, {table(nil), false, false}, {table([]string{"r"}), true, false}, {table(nil, free), false, false},
+		{nil, true, true}, {table(nil), false, false}, {table([]string{"r"}), true, false}, {table(nil, free), false, false},
 		{table(nil, free, bound), true, true}, {table([]string{"r"}, free), true, false}, {table(nil), false, false},
 	} {
-		for host, want := range map[string]bool{"shop.example": c.shop, "SHOP.example:80": c.shop, "till.example": c.till, "none.example": false} {
+		for host, want := range map[string]bool{"shop.example": c.shop, "SHOP.example:80": c.shop, "till.example": c.till, "none.example": true} {
 			if got := h.limits(c.table, host); got.bound != want {
 				t.Errorf("table %d, %s: bound to regions %v, want %v", i, host, got.bound, want)
 			}
@@ -123,6 +123,32 @@
 	}
 }
 
+// TestLookupOfUnknownHost guards against callers that are sent to another region by a control VM
+// which has no route table or one without the host, as the newest table may bind the host to
+// other regions, and against callers of other hosts that get no entries then.
+func TestLookupOfUnknownHost(t *testing.T) {
+	n := newIdleNode(t)
+	near, far := testHeartbeat("one", "r", "a", 0, true), testHeartbeat("two", "q", "c", 1, true)
+	near.Load = 1
+	n.entries.heartbeat(time.Now(), far)
+	n.entries.spillover.randomFloat = func() float64 { return 0 }
+	check := func(what, host string, ready bool, want ...netip.AddrPort) {
+		t.Helper()
+		near.Sequence, near.Ready = near.Sequence+1, ready
+		n.entries.heartbeat(time.Now(), near)
+		if got, _ := n.Lookup(host, "r", "a"); !slices.Equal(got, want) {
+			t.Errorf("%s, region ready %v: %v, want %v", what, ready, got, want)
+		}
+	}
+	check("no table", "shop.example", true, near.Entry.HTTP)
+	check("no table", "shop.example", false)
+	applyTable(t, n, 0, boundTable(1, nil))
+	check("host not in the table", "none.example", true, near.Entry.HTTP)
+	check("host not in the table", "none.example", false)
+	check("host without homes", "shop.example", true, far.Entry.HTTP)
+	check("host without homes", "shop.example", false, far.Entry.HTTP)
+}
+
 // TestLookupsKeepHomes guards against any answer that names an entry in a region which is
 // neither the caller's nor a home of each request to the host, and against one without entries
 // where such a region has some.
