Keep callers in their region while the route table is outdated

A control VM that lagged behind the others, had restarted or was cut off from them sent callers of a host to other regions although the table in force binds the host to regions.

Cause: look-ups took the control VM's own table, whatever its age. Nothing told the directory that a newer one was in force.

Change: the entries' heartbeats, which name the revision of the state that they have, tell it. While a live entry has a newer state than the control VM, answers name entries of the caller's region only, for all hosts: the homes that the outdated table names may have changed too. This needs no message and no round trip. After the loss of most control VMs no newer state can exist, so that ordinary hosts keep the entries of other regions.

--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -46,7 +46,9 @@
 		info  bfwire.EntryInfo
 		ready bool
 		// utilization is the share of its link's bandwidth that the entry uses.
-		utilization   float64
+		utilization float64
+		// revision is that of the fleet state that the entry has.
+		revision      uint64
 		sequence      uint64
 		lastHeartbeat time.Time
 		// expiryLogged is true once the entry's expiry was logged.
@@ -80,7 +82,7 @@
 	if e == nil || !t.isLive(now, e) || e.info.HTTP != b.Entry.HTTP {
 		t.liveDigestUntil = time.Time{}
 	}
-	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, utilization: b.Load, sequence: b.Sequence, lastHeartbeat: now}
+	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, utilization: b.Load, revision: b.Revision, sequence: b.Sequence, lastHeartbeat: now}
 	return true
 }
 
@@ -171,7 +173,8 @@
 
 // lookup returns the entries for a caller in a failure domain: the ready ones there, or
 // else those of the region, or else all. If their links are busy, a share of the callers
-// is sent to other entries. The answer has only entries that the limits of the host allow.
+// is sent to other entries. The answer has only entries that the limits of the host allow, and
+// only those of the caller's region if a live entry has a newer state than the limits.
 func (t *entryTable) lookup(now time.Time, region, domain string, limits lookupLimits) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,7 +183,13 @@
 	}
 	var ready []*entryState
 	for _, e := range t.entries {
-		if t.isLive(now, e) && e.ready {
+		if !t.isLive(now, e) {
+			continue
+		}
+		if e.revision > limits.revision {
+			limits = lookupLimits{bound: true, revision: limits.revision}
+		}
+		if e.ready {
 			ready = append(ready, e)
 		}
 	}
--- a/internal/transport/bfcontrol/home_hosts.go
+++ b/internal/transport/bfcontrol/home_hosts.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"briarferry"
+	"briarferry/internal/state/bffleet"
 )
 
 type (
@@ -23,6 +24,8 @@
 		bound bool
 		// homes are the regions that are homes for all requests to the host.
 		homes []string
+		// revision is that of the fleet state that the limits come from.
+		revision uint64
 	}
 )
 
@@ -36,30 +39,37 @@
 func (l lookupLimits) within(homes []string) lookupLimits {
 	switch {
 	case len(homes) == 0:
-		return l
 	case !l.bound:
-		return lookupLimits{bound: true, homes: homes}
+		l.bound, l.homes = true, homes
+	default:
+		isOther := func(region string) bool { return !slices.Contains(homes, region) }
+		l.homes = slices.DeleteFunc(slices.Clone(l.homes), isOther)
 	}
-	isOther := func(region string) bool { return !slices.Contains(homes, region) }
-	return lookupLimits{bound: true, homes: slices.DeleteFunc(slices.Clone(l.homes), isOther)}
+	return l
 }
 
 // limits returns the limits of the host: by its routes, and by the home regions of
 // organisations. Any region but the caller's may turn out to be none of the homes of a host
 // that the table doesn't have, or of all hosts if there is no table.
-func (h *homeHosts) limits(t *briarferry.RouteTable, host string) lookupLimits {
+func (h *homeHosts) limits(s *bffleet.State, host string) lookupLimits {
+	l, known := h.hosts(s.Routes)[briarferry.HostName(host)]
+	if !known {
+		l.bound = true
+	}
+	l.revision = s.Revision
+	return l
+}
+
+func (h *homeHosts) hosts(t *briarferry.RouteTable) map[string]lookupLimits {
 	if t == nil {
-		return lookupLimits{bound: true}
+		return nil
 	}
 	homes := h.current.Load()
 	if homes == nil || homes.table != t {
 		homes = &tableHomes{table: t, hosts: hostLimits(t)}
 		h.current.Store(homes)
 	}
-	if l, known := homes.hosts[briarferry.HostName(host)]; known {
-		return l
-	}
-	return lookupLimits{bound: true}
+	return homes.hosts
 }
 
 // hostLimits returns the limits of the table's hosts. A look-up names neither the path nor the
--- a/internal/transport/bfcontrol/home_hosts_test.go
+++ b/internal/transport/bfcontrol/home_hosts_test.go
@@ -13,6 +13,7 @@
 
 	"briarferry"
 	"briarferry/internal/protocol/bfwire"
+	"briarferry/internal/state/bffleet"
 )
 
 // TestHomeHosts guards against callers that are sent to entries of other regions although
@@ -33,7 +34,7 @@
 		{table(nil, free, bound), true, true}, {table([]string{"r"}, free), true, false}, {table(nil), false, false},
 	} {
 		for host, want := range map[string]bool{"shop.example": c.shop, "SHOP.example:80": c.shop, "till.example": c.till, "none.example": true} {
-			if got := h.limits(c.table, host); got.bound != want {
+			if got := h.limits(&bffleet.State{Routes: c.table}, host); got.bound != want {
 				t.Errorf("table %d, %s: bound to regions %v, want %v", i, host, got.bound, want)
 			}
 		}
@@ -64,7 +65,7 @@
 			table.Organisations = append(table.Organisations, briarferry.Organisation{HomeRegions: homes})
 		}
 		var h homeHosts
-		if got := h.limits(table, "shop.example"); !got.bound || !slices.Equal(got.homes, c.want) {
+		if got := h.limits(&bffleet.State{Routes: table}, "shop.example"); !got.bound || !slices.Equal(got.homes, c.want) {
 			t.Errorf("routes %v, organisations %v: %+v, want bound to %v", c.routes, c.organisations, got, c.want)
 		}
 	}
@@ -149,6 +150,48 @@
 	check("host without homes", "shop.example", false, far.Entry.HTTP)
 }
 
+// TestLookupWithOutdatedTable guards against callers that are sent to other regions by a control
+// VM which was cut off or has restarted, as its table doesn't know the home regions in force. An
+// entry that has expired or is no further than the control VM must not take other regions from
+// the callers.
+func TestLookupWithOutdatedTable(t *testing.T) {
+	n := newIdleNode(t)
+	now := time.Now()
+	near, far, home := placedHeartbeat(1, "r", "a"), placedHeartbeat(2, "q", "c"), placedHeartbeat(3, "p", "d")
+	near.Load = 1
+	n.entries.spillover.randomFloat = func() float64 { return 0 }
+	heartbeat := func(h *bfwire.EntryHeartbeat, ready bool, revision uint64) {
+		h.Sequence, h.Ready, h.Revision = h.Sequence+1, ready, revision
+		n.entries.heartbeat(now, h)
+	}
+	check := func(what string, want ...netip.AddrPort) {
+		t.Helper()
+		got := n.entries.lookup(now, "r", "a", n.homes.limits(n.machine.State(), "shop.example"))
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	applyTable(t, n, 0, boundTable(1, nil))
+	heartbeat(far, true, 1)
+	heartbeat(near, true, 0)
+	check("entries as far as the control VM, busy region", far.Entry.HTTP)
+	heartbeat(near, false, 1)
+	check("entries as far as the control VM, no ready one in the region", far.Entry.HTTP)
+	heartbeat(far, true, 2)
+	check("an entry has a newer state, no ready one in the region")
+	heartbeat(near, true, 1)
+	check("an entry has a newer state, busy region", near.Entry.HTTP)
+	heartbeat(far, false, 2)
+	check("an entry that isn't ready has a newer state", near.Entry.HTTP)
+	now = now.Add(entryExpiry + 1)
+	heartbeat(home, true, 1)
+	check("the entry with the newer state has expired", home.Entry.HTTP)
+	applyTable(t, n, 1, boundTable(2, []string{"p"}))
+	check("home region", home.Entry.HTTP)
+	heartbeat(far, true, 3)
+	check("homes that may have changed")
+}
+
 // TestLookupsKeepHomes guards against any answer that names an entry in a region which is
 // neither the caller's nor a home of each request to the host, and against one without entries
 // where such a region has some.
@@ -178,7 +221,7 @@
 			}
 			caller := rapid.SampledFrom(append([]string{""}, regions...)).Draw(r, "caller")
 			var h homeHosts
-			got := entries.lookup(now, caller, caller+"-a", h.limits(table, "shop.example"))
+			got := entries.lookup(now, caller, caller+"-a", h.limits(&bffleet.State{Routes: table}, "shop.example"))
 			for _, region := range regions {
 				if len(got) == 0 && hasReady[region] && mayServe(table, caller, region) {
 					r.Errorf("caller in %q: no entries, although %s has one; table %+v", caller, region, table)
@@ -228,9 +271,10 @@
 			t.Routes = append(t.Routes, briarferry.Route{Host: fmt.Sprintf("h%d.example", i), Prefix: "/"})
 		}
 		var h homeHosts
+		state := &bffleet.State{Routes: t}
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				h.limits(t, "h7.example")
+				h.limits(state, "h7.example")
 			}
 		})
 	}
--- a/internal/transport/bfcontrol/operator.go
+++ b/internal/transport/bfcontrol/operator.go
@@ -71,7 +71,7 @@
 	if n.LookupTTL > 0 {
 		ttl = min(ttl, n.LookupTTL)
 	}
-	return n.entries.lookup(time.Now(), region, domain, n.homes.limits(n.machine.State().Routes, host)), ttl
+	return n.entries.lookup(time.Now(), region, domain, n.homes.limits(n.machine.State(), host)), ttl
 }
 
 // HTTPStatus returns the HTTP status for an error of this package.
