--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -46,7 +46,9 @@
 		info  bfwire.EntryInfo
 		ready bool
 		// utilization is the share of its link's bandwidth that the entry uses.
-		utilization   float64
+		utilization float64
+		// revision is that of the fleet state that the entry has.
+		revision      uint64
 		sequence      uint64
 		lastHeartbeat time.Time
 		// expiryLogged is true once the entry's expiry was logged.
@@ -80,7 +82,7 @@
 	if e == nil || !t.isLive(now, e) || e.info.HTTP != b.Entry.HTTP {
 		t.liveDigestUntil = time.Time{}
 	}
-	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, utilization: b.Load, sequence: b.Sequence, lastHeartbeat: now}
+	t.entries[b.Entry.Name] = &entryState{info: b.Entry, ready: b.Ready, utilization: b.Load, revision: b.Revision, sequence: b.Sequence, lastHeartbeat: now}
 	return true
 }
 
@@ -171,8 +173,9 @@
 
 // lookup returns the entries for a caller in a failure domain: the ready ones there, or
 // else those of the region, or else all. If their links are busy, a share of the callers
-// is sent to other entries; regionOnly limits these to the caller's region.
-func (t *entryTable) lookup(now time.Time, region, domain string, regionOnly bool) []netip.AddrPort {
+// is sent to other entries. The answer has only entries that the limits of the host allow, and
+// only those of the caller's region if a live entry has a newer state than the limits.
+func (t *entryTable) lookup(now time.Time, region, domain string, limits lookupLimits) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if region == "" {
@@ -180,12 +183,19 @@
 	}
 	var ready []*entryState
 	for _, e := range t.entries {
-		if t.isLive(now, e) && e.ready {
+		if !t.isLive(now, e) {
+			continue
+		}
+		if e.revision > limits.revision {
+			limits = lookupLimits{bound: true, revision: limits.revision}
+		}
+		if e.ready {
 			ready = append(ready, e)
 		}
 	}
 	t.spillover.step(now, ready)
-	if others := t.spillover.entries(ready, region, domain, regionOnly); len(others) > 0 {
+	ready = slices.DeleteFunc(ready, func(e *entryState) bool { return !limits.allow(region, e.info.Region) })
+	if others := t.spillover.entries(ready, region, domain, limits.bound); len(others) > 0 {
 		return others
 	}
 	return nearest(ready, region, domain)
