Answer look-ups of a lost region, and of followers, as before

Cause: the limits of hosts with homes and of outdated tables would leave callers without any entry for as long as their region has none, ordinary routes of the host included; and a follower counted as outdated whenever servers register, as entries know a change some milliseconds earlier, so busy links could move no callers.

Change: where no entry of the caller's region sends heartbeats any more, it gets those of any region if no allowed one is ready; entries that restart still send theirs. A control VM counts as outdated once it hasn't reached a revision for a second that a live entry had.

Changed checks: TestLookupWithOutdatedTable now takes a second for the newer state and keeps the entry of the region alive for its last steps; the answers are the same. TestLookupOfLostRegion and TestLagOfFollower failed before.

--- a/internal/transport/bfcontrol/entries.go
+++ b/internal/transport/bfcontrol/entries.go
@@ -36,6 +36,7 @@
 
 		mu      sync.Mutex
 		entries map[string]*entryState
+		lag     stateLag
 		// liveDigest identifies the live entries until liveDigestUntil, the next time at which
 		// one may expire. A zero time means that they have changed.
 		liveDigest      uint64
@@ -174,31 +175,43 @@
 // lookup returns the entries for a caller in a failure domain: the ready ones there, or
 // else those of the region, or else all. If their links are busy, a share of the callers
 // is sent to other entries. The answer has only entries that the limits of the host allow, and
-// only those of the caller's region if a live entry has a newer state than the limits.
+// only those of the caller's region if the limits are outdated. These don't apply to a caller
+// whose region has lost all its entries if no allowed one is ready: it would get no service.
 func (t *entryTable) lookup(now time.Time, region, domain string, limits lookupLimits) []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if region == "" {
 		region = t.regions[domain]
 	}
-	var ready []*entryState
+	var ready, allowed []*entryState
+	var newest uint64
+	regionLost := region != ""
 	for _, e := range t.entries {
 		if !t.isLive(now, e) {
 			continue
 		}
-		if e.revision > limits.revision {
-			limits = lookupLimits{bound: true, revision: limits.revision}
-		}
+		newest = max(newest, e.revision)
+		regionLost = regionLost && e.info.Region != region
 		if e.ready {
 			ready = append(ready, e)
 		}
 	}
+	if t.lag.exceeded(now, limits.revision, newest) {
+		limits = lookupLimits{bound: true}
+	}
+	for _, e := range ready {
+		if limits.allow(region, e.info.Region) {
+			allowed = append(allowed, e)
+		}
+	}
 	t.spillover.step(now, ready)
-	ready = slices.DeleteFunc(ready, func(e *entryState) bool { return !limits.allow(region, e.info.Region) })
-	if others := t.spillover.entries(ready, region, domain, limits.bound); len(others) > 0 {
+	if others := t.spillover.entries(allowed, region, domain, limits.bound); len(others) > 0 {
 		return others
 	}
-	return nearest(ready, region, domain)
+	if len(allowed) == 0 && regionLost {
+		allowed = ready
+	}
+	return nearest(allowed, region, domain)
 }
 
 func nearest(ready []*entryState, region, domain string) []netip.AddrPort {
--- a/internal/transport/bfcontrol/home_hosts_test.go
+++ b/internal/transport/bfcontrol/home_hosts_test.go
@@ -178,6 +178,8 @@
 	heartbeat(near, false, 1)
 	check("entries as far as the control VM, no ready one in the region", far.Entry.HTTP)
 	heartbeat(far, true, 2)
+	check("an entry has got a newer state just now", far.Entry.HTTP)
+	now = now.Add(maxStateLag + 1)
 	check("an entry has a newer state, no ready one in the region")
 	heartbeat(near, true, 1)
 	check("an entry has a newer state, busy region", near.Entry.HTTP)
@@ -185,13 +187,60 @@
 	check("an entry that isn't ready has a newer state", near.Entry.HTTP)
 	now = now.Add(entryExpiry + 1)
 	heartbeat(home, true, 1)
+	heartbeat(near, false, 1)
 	check("the entry with the newer state has expired", home.Entry.HTTP)
 	applyTable(t, n, 1, boundTable(2, []string{"p"}))
 	check("home region", home.Entry.HTTP)
 	heartbeat(far, true, 3)
+	check("homes that have just changed", home.Entry.HTTP)
+	now = now.Add(maxStateLag + 1)
 	check("homes that may have changed")
 }
 
+// TestLookupOfLostRegion guards against callers without any entry for as long as their region has
+// lost all of its entries, because the host has home regions or the table is outdated.
+func TestLookupOfLostRegion(t *testing.T) {
+	n := newIdleNode(t)
+	now := time.Now()
+	near, far := placedHeartbeat(1, "r", "a"), placedHeartbeat(2, "q", "c")
+	lookup := func() []netip.AddrPort {
+		return n.entries.lookup(now, "r", "a", n.homes.limits(n.machine.State(), "shop.example"))
+	}
+	applyTable(t, n, 0, boundTable(1, []string{"p"}))
+	near.Ready = false
+	n.entries.heartbeat(now, near)
+	n.entries.heartbeat(now, far)
+	if got := lookup(); len(got) != 0 {
+		t.Errorf("entries of the region restart: %v, want none", got)
+	}
+	now = now.Add(entryExpiry + 1)
+	far.Sequence, far.Revision = 2, 9
+	n.entries.heartbeat(now, far)
+	if got := lookup(); !slices.Equal(got, []netip.AddrPort{far.Entry.HTTP}) {
+		t.Errorf("region lost: %v, want the entry of another region", got)
+	}
+	now = now.Add(maxStateLag + 1)
+	if got := lookup(); !slices.Equal(got, []netip.AddrPort{far.Entry.HTTP}) {
+		t.Errorf("region lost and table outdated: %v, want the entry of another region", got)
+	}
+}
+
+// TestLagOfFollower guards against a follower that counts as outdated because entries always know
+// a change a moment earlier, and against one that stays behind and doesn't.
+func TestLagOfFollower(t *testing.T) {
+	var follower, stuck stateLag
+	now := time.Unix(1000, 0)
+	for revision := uint64(1); revision < 50; revision++ {
+		now = now.Add(100 * time.Millisecond)
+		if follower.exceeded(now, revision, revision+3) {
+			t.Errorf("revision %d: a follower three revisions behind counts as outdated", revision)
+		}
+		if got, want := stuck.exceeded(now, 1, revision+3), time.Duration(revision-1)*100*time.Millisecond > maxStateLag; got != want {
+			t.Errorf("revision %d: a stuck VM counts as outdated: %v, want %v", revision, got, want)
+		}
+	}
+}
+
 // TestLookupsKeepHomes guards against any answer that names an entry in a region which is
 // neither the caller's nor a home of each request to the host, and against one without entries
 // where such a region has some.
