Tell crashing requests of several callers apart

Cause: the fingerprint was a hash of host (or service), method, target and body, without the caller. Clean runs of other callers cleared the crashes, or the others were refused with the one that crashes. serve had the same fault, and the fingerprint of uploads lacked the address.

Change: one function in bfapi builds the fingerprint of both programs. It covers the caller: address without port (IPv6: the /64 prefix), affinity key and, except on open routes, organisation. The lower half stands for the content alone, so wire messages and tables keep their form. As there are more fingerprints now, a full list of clean runs replaces its oldest entry instead of ignoring further ones, which left innocent callers suspect, and a full list of crashes keeps those of recurring fingerprints.

TestFloodOfSuspects fails without either replacement rule.

--- a/interfaces.go
+++ b/interfaces.go
@@ -118,7 +118,9 @@
 		Check(fingerprint uint64) error
 		// StartRun must be called before a request with the fingerprint runs. It returns a
 		// *Refusal if the fingerprint is quarantined. If the fingerprint is suspect, it
-		// waits while another request with it runs. The returned function must be called
+		// waits while another request with it runs, and if equal requests of several other
+		// callers are quarantined, while another new caller's one runs. The returned
+		// function must be called
 		// when the try has ended; after a crash, it returns once the other entries know
 		// of the crash.
 		StartRun(ctx context.Context, fingerprint uint64, b Backend) (done func(result RunResult), err error)
--- a/internal/coordination/bfquarantine/quarantine.go
+++ b/internal/coordination/bfquarantine/quarantine.go
@@ -3,16 +3,12 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"briarferry"
 )
 
@@ -23,14 +19,7 @@
 	peerTimeout = 500 * time.Millisecond
 	// fetchInterval is the interval at which an entry fetches crashes that it has missed,
 	// such as those before its start, from another entry.
-	fetchInterval     = time.Second
-	lockRetryInterval = 10 * time.Millisecond
-	// maxWaitingRuns limits the runs of one fingerprint that wait at an entry, as each of
-	// them occupies a slot.
-	maxWaitingRuns = 8
-	// lockTTLMargin is added to the maximum duration of a run.
-	lockTTLMargin = time.Second
-	maxLockTTL    = 2 * time.Minute
+	fetchInterval = time.Second
 )
 
 type (
@@ -65,7 +54,9 @@
 		table    *crashTable
 		locks    locks
 		inFlight map[briarferry.BackendID]map[uint64]int
-		waiting  map[uint64]int
+		// waiting counts the runs that wait for a lock.
+		waiting map[uint64]int
+		known   knownCallers
 	}
 )
 
@@ -84,18 +75,19 @@
 }
 
 // StartRun records the start of a run and returns the function that ends it. A suspect
-// fingerprint waits until no other run of it is in progress in the whole system.
+// fingerprint waits until no other run of it is in progress in the whole system, and a new
+// caller of a content that crashed servers for several others until no other new caller's is.
 func (q *Quarantine) StartRun(ctx context.Context, fingerprint uint64, b briarferry.Backend) (func(briarferry.RunResult), error) {
-	unlock := func() {}
-	if q.isSuspect(fingerprint) {
+	unlock := func(briarferry.RunResult) {}
+	if key, ok := q.lockKey(fingerprint); ok {
 		var err error
-		if unlock, err = q.acquireSuspectLock(ctx, fingerprint); err != nil {
+		if unlock, err = q.acquireRunLock(ctx, fingerprint, key); err != nil {
 			return nil, err
 		}
 	}
 	// Another run may have ended with a crash during the wait.
 	if err := q.Check(fingerprint); err != nil {
-		unlock()
+		unlock(briarferry.RunFailed)
 		return nil, err
 	}
 	q.mu.Lock()
@@ -103,17 +95,10 @@
 	q.mu.Unlock()
 	return func(result briarferry.RunResult) {
 		q.endRun(ctx, fingerprint, b, result)
-		unlock()
+		unlock(result)
 	}, nil
 }
 
-func (q *Quarantine) isSuspect(fingerprint uint64) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.init()
-	return q.table.isSuspect(fingerprint)
-}
-
 // endRun ends a run and reports a crash or a clean run to the other entries.
 func (q *Quarantine) endRun(ctx context.Context, fingerprint uint64, b briarferry.Backend, result briarferry.RunResult) {
 	var u Update
@@ -124,6 +109,9 @@
 		q.table.add(time.Now(), c)
 		u.Crashes = []Crash{c}
 	case briarferry.RunAnswered:
+		if q.table.isRecurringContent(fingerprint) {
+			q.known.add(fingerprint)
+		}
 		if q.table.recordCleanRun(time.Now(), fingerprint) {
 			u.Cleared = []uint64{fingerprint}
 		}
@@ -234,92 +222,6 @@
 	return peers
 }
 
-// acquireSuspectLock waits for the lock of a suspect fingerprint and returns the function
-// that releases it.
-func (q *Quarantine) acquireSuspectLock(ctx context.Context, fingerprint uint64) (func(), error) {
-	if !q.addWaiter(fingerprint) {
-		return nil, refuseSuspect("too many requests like this one wait since one of them crashed a backend server")
-	}
-	defer q.removeWaiter(fingerprint)
-	r := LockRequest{Fingerprint: fingerprint, Holder: q.newHolder(), TTL: maxLockTTL}
-	if deadline, ok := ctx.Deadline(); ok {
-		r.TTL = time.Until(deadline) + lockTTLMargin
-	}
-	for {
-		coordinator := q.coordinator(fingerprint)
-		ok, err := q.acquireLockAt(ctx, coordinator, r)
-		if err != nil {
-			// The lock may have been granted although no answer came.
-			go q.releaseLockAt(context.WithoutCancel(ctx), coordinator, r)
-			return nil, refuseSuspect("the entry that coordinates a suspect request can't be reached")
-		}
-		if ok {
-			return func() { q.releaseLockAt(context.WithoutCancel(ctx), coordinator, r) }, nil
-		}
-		select {
-		case <-time.After(lockRetryInterval):
-		case <-ctx.Done():
-			return nil, refuseSuspect("another run of the suspect request did not end in time")
-		}
-		// The fingerprint is no longer suspect after a clean run in the meantime.
-		if !q.isSuspect(fingerprint) {
-			return func() {}, nil
-		}
-	}
-}
-
-func (q *Quarantine) newHolder() string {
-	return fmt.Sprintf("%s-%x", q.Members.Self().Name, rand.Uint64())
-}
-
-func (q *Quarantine) acquireLockAt(ctx context.Context, coordinator briarferry.VM, r LockRequest) (bool, error) {
-	if coordinator.Name == q.Members.Self().Name {
-		return q.AcquireLock(r), nil
-	}
-	return q.Peers.Lock(ctx, coordinator, r)
-}
-
-func (q *Quarantine) releaseLockAt(ctx context.Context, coordinator briarferry.VM, r LockRequest) {
-	if coordinator.Name == q.Members.Self().Name {
-		q.ReleaseLock(r)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	_ = q.Peers.Unlock(ctx, coordinator, r)
-}
-
-// coordinator returns the live VM with the highest hash for the fingerprint. All entries
-// choose the same one, and few fingerprints move when VMs join or leave.
-func (q *Quarantine) coordinator(fingerprint uint64) briarferry.VM {
-	best, bestHash := q.Members.Self(), uint64(0)
-	for _, vm := range q.Members.Live() {
-		data := binary.LittleEndian.AppendUint64([]byte(vm.Name), fingerprint)
-		if hash := xxhash.Sum64(data); hash >= bestHash {
-			best, bestHash = vm, hash
-		}
-	}
-	return best
-}
-
-func (q *Quarantine) addWaiter(fingerprint uint64) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting[fingerprint] >= maxWaitingRuns {
-		return false
-	}
-	q.waiting[fingerprint]++
-	return true
-}
-
-func (q *Quarantine) removeWaiter(fingerprint uint64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting[fingerprint]--; q.waiting[fingerprint] == 0 {
-		delete(q.waiting, fingerprint)
-	}
-}
-
 // trackInFlight changes the number of runs of a fingerprint at a server. The mutex must be
 // held.
 func (q *Quarantine) trackInFlight(id briarferry.BackendID, fingerprint uint64, change int) {
@@ -361,12 +263,6 @@
 		q.table, q.locks = newTable(), locks{}
 		q.inFlight = map[briarferry.BackendID]map[uint64]int{}
 		q.waiting = map[uint64]int{}
-	}
-}
-
-func refuseSuspect(reason string) error {
-	return &briarferry.Refusal{
-		Status: http.StatusServiceUnavailable, Outcome: briarferry.OutcomeNotRun,
-		Reason: reason, RetryAfter: time.Second,
+		q.known = knownCallers{}
 	}
 }
--- a/internal/coordination/bfquarantine/quarantine_test.go
+++ b/internal/coordination/bfquarantine/quarantine_test.go
@@ -242,10 +242,10 @@
 		}
 		run(3, briarferry.RunAnswered)
 		for i := range 7 {
-			if s.entry(i).isSuspect(1) {
+			if s.entry(i).table.isSuspect(1) {
 				t.Errorf("entry %d: fingerprint 1 is suspect after a clean run", i)
 			}
-			if !s.entry(i).isSuspect(2) {
+			if !s.entry(i).table.isSuspect(2) {
 				t.Errorf("entry %d: fingerprint 2 is not suspect", i)
 			}
 		}
--- a/internal/coordination/bfquarantine/table.go
+++ b/internal/coordination/bfquarantine/table.go
@@ -16,7 +16,10 @@
 	// crashThreshold is the number of different crashed servers at which a fingerprint is
 	// quarantined.
 	crashThreshold = 2
-	maxCrashes     = 1024
+	// crashingCallers is the number of callers with a quarantined request of the same content
+	// from which on new callers of the content run one after the other.
+	crashingCallers = 4
+	maxCrashes      = 1024
 	// maxFingerprints limits the fingerprints kept for one crash.
 	maxFingerprints = 256
 	maxCleared      = 4096
@@ -52,7 +55,10 @@
 	crashTable struct {
 		crashes       []*crash
 		byFingerprint map[uint64][]*crash
-		cleared       map[uint64]time.Time
+		// recurring holds, for each content, the fingerprints with at least crashThreshold
+		// crashes.
+		recurring map[uint32][]uint64
+		cleared   map[uint64]time.Time
 	}
 )
 
@@ -84,7 +90,7 @@
 }
 
 func newTable() *crashTable {
-	return &crashTable{byFingerprint: map[uint64][]*crash{}, cleared: map[uint64]time.Time{}}
+	return &crashTable{byFingerprint: map[uint64][]*crash{}, recurring: map[uint32][]uint64{}, cleared: map[uint64]time.Time{}}
 }
 
 // add merges a crash into the known crash of the same server, or adds it.
@@ -96,7 +102,7 @@
 	known := t.find(c)
 	if known == nil {
 		if len(t.crashes) == maxCrashes {
-			t.remove(t.crashes[0])
+			t.remove(t.leastUseful())
 		}
 		known = &crash{backend: c.backend, failureDomain: c.failureDomain, at: c.at}
 		t.crashes = append(t.crashes, known)
@@ -105,10 +111,26 @@
 		if len(known.fingerprints) < maxFingerprints && !slices.Contains(known.fingerprints, f) {
 			known.fingerprints = append(known.fingerprints, f)
 			t.byFingerprint[f] = append(t.byFingerprint[f], known)
+			if len(t.byFingerprint[f]) == crashThreshold {
+				content := briarferry.FingerprintContent(f)
+				t.recurring[content] = append(t.recurring[content], f)
+			}
 		}
 	}
 }
 
+// leastUseful returns the crash that makes room for another one: the oldest one of the older
+// half without a recurring fingerprint, so that many single crashes don't end a quarantine, or
+// the oldest one.
+func (t *crashTable) leastUseful() *crash {
+	for _, c := range t.crashes[:len(t.crashes)/2] {
+		if !slices.ContainsFunc(c.fingerprints, func(f uint64) bool { return len(t.byFingerprint[f]) >= crashThreshold }) {
+			return c
+		}
+	}
+	return t.crashes[0]
+}
+
 func (t *crashTable) find(c crash) *crash {
 	for _, known := range t.crashes {
 		if known.backend == c.backend && withinCrashWindow(known.at, c.at) {
@@ -124,6 +146,9 @@
 	t.crashes = slices.DeleteFunc(t.crashes, func(e *crash) bool { return e == c })
 	for _, f := range c.fingerprints {
 		rest := slices.DeleteFunc(t.byFingerprint[f], func(e *crash) bool { return e == c })
+		if len(rest) == crashThreshold-1 {
+			t.removeRecurring(f)
+		}
 		if len(rest) == 0 {
 			delete(t.byFingerprint, f)
 			delete(t.cleared, f)
@@ -133,6 +158,16 @@
 	}
 }
 
+func (t *crashTable) removeRecurring(f uint64) {
+	content := briarferry.FingerprintContent(f)
+	rest := slices.DeleteFunc(t.recurring[content], func(g uint64) bool { return g == f })
+	if len(rest) == 0 {
+		delete(t.recurring, content)
+		return
+	}
+	t.recurring[content] = rest
+}
+
 // expire removes crashes before the given time.
 func (t *crashTable) expire(before time.Time) {
 	for _, c := range slices.Clone(t.crashes) {
@@ -145,13 +180,53 @@
 // recordCleanRun records a run without a crash and reports whether the fingerprint is no
 // longer suspect because of it.
 func (t *crashTable) recordCleanRun(now time.Time, f uint64) bool {
-	if !t.isSuspect(f) || len(t.cleared) >= maxCleared {
+	if !t.isSuspect(f) {
 		return false
 	}
+	if _, ok := t.cleared[f]; !ok && len(t.cleared) >= maxCleared {
+		t.removeOldestCleared()
+	}
 	t.cleared[f] = now
 	return !t.isSuspect(f)
 }
 
+// removeOldestCleared makes room for a further clean run. The fingerprint that it removes may be
+// suspect again until its next clean run.
+func (t *crashTable) removeOldestCleared() {
+	var oldest uint64
+	var at time.Time
+	for f, cleared := range t.cleared {
+		if at.IsZero() || cleared.Before(at) {
+			oldest, at = f, cleared
+		}
+	}
+	delete(t.cleared, oldest)
+}
+
+// isRecurringContent reports whether the fingerprint's content was in flight in crashes of
+// several servers for one caller.
+func (t *crashTable) isRecurringContent(f uint64) bool {
+	return len(t.recurring[briarferry.FingerprintContent(f)]) > 0
+}
+
+// isCrashingContent reports whether requests with the fingerprint's content are quarantined for
+// at least crashingCallers callers.
+func (t *crashTable) isCrashingContent(f uint64) bool {
+	recurring, n := t.recurring[briarferry.FingerprintContent(f)], 0
+	if len(recurring) < crashingCallers {
+		return false
+	}
+	for _, g := range recurring {
+		if t.isQuarantined(g) {
+			n++
+		}
+		if n == crashingCallers {
+			return true
+		}
+	}
+	return false
+}
+
 // isSuspect reports whether there is a crash that is evidence against the fingerprint.
 func (t *crashTable) isSuspect(f uint64) bool {
 	return slices.ContainsFunc(t.byFingerprint[f], func(c *crash) bool { return t.isEvidence(c, f, t.hasKnownCause) })
--- a/internal/protocol/bfapi/request.go
+++ b/internal/protocol/bfapi/request.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"briarferry"
 )
 
@@ -63,7 +61,7 @@
 		f.Add("body", "%s", bodyMessage(err, cfg.Limits.MaxBodyBytes))
 	}
 	req.Body = body
-	req.Fingerprint = fingerprint(req)
+	req.Fingerprint = Fingerprint(CallerIdentity{Address: req.Caller}, req.Body, req.Service, req.Method, req.Target)
 	return req, f.Err()
 }
 
@@ -158,16 +156,6 @@
 	return ap.Addr().Unmap()
 }
 
-func fingerprint(req *briarferry.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{req.Service, req.Method, req.Target} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(req.Body)
-	return d.Sum64()
-}
-
 // FormatTimeout formats a remaining time for the Request-Timeout header.
 func FormatTimeout(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/transport/bfgateway/handler.go
+++ b/internal/transport/bfgateway/handler.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -255,7 +254,7 @@
 		return c, refusal
 	}
 	c.request.Body = body
-	c.request.Fingerprint = fingerprint(c.request)
+	c.request.Fingerprint = fingerprint(c)
 	return c, nil
 }
 
@@ -279,14 +278,20 @@
 	return limit
 }
 
-func fingerprint(r *briarferry.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{r.Host, r.Method, r.Target} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Body)
-	return d.Sum64()
+// fingerprint identifies the request and its caller.
+func fingerprint(c *call) uint64 {
+	r := c.request
+	return bfapi.Fingerprint(c.identity(), r.Body, r.Host, r.Method, r.Target)
+}
+
+// identity is what tells the caller from others. On an open route a caller may present any key
+// or none, so its organisation doesn't count there.
+func (c *call) identity() bfapi.CallerIdentity {
+	id := bfapi.CallerIdentity{Address: c.request.Caller, AffinityKey: c.affinityKey}
+	if !c.route.Open {
+		id.Organisation = c.request.Organisation
+	}
+	return id
 }
 
 func writeAnswer(w http.ResponseWriter, a *briarferry.Answer) {
--- a/internal/transport/bfgateway/upload.go
+++ b/internal/transport/bfgateway/upload.go
@@ -9,11 +9,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"briarferry"
 	"briarferry/internal/coordination/bfroute"
 	"briarferry/internal/coordination/bfsteering"
+	"briarferry/internal/protocol/bfapi"
 	"briarferry/internal/transport/bfcaller"
 )
 
@@ -55,16 +54,11 @@
 	return nil
 }
 
-// streamFingerprint is the fingerprint of a request whose body isn't known yet. It covers the
-// head that stays the same when a caller repeats the request, and the length of the body.
+// streamFingerprint is the fingerprint of a request whose body isn't known yet. Its content is
+// the head that stays the same when a caller repeats the request, and the length of the body.
 func streamFingerprint(c *call) uint64 {
-	d := xxhash.New()
 	r := c.request
-	for _, part := range []string{r.Host, r.Method, r.Target, c.affinityKey, r.Organisation, r.Header.Get("Content-Type"), strconv.FormatInt(c.upload.length, 10)} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
+	return bfapi.Fingerprint(c.identity(), nil, r.Host, r.Method, r.Target, r.Header.Get("Content-Type"), strconv.FormatInt(c.upload.length, 10))
 }
 
 // streamedBytes returns the length of a body that is sent while it arrives, or 0.
--- a/internal/transport/bfgateway/upload_test.go
+++ b/internal/transport/bfgateway/upload_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"briarferry"
+	"briarferry/internal/coordination/bfroute"
 )
 
 func TestUploadIsPassedOn(t *testing.T) {
@@ -154,7 +155,10 @@
 
 func TestStreamFingerprint(t *testing.T) {
 	make := func(change func(c *call)) uint64 {
-		c := &call{request: &briarferry.Request{Host: "h", Method: "POST", Target: "/a", Header: http.Header{}}, upload: newCallerBody(nil, 100, nil)}
+		c := &call{
+			request: &briarferry.Request{Host: "h", Method: "POST", Target: "/a", Header: http.Header{}}, upload: newCallerBody(nil, 100, nil),
+			route: &bfroute.Route{Route: &briarferry.Route{Name: "upload"}},
+		}
 		change(c)
 		return streamFingerprint(c)
 	}
@@ -164,7 +168,8 @@
 	}
 	for name, change := range map[string]func(c *call){
 		"target": func(c *call) { c.request.Target = "/b" }, "length": func(c *call) { c.upload.length = 101 },
-		"key": func(c *call) { c.affinityKey = "k" }, "type": func(c *call) { c.request.Header.Set("Content-Type", "t") },
+		"key": func(c *call) { c.affinityKey = "k" }, "address": func(c *call) { c.request.Caller = netip.MustParseAddr("198.51.100.1") },
+		"organisation": func(c *call) { c.request.Organisation = "north" }, "type": func(c *call) { c.request.Header.Set("Content-Type", "t") },
 	} {
 		if make(change) == base {
 			t.Errorf("an upload with another %s has the same fingerprint", name)
--- a/request.go
+++ b/request.go
@@ -52,7 +52,7 @@
 		Class    PriorityClass
 		Caller   netip.Addr
 		Deadline time.Time
-		// Fingerprint is a hash of the request's content.
+		// Fingerprint identifies the request and its caller; see NewFingerprint.
 		Fingerprint uint64
 		// OnHead, if set, allows an answer to be streamed: it is called with an answer that
 		// has a Stream, before the try has ended.
