Ask servers whether they are cold while no control VM tells

What callers see: servers crash with the requests that they run, and answers come late, after all control VMs lost power while a failure domain was taken back.

Cause: entries learned that a server is cold only from the fleet state or from a refused or lost connection. Without a control VM that has a leader, a server that turned cold without ending got the rate of a warm one.

Change: an entry that has heard no control VM for 0.8 s, or hears them again for less than 3 s, sends health checks to the servers that it uses, at a bounded rate, and limits those that state a cold time or don't answer to its share of the cold rate. The share counts the largest number of entries known since contact was lost. In contact nothing is sent. No message between processes changes.

Tests: without the checks, 25 requests in a second reach the cold server in bfsteering:TestColdServerWithoutControl (at most 17 allowed), and in bfgateway:TestColdServerWithoutControl the second request is sent. go test -race of the changed packages passes.

--- a/internal/coordination/bfsteering/choose.go
+++ b/internal/coordination/bfsteering/choose.go
@@ -211,7 +211,7 @@
 	none := noCandidate{reason: "no backend server is registered for the service"}
 	eligible, ejected := v.eligible[:0], v.ejected[:0]
 	defer func() { v.eligible, v.ejected = eligible, ejected }()
-	entries := s.entries()
+	entries, uninformed := s.entries(), s.coldWatch.current.Load()
 	positions := v.positions(s, r)
 	if plan.region != s.Region {
 		positions.planned = plan.region
@@ -229,7 +229,7 @@
 			none.reason = "the backend servers have as many uploads as they may get"
 			continue
 		}
-		if srv.tooCold(now, &v.config, entries) {
+		if srv.tooCold(now, &v.config, entries, uninformed) {
 			none.reason = "the backend servers are cold"
 			continue
 		}
@@ -386,7 +386,8 @@
 	if r.Route.LargeBodies {
 		srv.uploads++
 	}
-	if now.Before(srv.coldUntil) {
+	srv.sentAt = now
+	if _, cold := srv.countsAsCold(now, &v.config, s.coldWatch.current.Load()); cold {
 		srv.coldSentAt = now
 	}
 	if r.Retry {
--- a/internal/coordination/bfsteering/server.go
+++ b/internal/coordination/bfsteering/server.go
@@ -71,6 +71,14 @@
 		coldSentAt time.Time
 		coldPhase  float64
 
+		// sentAt is when the last request was sent. warmAt is when the last health check
+		// was sent whose answer said that the server isn't cold, and healthAskedAt when the
+		// last one was sent at all; healthPending is true until it is reported.
+		sentAt        time.Time
+		warmAt        time.Time
+		healthAskedAt time.Time
+		healthPending bool
+
 		// suspect marks a server to be checked: a try was overdue or timed out, and the
 		// server had answered nothing since the try began. checkedAt is the time of the
 		// last check.
@@ -201,16 +209,33 @@
 func (s *server) withdrawn() bool { return s.Draining || s.evacuated || s.availability.leaving }
 
 // tooCold reports whether another request now would exceed this entry's share of the
-// request rate that a cold server can handle.
-func (s *server) tooCold(now time.Time, c *briarferry.RouteService, entries int) bool {
-	if !now.Before(s.coldUntil) || c.ColdRate <= 0 {
+// request rate that a cold server can handle. A server that may have turned cold without
+// this entry's knowledge counts as cold; u is nil if no server may have.
+func (s *server) tooCold(now time.Time, c *briarferry.RouteService, entries int, u *uninformed) bool {
+	since, cold := s.countsAsCold(now, c, u)
+	if !cold || c.ColdRate <= 0 {
 		return false
 	}
+	if u != nil {
+		entries = max(entries, u.entries)
+	}
 	gap := time.Duration(float64(entries) / c.ColdRate * float64(time.Second))
-	first := s.coldSince.Add(time.Duration(s.coldPhase * float64(gap)))
+	first := since.Add(time.Duration(s.coldPhase * float64(gap)))
 	return now.Before(first) || now.Sub(s.coldSentAt) < gap
 }
 
+// countsAsCold reports whether the server is cold or may be, and since when.
+func (s *server) countsAsCold(now time.Time, c *briarferry.RouteService, u *uninformed) (time.Time, bool) {
+	if now.Before(s.coldUntil) {
+		return s.coldSince, true
+	}
+	if u == nil || c.HealthPath == "" {
+		return time.Time{}, false
+	}
+	since := u.unverifiedSince(s)
+	return since, !now.Before(since)
+}
+
 // phase returns a number from 0 to 1 that differs between entries, and for an entry between
 // names.
 func phase(entry, name string) float64 {
--- a/internal/coordination/bfsteering/steering.go
+++ b/internal/coordination/bfsteering/steering.go
@@ -42,6 +42,9 @@
 		// InContact reports whether control VMs can be heard, which tell when servers turn cold;
 		// nil means that they can.
 		InContact func() bool
+		// LastContact returns when a control VM was last heard, or the zero time if none was
+		// yet; nil means that they are always heard.
+		LastContact func() time.Time
 		// LinkBandwidth is the bandwidth of this VM's link in each direction, in bytes per
 		// second; zero means unknown.
 		LinkBandwidth float64
@@ -56,6 +59,8 @@
 		plan  regionPlan
 		rtts  roundTripTimes
 		link  localLink
+		// coldWatch tells whether servers may turn cold unnoticed.
+		coldWatch coldWatch
 
 		mu       sync.RWMutex
 		services map[string]*service
--- a/internal/protocol/bfapi/dialect.go
+++ b/internal/protocol/bfapi/dialect.go
@@ -35,6 +35,12 @@
 	// LoadHeader carries a server's load report, as ParseLoad reads it.
 	LoadHeader string
 	ParseLoad  func(text string) (briarferry.ServerLoad, bool)
+	// ColdTimeHeader carries, in the answer to a health check, how long the server stays
+	// cold, as ParseColdTime reads it, and InstanceHeader the ID of the instance that
+	// answers. If ColdTimeHeader is empty, servers don't say whether they are cold.
+	ColdTimeHeader string
+	ParseColdTime  func(text string) (time.Duration, bool)
+	InstanceHeader string
 	// ParseNotice reads what a server says about further requests in an answer with this
 	// status and these headers. Nil means that servers say nothing. An error reports an
 	// invalid part, which is left out of the notice.
--- a/internal/transport/bfgateway/handler_test.go
+++ b/internal/transport/bfgateway/handler_test.go
@@ -46,6 +46,10 @@
 		}
 		return briarferry.ServerNotice{Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(seconds) * time.Second}, err
 	},
+	ColdTimeHeader: "X-Cold", InstanceHeader: "X-Instance", ParseColdTime: func(text string) (time.Duration, bool) {
+		n, err := strconv.Atoi(text)
+		return time.Duration(n) * time.Millisecond, err == nil
+	},
 	LoadHeader: "X-Load", ParseLoad: func(string) (briarferry.ServerLoad, bool) { return briarferry.ServerLoad{}, false },
 }
 
--- a/internal/transport/bfgateway/metrics.go
+++ b/internal/transport/bfgateway/metrics.go
@@ -24,6 +24,7 @@
 		keyRefusals, uploadsStreamed, callersStalled                     expvar.Int
 		quotaOwnerProbes                                                 expvar.Int
 		planReports                                                      expvar.Int
+		healthChecks, invalidHealth                                      expvar.Int
 
 		// uploadsAborted counts uploads that no server answered, by cause.
 		tries, uploadsAborted expvar.Map
@@ -92,6 +93,8 @@
 		m.Set("invalid_retry_after", &counters.invalidNotices)
 		m.Set("servers_leaving", expvar.Func(func() any { return n.steering.Counts.Leaving.Load() }))
 		m.Set("server_pauses", expvar.Func(func() any { return n.steering.Counts.Pauses.Load() }))
+		m.Set("health_checks", &counters.healthChecks)
+		m.Set("invalid_health_answers", &counters.invalidHealth)
 		m.Set("plan_reports", &counters.planReports)
 		m.Set("plan", expvar.Func(func() any { return n.steering.PlanStatus(time.Now()) }))
 		m.Set("tries", &counters.tries)
--- a/internal/transport/bfgateway/node.go
+++ b/internal/transport/bfgateway/node.go
@@ -142,7 +142,7 @@
 	n.plan.node = n
 	n.fleet.onPlan = n.plan.receive
 	n.fleet.onRTT = n.steering.SetRoundTripTime
-	n.steering.InContact = n.fleet.Connected
+	n.steering.InContact, n.steering.LastContact = n.fleet.Connected, n.fleet.lastContact
 	n.steering.Connected = func(address netip.AddrPort) bool { return n.upstream.HasIdle(address) }
 	n.quarantine = &bfquarantine.Quarantine{
 		Members: n.fleet, Peers: bfrpc.QuarantinePeers{HTTP: &http.Client{Timeout: peerTimeout}},
@@ -211,6 +211,7 @@
 	group.Go(func() error { n.plan.run(runCtx); return nil })
 	group.Go(func() error { return n.quarantine.Run(runCtx) })
 	group.Go(func() error { n.probeServers(runCtx); return nil })
+	group.Go(func() error { n.checkHealth(runCtx); return nil })
 	group.Go(func() error { n.logSampler.run(runCtx); return nil })
 	select {
 	case <-ctx.Done():
--- a/internal/transport/bfupstream/pool.go
+++ b/internal/transport/bfupstream/pool.go
@@ -17,9 +17,11 @@
 	// refs counts open connections and running calls. It is guarded by the client's mu.
 	refs int
 
-	mu       sync.Mutex
-	conns    []*conn
-	idle     []*conn
+	mu    sync.Mutex
+	conns []*conn
+	idle  []*conn
+	// health is the idle connection for health checks, or nil.
+	health   *conn
 	dialling int
 	// sequence is the highest sequence number assigned to a connection.
 	sequence uint64
@@ -118,6 +120,10 @@
 		p.idle = slices.Delete(p.idle, j, j+1)
 		c.idleTimer.Stop()
 	}
+	if p.health == c {
+		p.health = nil
+		c.idleTimer.Stop()
+	}
 	p.mu.Unlock()
 	if i >= 0 {
 		p.client.releasePool(p)
