Wait longer for heartbeats behind a narrow link

Cause: heartbeats wait behind bursts on such links.

Change: the time that the link needs for 128 KB is added to the timeout, up to 1.5 s in all.

--- a/internal/coordination/bfsteering/cold_watch.go
+++ b/internal/coordination/bfsteering/cold_watch.go
@@ -15,6 +15,11 @@
 	// contactTimeout is the time without a heartbeat from any control VM after which the
 	// entry is uninformed. Control VMs answer its heartbeats, which it sends every 0.5 s.
 	contactTimeout = 800 * time.Millisecond
+	// contactBurst is the size of a burst of requests and answers, in bytes, that may delay the
+	// heartbeats on the entry's link. The time that the link needs for it is added to
+	// contactTimeout, up to maxContactTimeout.
+	contactBurst      = 128 << 10
+	maxContactTimeout = 1500 * time.Millisecond
 	// settlingTime is how long control VMs must be heard again before the entry counts as
 	// informed. After a loss of all control VMs they need an election, and the servers report
 	// again, before the fleet state shows which servers turned cold meanwhile.
@@ -82,11 +87,11 @@
 
 // observe records when a control VM was last heard, and returns the current period without
 // information, or nil.
-func (w *coldWatch) observe(now, lastHeard time.Time, entries int, log *zerolog.Logger) *uninformed {
+func (w *coldWatch) observe(now, lastHeard time.Time, timeout time.Duration, entries int, log *zerolog.Logger) *uninformed {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	u := w.current.Load()
-	heard := now.Sub(lastHeard) <= contactTimeout
+	heard := now.Sub(lastHeard) <= timeout
 	switch {
 	case u == nil && heard:
 		return nil
@@ -108,6 +113,16 @@
 	return u
 }
 
+// contactTimeoutOn returns the time without a heartbeat after which an entry is uninformed whose
+// link has the given bandwidth in bytes per second; zero means unknown.
+func contactTimeoutOn(bandwidth float64) time.Duration {
+	if bandwidth <= 0 {
+		return contactTimeout
+	}
+	burst := time.Duration(contactBurst / bandwidth * float64(time.Second))
+	return min(maxContactTimeout, contactTimeout+burst)
+}
+
 // interval returns the time between two health checks of a server by this entry.
 func (u *uninformed) interval() time.Duration {
 	return min(maxHealthInterval, max(minHealthInterval, time.Duration(u.entries)*healthCheckShare))
@@ -133,7 +148,7 @@
 	if lastHeard.IsZero() {
 		return nil
 	}
-	u := s.coldWatch.observe(now, lastHeard, s.entries(), &s.Log)
+	u := s.coldWatch.observe(now, lastHeard, contactTimeoutOn(s.LinkBandwidth), s.entries(), &s.Log)
 	if u == nil {
 		return nil
 	}
--- a/internal/coordination/bfsteering/cold_watch_test.go
+++ b/internal/coordination/bfsteering/cold_watch_test.go
@@ -264,3 +264,19 @@
 		t.Errorf("cold for %v after the fleet state, want 2s", until.Sub(f.now))
 	}
 }
+
+// TestContactTimeout guards against an entry with a narrow link that takes heartbeats which wait
+// behind a burst for a loss of all control VMs, and against one with a wide link that waits for
+// longer than it has to.
+func TestContactTimeout(t *testing.T) {
+	for _, c := range []struct {
+		bandwidth float64
+		want      time.Duration
+	}{
+		{0, contactTimeout}, {125e6, contactTimeout + 1048576*time.Nanosecond}, {1 << 20, contactTimeout + 125*time.Millisecond}, {175e3, maxContactTimeout}, {1, maxContactTimeout},
+	} {
+		if got := contactTimeoutOn(c.bandwidth); got != c.want {
+			t.Errorf("%v bytes a second: %v, want %v", c.bandwidth, got, c.want)
+		}
+	}
+}
