Form the group of a first start although a process is killed

The right to form a group is now stored beside the disk id. The first VM by name that has it forms the group, if at most half of the control VMs lack it. Replicas of earlier versions don't know the new call; only the first VM by name forms a group with them, as before. An error of a function in the replica's loop ends the replica, so that none stays that can't write.

The fakes of the tests have the new call; the list of procedures that need a certificate has it too.

--- a/internal/coordination/bfreplica/cluster_test.go
+++ b/internal/coordination/bfreplica/cluster_test.go
@@ -242,6 +242,14 @@
 	return m.node.Leave(ctx, id)
 }
 
+func (p *endpoint) Pledge(ctx context.Context, vm, former string) (Info, error) {
+	m, err := p.contact(vm)
+	if err != nil {
+		return Info{}, err
+	}
+	return m.node.Pledge(ctx, former)
+}
+
 func (c *cluster) leader() *member {
 	var best *member
 	for _, vm := range c.startedVMs() {
--- a/internal/coordination/bfreplica/join.go
+++ b/internal/coordination/bfreplica/join.go
@@ -43,20 +43,15 @@
 func (n *Node) tryFormOrJoin(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinAttemptTimeout)
 	defer cancel()
-	ids := []string{n.Info().ID}
-	for vm, info := range n.queryReplicas(ctx) {
+	replies := n.queryReplicas(ctx)
+	for vm, info := range replies {
 		if info.LastIndex > 0 {
 			n.joinGroup(ctx, vm, info)
 			return
 		}
-		if VMOf(info.ID) == vm && slices.Contains(n.Control, vm) {
-			ids = append(ids, info.ID)
-		}
 	}
-	// Only the first VM by name forms a group; the others adopt its voters. Two forming
-	// VMs could see different disk ids while one of the data directories is being replaced.
-	if !n.JoinOnly && len(ids) == len(n.Control) && n.VM == slices.Min(n.Control) {
-		n.bootstrap(ctx, ids)
+	if n.isFormer(replies) {
+		n.form(ctx)
 	}
 }
 
@@ -94,18 +89,23 @@
 	return slices.Compact(vms)
 }
 
-// queryReplicas returns the state of the replicas on the other VMs that reply. It asks all
-// of them concurrently, so that an unreachable VM doesn't delay the replies of others.
+// queryReplicas returns the state of the replicas on the other VMs that reply.
 func (n *Node) queryReplicas(ctx context.Context) map[string]Info {
+	return n.callReplicas(n.vmsToContact(), func(vm string) (Info, error) { return n.Discovery.Info(ctx, vm) })
+}
+
+// callReplicas returns the replies of the replicas on other VMs. It calls all of them
+// concurrently, so that an unreachable VM doesn't delay the replies of others.
+func (n *Node) callReplicas(vms []string, call func(vm string) (Info, error)) map[string]Info {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	answers := map[string]Info{}
-	for _, vm := range n.vmsToContact() {
+	for _, vm := range vms {
 		if vm == n.VM {
 			continue
 		}
 		group.Go(func() {
-			info, err := n.Discovery.Info(ctx, vm)
+			info, err := call(vm)
 			if err != nil {
 				return
 			}
@@ -121,8 +121,7 @@
 // joinGroup joins the group of a replica that is not empty. A voter of the group's first
 // entry adopts that entry; any other replica asks to be added as a learner.
 func (n *Node) joinGroup(ctx context.Context, vm string, info Info) {
-	if slices.Contains(info.FirstVoters, n.Info().ID) {
-		n.bootstrap(ctx, info.FirstVoters)
+	if slices.Contains(info.FirstVoters, n.Info().ID) && n.adopt(ctx, info) {
 		return
 	}
 	targets := []string{vm}
@@ -140,28 +139,21 @@
 	}
 }
 
-func (n *Node) bootstrap(ctx context.Context, voters []string) {
-	_ = n.callInLoop(ctx, func() {
-		if err := n.raft.Bootstrap(voters); err == nil {
-			n.Log.Info().Strs("voters", voters).Msg("group formed")
-		}
-	})
-}
-
 // Join adds another replica as a learner if this replica is the leader.
 func (n *Node) Join(ctx context.Context, id string) error {
 	if !n.OpenMembership && !slices.Contains(n.Control, VMOf(id)) {
 		return eris.Errorf("bfreplica: %q is on no control VM", id)
 	}
 	var joinErr error
-	err := n.callInLoop(ctx, func() {
+	err := n.callInLoop(ctx, func() error {
 		if n.raft.Role() != bfraft.Leader {
 			joinErr = briarferry.ErrNotLeader
-			return
+			return nil
 		}
 		if !n.raft.Membership().Contains(id) {
 			_, joinErr = n.raft.ProposeChange(bfraft.Change{Kind: bfraft.AddLearner, ID: id})
 		}
+		return nil
 	})
 	if err != nil {
 		return err
--- a/internal/coordination/bfreplica/leave.go
+++ b/internal/coordination/bfreplica/leave.go
@@ -15,7 +15,10 @@
 func (n *Node) Leave(ctx context.Context, id string) (mayStop bool, err error) {
 	var released bool
 	var leaveErr error
-	err = n.callInLoop(ctx, func() { released, leaveErr = n.release(ctx, id) })
+	err = n.callInLoop(ctx, func() error {
+		released, leaveErr = n.release(ctx, id)
+		return nil
+	})
 	if err != nil {
 		return false, err
 	}
--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -68,28 +68,6 @@
 		Send(ctx context.Context, to string, m bfraft.Message) error
 	}
 
-	// Discovery makes the calls needed to form a group and to join one.
-	Discovery interface {
-		// Info asks the replica on a VM for its state.
-		Info(ctx context.Context, vm string) (Info, error)
-		// Join asks the replica on a VM to add a learner, which only the leader does.
-		Join(ctx context.Context, vm, id string) error
-		// Leave tells the leader on a VM that a replica stops. It reports whether the replica
-		// may end; otherwise the call has to be repeated.
-		Leave(ctx context.Context, vm, id string) (mayStop bool, err error)
-	}
-
-	// Info describes a replica to others that form or join a group.
-	Info struct {
-		ID        string   `json:"id"`
-		LastIndex uint64   `json:"last_index"`
-		Leader    string   `json:"leader"`
-		Voters    []string `json:"voters"`
-		// FirstVoters are the voters in the group's first entry, or nil if the log no longer
-		// holds it.
-		FirstVoters []string `json:"first_voters"`
-	}
-
 	// Node is a replica of the replicated log. The exported fields must be set before Run.
 	Node struct {
 		// VM is the name of this VM. Control lists the VMs that run a replica, including
@@ -105,8 +83,8 @@
 		MinVoters int
 		// Seeds returns further VMs to contact; it may be nil.
 		Seeds func() []string
-		// JoinOnly prevents an empty replica from forming a new group; it can only join an
-		// existing one.
+		// JoinOnly prevents a replica whose data directory is new from forming a new group. One
+		// that was started without JoinOnly on the same directory may still form it.
 		JoinOnly bool
 		// PersistCommit saves the commit index on disk, so that a restarted replica can
 		// apply its log before it hears from a leader. The state after that may be older
@@ -139,13 +117,15 @@
 		inbox          chan bfraft.Message
 		proposals      chan *proposal
 		reads          chan *read
-		loopCalls      chan func() // functions to run in the loop
+		loopCalls      chan func() error // functions to run in the loop
 		savedSnapshots chan bfraft.Snapshot
 
 		raft    *bfraft.Raft
 		storage *bfstorage.Storage
 		applier *applier
 		lease   lease
+		// formation is what is stored about the forming of the group.
+		formation bfstorage.Formation
 		// pendingReads maps request ids to the reads that wait for their index.
 		pendingReads map[uint64]*read
 		lastReadID   uint64
@@ -207,7 +187,7 @@
 		n.inbox = make(chan bfraft.Message, maxInboxMessages)
 		n.proposals = make(chan *proposal, n.MaxPending)
 		n.reads = make(chan *read, n.MaxPending)
-		n.loopCalls = make(chan func(), 16)
+		n.loopCalls = make(chan func() error, 16)
 		n.savedSnapshots = make(chan bfraft.Snapshot, 1)
 		n.commitSaved = make(chan struct{}, 1)
 		n.pendingReads = map[uint64]*read{}
@@ -282,6 +262,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.loadFormation(rec.Formation); err != nil {
+		return err
+	}
 	n.applier = newApplier(n)
 	if s := recovered.Snapshot; s != nil {
 		if err := n.applier.restore(s); err != nil {
@@ -326,7 +309,9 @@
 			started = time.Now()
 			n.startRead(r)
 		case fn := <-n.loopCalls:
-			fn()
+			if err := fn(); err != nil {
+				return err
+			}
 		case <-n.pendingCommands.notFull:
 		case s := <-n.savedSnapshots:
 			if err := n.compact(s); err != nil {
@@ -369,12 +354,18 @@
 	}
 }
 
-// callInLoop runs fn in the replica's loop and waits for it.
-func (n *Node) callInLoop(ctx context.Context, fn func()) error {
+// callInLoop runs fn in the replica's loop and waits for it. An error of fn ends the replica.
+func (n *Node) callInLoop(ctx context.Context, fn func() error) error {
 	n.setup()
 	done := make(chan struct{})
 	select {
-	case n.loopCalls <- func() { fn(); close(done) }:
+	case n.loopCalls <- func() error {
+		if err := fn(); err != nil {
+			return err
+		}
+		close(done)
+		return nil
+	}:
 	case <-n.stopped:
 		return ErrUnavailable
 	case <-ctx.Done():
--- a/internal/coordination/bfreplica/status.go
+++ b/internal/coordination/bfreplica/status.go
@@ -19,7 +19,10 @@
 		Term: n.raft.Term(), Commit: n.raft.Committed(), Voters: m.Voters, Learners: m.Learners,
 		LeaderSince: n.leaderSince, LeaseUntil: n.lease.report(n),
 	}
-	info := Info{ID: s.ID, LastIndex: n.raft.LastIndex(), Leader: s.Leader, Voters: m.Voters, FirstVoters: n.raft.FirstVoters()}
+	info := Info{
+		ID: s.ID, LastIndex: n.raft.LastIndex(), Leader: s.Leader, Voters: m.Voters, FirstVoters: n.raft.FirstVoters(),
+		JoinOnly: !n.formation.MayForm, Former: n.formation.Former,
+	}
 	n.heardLeader = n.heardLeader || s.Leader != ""
 	n.leaderLost.Store(!n.heardLeader || n.raft.TicksSinceLeader() > 2*n.ticks(n.ElectionTimeout))
 	n.mu.Lock()
--- a/internal/state/bfstorage/storage.go
+++ b/internal/state/bfstorage/storage.go
@@ -47,6 +47,7 @@
 		// DiskID identifies the data directory. It is generated when the directory is
 		// initialized.
 		DiskID    string
+		Formation Formation
 		HardState HardState
 		// CommitIndex is the highest log index that is known to be committed.
 		CommitIndex uint64
@@ -92,6 +93,9 @@
 	if rec.DiskID, err = loadDiskID(s.fs, s.dir, names); err != nil {
 		return nil, err
 	}
+	if rec.Formation, err = readFormation(s.fs, s.dir); err != nil {
+		return nil, err
+	}
 	if rec.Snapshot, err = readSnapshot(s.fs, s.dir, names); err != nil {
 		return nil, err
 	}
@@ -162,7 +166,10 @@
 }
 
 func encodeDiskID(id string) []byte {
-	line := fmt.Sprintf("briarferry %d %s", formatVersion, id)
+	return withChecksum(fmt.Sprintf("briarferry %d %s", formatVersion, id))
+}
+
+func withChecksum(line string) []byte {
 	return fmt.Appendf(nil, "%s %08x\n", line, crc32.Checksum([]byte(line), castagnoli))
 }
 
--- a/internal/transport/bfrpc/raft.go
+++ b/internal/transport/bfrpc/raft.go
@@ -24,6 +24,7 @@
 	procedureRaftInfo   = "/briarferry.Agreement/Info"
 	procedureRaftJoin   = "/briarferry.Agreement/Join"
 	procedureRaftLeave  = "/briarferry.Agreement/Leave"
+	procedureRaftPledge = "/briarferry.Agreement/Pledge"
 
 	maxBatchMessages = 256
 	raftCallTimeout  = time.Second
@@ -44,8 +45,8 @@
 		Sequence uint64 `cbor:"1,keyasint"`
 	}
 
-	// MemberRequest asks the leader to add a replica as a learner, or tells it that the
-	// replica stops.
+	// MemberRequest asks the leader to add a replica as a learner, tells it that the replica
+	// stops, or asks for a pledge to the replica.
 	MemberRequest struct {
 		ID string `cbor:"1,keyasint"`
 	}
@@ -64,6 +65,7 @@
 		Info() bfreplica.Info
 		Join(ctx context.Context, id string) error
 		Leave(ctx context.Context, id string) (mayStop bool, err error)
+		Pledge(ctx context.Context, former string) (bfreplica.Info, error)
 	}
 
 	// RaftClient sends Raft messages to the replicas on other VMs. The exported fields
@@ -144,6 +146,13 @@
 		}
 		return &LeaveReply{MayStop: mayStop}, nil
 	})
+	Handle(mux, procedureRaftPledge, func(ctx context.Context, m *MemberRequest) (*bfreplica.Info, error) {
+		info, err := r.Pledge(ctx, m.ID)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+		}
+		return &info, nil
+	})
 }
 
 func receiveBatches(r RaftReplica, s *connect.BidiStream[RaftBatch, RaftAck]) error {
@@ -265,6 +274,19 @@
 	return res.MayStop, nil
 }
 
+// Pledge asks the replica on a VM for its pledge. One of an earlier version doesn't know the
+// call and gives its state, without a pledge.
+func (c *RaftClient) Pledge(ctx context.Context, vm, former string) (bfreplica.Info, error) {
+	res, err := callRaft[MemberRequest, bfreplica.Info](ctx, c, vm, procedureRaftPledge, &MemberRequest{ID: former})
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		return c.Info(ctx, vm)
+	}
+	if err != nil {
+		return bfreplica.Info{}, err
+	}
+	return *res, nil
+}
+
 func callRaft[Req, Res any](ctx context.Context, c *RaftClient, vm, procedure string, req *Req) (*Res, error) {
 	p := c.peer(vm)
 	if p == nil {
--- a/internal/transport/bfrpc/raft_client_test.go
+++ b/internal/transport/bfrpc/raft_client_test.go
@@ -111,7 +111,11 @@
 	r.commits = append(r.commits, m.Commit)
 }
 
-func (r *commitRecorder) Info() bfreplica.Info               { return bfreplica.Info{} }
+func (r *commitRecorder) Info() bfreplica.Info { return bfreplica.Info{} }
+func (r *commitRecorder) Pledge(_ context.Context, former string) (bfreplica.Info, error) {
+	return bfreplica.Info{ID: "new/1", Former: former}, nil
+}
+
 func (r *commitRecorder) Join(context.Context, string) error { return nil }
 
 func (r *commitRecorder) Leave(_ context.Context, id string) (bool, error) {
@@ -243,3 +247,29 @@
 		}
 	}
 }
+
+// TestPledge guards against a group that doesn't form while some replicas are of an earlier
+// version, which doesn't know the call.
+func TestPledge(t *testing.T) {
+	_, addr := startRecorder(t)
+	mux := http.NewServeMux()
+	Handle(mux, procedureRaftInfo, func(context.Context, *Empty) (*bfreplica.Info, error) {
+		return &bfreplica.Info{ID: "earlier/1"}, nil
+	})
+	earlier := httptest.NewServer(mux)
+	t.Cleanup(earlier.Close)
+	client := &RaftClient{Peers: map[string]netip.AddrPort{
+		"new": netip.MustParseAddrPort(addr), "earlier": netip.MustParseAddrPort(earlier.Listener.Addr().String()),
+	}}
+	for _, tc := range []struct{ vm, former, id, pledged string }{
+		{"new", "a/1", "new/1", "a/1"},
+		{"earlier", "a/1", "earlier/1", ""},
+		{"new", "no-disk", "", ""},
+		{"unknown", "a/1", "", ""},
+	} {
+		info, err := client.Pledge(t.Context(), tc.vm, tc.former)
+		if info.ID != tc.id || info.Former != tc.pledged || (err == nil) != (tc.id != "") {
+			t.Errorf("pledge of %s to %s: %+v, %v; want that of %q to %q", tc.vm, tc.former, info, err, tc.id, tc.pledged)
+		}
+	}
+}
--- a/internal/transport/bfrpc/security_test.go
+++ b/internal/transport/bfrpc/security_test.go
@@ -25,15 +25,18 @@
 )
 
 var allProcedures = []string{
-	procedureRaftStream, procedureRaftInfo, procedureRaftJoin, procedureRaftLeave, procedureSync, procedureClaims, procedureChange, procedureConfig, procedureStatus,
+	procedureRaftStream, procedureRaftInfo, procedureRaftJoin, procedureRaftLeave, procedureRaftPledge, procedureSync, procedureClaims, procedureChange, procedureConfig, procedureStatus,
 	procedureQuarantineLock, procedureQuarantineUnlock, procedureQuarantineShare, procedureQuarantineFetch,
 }
 
 // countingReplica counts the messages that it receives.
 type countingReplica struct{ delivered atomic.Int64 }
 
-func (r *countingReplica) Deliver(bfraft.Message)                      { r.delivered.Add(1) }
-func (r *countingReplica) Info() bfreplica.Info                        { return bfreplica.Info{} }
+func (r *countingReplica) Deliver(bfraft.Message) { r.delivered.Add(1) }
+func (r *countingReplica) Info() bfreplica.Info   { return bfreplica.Info{} }
+func (r *countingReplica) Pledge(context.Context, string) (bfreplica.Info, error) {
+	return bfreplica.Info{}, nil
+}
 func (r *countingReplica) Join(context.Context, string) error          { return nil }
 func (r *countingReplica) Leave(context.Context, string) (bool, error) { return true, nil }
 
