Number heartbeats so that an earlier process's answers don't count

What callers see: nothing; an entry that starts again may run requests in home regions that are no longer in force.

Cause: heartbeats are numbered from 1 in each process. The control VM's confirmation of the route table names only that number, and the entry counts it from its own heartbeat with the number. So a delayed answer to the earlier process looks like a new one, and its table like the newest.

Change: the first number is random. It still leaves the remainder 1 when divided by MemberListInterval, by which control VMs of all versions recognize the first heartbeat, which they answer with their addresses.

Result: TestAnswerToEarlierProcess failed before (status 200 and one request at a server) and passes.

--- a/internal/protocol/bfwire/fleet.go
+++ b/internal/protocol/bfwire/fleet.go
@@ -11,6 +11,10 @@
 const (
 	maxControlAddrs = 64
 	maxEntries      = 4096
+	// MemberListInterval is the number of an entry's heartbeats of which one is answered with
+	// the members of the group: that whose sequence leaves the remainder 1. The list is half of
+	// an answer in a group of 11.
+	MemberListInterval = 8
 )
 
 type (
@@ -22,6 +26,8 @@
 		Ready bool
 		// Revision is the revision of the state that the entry uses.
 		Revision uint64
+		// Sequence grows by 1 with each heartbeat. An entry starts with a random one that leaves
+		// the remainder 1 when divided by MemberListInterval.
 		Sequence uint64
 		// Load is the utilization of the entry's link, as a share of its capacity.
 		Load float64
--- a/internal/transport/bfcontrol/member_news_test.go
+++ b/internal/transport/bfcontrol/member_news_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"briarferry/internal/protocol/bfwire"
 )
 
 // TestMemberNews guards against entries that don't learn new members, and against lists in
@@ -17,13 +19,13 @@
 	}
 	now = now.Add(memberNewsTime)
 	listed := 0
-	for sequence := uint64(2); sequence < 2+10*memberListInterval; sequence++ {
+	for sequence := uint64(2); sequence < 2+10*bfwire.MemberListInterval; sequence++ {
 		if n.due(now, sequence, first) {
 			listed++
 		}
 	}
 	if listed != 10 {
-		t.Errorf("%d of %d heartbeats list unchanged members, want 10", listed, 10*memberListInterval)
+		t.Errorf("%d of %d heartbeats list unchanged members, want 10", listed, 10*bfwire.MemberListInterval)
 	}
 	changed := append(first, netip.MustParseAddr("10.0.0.2"))
 	if !n.due(now, 4, changed) || !n.due(now.Add(memberNewsTime/2), 5, changed) {
--- a/internal/transport/bfgateway/fleet_sync.go
+++ b/internal/transport/bfgateway/fleet_sync.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -83,7 +85,9 @@
 		// timeouts is the number of fetches in a row that timed out. Only the fetch loop uses it.
 		timeouts int
 
-		mu       sync.Mutex
+		mu sync.Mutex
+		// sequence is that of the last heartbeat. It starts at random, as an answer to an earlier
+		// process of the entry may still be on its way.
 		sequence uint64
 		// tableUnconfirmed is true while the log says that the route table isn't confirmed.
 		tableUnconfirmed bool
@@ -131,7 +135,7 @@
 	f.state.Store(&bffleet.State{})
 	f.live.Store(&[]briarferry.VM{f.self.VM()})
 	f.fetchNow, f.heartbeatNow = make(chan struct{}, signalBuffer), make(chan struct{}, signalBuffer)
-	f.sentAt = map[uint64]sendTime{}
+	f.sequence, f.sentAt = firstSequence(), map[uint64]sendTime{}
 	if f.clock == nil {
 		f.clock = bfclock.SinceBoot
 	}
@@ -139,6 +143,12 @@
 	f.client = bfrpc.NewFleetClient()
 }
 
+// firstSequence returns the number before that of the first heartbeat, which is answered with the
+// list of control VMs.
+func firstSequence() uint64 {
+	return rand.Uint64N(math.MaxUint32) * bfwire.MemberListInterval
+}
+
 // run sends heartbeats and fetches changes until the context ends.
 func (f *fleetSync) run(ctx context.Context) {
 	var group sync.WaitGroup
--- a/internal/transport/bfgateway/homes_test.go
+++ b/internal/transport/bfgateway/homes_test.go
@@ -217,3 +217,27 @@
 		t.Errorf("the confirmation is %v old, want 1.5s", age)
 	}
 }
+
+// TestAnswerToEarlierProcess guards against an entry that starts again and takes a delayed answer
+// to a heartbeat of its earlier process for one to its own.
+func TestAnswerToEarlierProcess(t *testing.T) {
+	earlier, h := newTestEntry(t, answer(200, "X-Signature")), newHomesEntry(t, []string{"q"}, answer(200, "X-Signature"))
+	h.node.fleet.confirmations.Require()
+	for _, n := range []*Node{earlier.node, h.node} {
+		n.fleet.seeds = func() []netip.Addr { return nil }
+		for i := range 3 {
+			n.fleet.sendHeartbeat(time.Now())
+			if i == 0 && n.fleet.sequence%bfwire.MemberListInterval != 1 {
+				t.Errorf("the first heartbeat has sequence %d, whose answer lists no control VMs", n.fleet.sequence)
+			}
+		}
+	}
+	h.node.fleet.confirm(&bfwire.TableConfirmation{EchoSequence: earlier.node.fleet.sequence, Version: h.state.RoutesVersion()})
+	got, err := h.send(t.Context(), "/read/1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ran := h.inR.Load() + h.inQ.Load(); got.status != http.StatusServiceUnavailable || ran != 0 {
+		t.Errorf("status %d and %d requests at servers, want 503 and none", got.status, ran)
+	}
+}
