Check before each part of a body that the request may still be sent

What callers see: a body that arrives slowly, or that the server takes slowly, goes on to a region that is no home any more.

Cause: the permission to send a request was asked for once, before its first byte, and used until the end of the body.

Change: MaySend is asked before each part of a body. If it is withdrawn, the connection is closed and the try ends with ErrWithdrawn. The server isn't blamed. An answer that came before is used.

--- a/internal/transport/bfupstream/client.go
+++ b/internal/transport/bfupstream/client.go
@@ -91,7 +91,7 @@
 	if r.Stream != nil {
 		a, err = c.exchangeStream(ctx, conn, t, r)
 	} else {
-		a, err = c.exchange(ctx, conn, t)
+		a, err = c.exchange(ctx, conn, t, r)
 	}
 	s.end(err)
 	if err != nil {
--- a/internal/transport/bfupstream/errors.go
+++ b/internal/transport/bfupstream/errors.go
@@ -23,9 +23,9 @@
 	// ErrNoSignature is returned for an answer without the server's signature or with a
 	// Content-Encoding header.
 	ErrNoSignature = errors.New("answer does not carry the server's receipt")
-	// ErrWithdrawn is returned if the server must not get requests any more. Nothing was
-	// sent.
-	ErrWithdrawn = errors.New("server was withdrawn before the request was sent")
+	// ErrWithdrawn is returned if the server must not get the request any more. The server may
+	// have got a part of its body.
+	ErrWithdrawn = errors.New("server was withdrawn before the whole request was sent")
 	// ErrCallerLeft is returned if the caller no longer waits for the answer. Nothing was
 	// sent.
 	ErrCallerLeft = errors.New("caller left before the request was sent")
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"briarferry"
@@ -27,11 +28,22 @@
 )
 
 type (
-	// streamReader reads a BodyStream. Reads end with its context.
+	// heldReader reads a body that is held whole, as long as the request may be sent.
+	heldReader struct {
+		io.Reader
+		maySend func() bool
+		// withdrawn is true if the request may not be sent any more.
+		withdrawn bool
+	}
+
+	// streamReader reads a BodyStream, as long as the request may be sent. Reads end with its
+	// context.
 	streamReader struct {
 		ctx    context.Context
 		stream briarferry.BodyStream
-		rest   []byte
+		// maySend is Request.MaySend, which may be nil.
+		maySend func() bool
+		rest    []byte
 		// err is the error with which the stream ended, or nil.
 		err error
 	}
@@ -60,9 +72,43 @@
 
 func (s *streamReader) next() error {
 	s.rest, s.err = s.stream.Next(s.ctx)
+	// The caller may have taken long to send the bytes.
+	if s.err == nil && s.maySend != nil && !s.maySend() {
+		s.rest, s.err = nil, ErrWithdrawn
+	}
 	return s.err
 }
 
+// Read returns further bytes of the body.
+func (h *heldReader) Read(b []byte) (int, error) {
+	if !h.maySend() {
+		h.withdrawn = true
+		return 0, ErrWithdrawn
+	}
+	return h.Reader.Read(b)
+}
+
+// failure returns the error of a try, which isn't the server's fault if the sending of the body
+// was ended.
+func (h *heldReader) failure(err error) error {
+	var failure *briarferry.TryError
+	if h != nil && h.withdrawn && errors.As(err, &failure) && failure.ConnectionLost {
+		failure.ConnectionLost, failure.Err = false, ErrWithdrawn
+	}
+	return err
+}
+
+// holdBody makes the sending of the request's body end once the request may not be sent any
+// more. It returns nil if it always may.
+func holdBody(out *http.Request, r *briarferry.Request) *heldReader {
+	if r.MaySend == nil || len(r.Body) == 0 {
+		return nil
+	}
+	h := &heldReader{Reader: out.Body, maySend: r.MaySend}
+	out.Body = io.NopCloser(h)
+	return h
+}
+
 // ReadFrom sends the body. net/http calls it when it has written the head, with a reader of
 // the same body.
 func (w streamWriter) ReadFrom(io.Reader) (int64, error) {
@@ -96,7 +142,7 @@
 func (c *Client) exchangeStream(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
 	sending, stopSending := context.WithCancelCause(ctx)
 	defer stopSending(nil)
-	body := &streamReader{ctx: sending, stream: r.Stream}
+	body := &streamReader{ctx: sending, stream: r.Stream, maySend: r.MaySend}
 	t.request.Body, t.request.ContentLength = io.NopCloser(body), r.Stream.Length()
 	p := conn.expect(t)
 	if p == nil {
--- a/internal/transport/bfupstream/try.go
+++ b/internal/transport/bfupstream/try.go
@@ -21,13 +21,15 @@
 }
 
 // exchange sends the request over the connection and waits for its answer.
-func (c *Client) exchange(ctx context.Context, conn *conn, t try) (*briarferry.Answer, error) {
+func (c *Client) exchange(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
+	body := holdBody(t.request, r)
 	stop := context.AfterFunc(ctx, conn.close)
 	results, err := conn.send(t)
 	if err != nil {
 		stop()
 		conn.discard(ctx)
-		return t.earlyAnswer(ctx, conn, results, err)
+		a, err := t.earlyAnswer(ctx, conn, results, err)
+		return a, body.failure(err)
 	}
 	defer c.suspectIfSilent(conn, t.backend.Service)()
 	got := <-results
--- a/request.go
+++ b/request.go
@@ -60,7 +60,7 @@
 		// CallerLeft, if set, reports whether the caller no longer waits for the answer.
 		CallerLeft func() bool
 		// MaySend, if set, reports whether the request may still be sent to the chosen server.
-		// It is asked before the first byte.
+		// It is asked before the first byte and before each part of the body.
 		MaySend func() bool
 	}
 
