Withdraw requests that may not be sent and aren't acknowledged

What callers see: a request reaches a server outside the home regions seconds after they changed, once a partition between the entry and the server ends.

Cause: a request that was written is in the operating system's hands, which goes on sending it until the request's deadline. The permission to send it was not asked for again.

Change: MaySend is asked every 250 ms until the answer comes. If it is withdrawn and the server hasn't acknowledged all bytes, the connection is reset, which also drops what waits to be sent, and the try ends with ErrWithdrawn. The caller gets 502 with an unknown outcome.

Result: TestUnacknowledgedRequestIsWithdrawn failed without the checks (the try went on until its deadline, after 5 s) and passes; the race tests of bfupstream pass.

--- a/internal/transport/bfupstream/conn.go
+++ b/internal/transport/bfupstream/conn.go
@@ -218,10 +218,7 @@
 // all is acknowledged is closed in the ordinary way: the end of a connection is sent again
 // until it arrives, while a reset that is lost leaves the server at work.
 func discardUnacknowledged(c net.Conn) {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapper.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok && !isAcknowledged(tcp) {
+	if tcp := tcpConn(c); tcp != nil && !isAcknowledged(tcp) {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/internal/transport/bfupstream/request_body.go
+++ b/internal/transport/bfupstream/request_body.go
@@ -149,7 +149,8 @@
 		conn.discard(ctx)
 		return nil, t.failure(ctx, conn, net.ErrClosed)
 	}
-	stop := context.AfterFunc(ctx, conn.close)
+	stop, checks := context.AfterFunc(ctx, conn.close), watch(conn, r)
+	defer checks.stop()
 	// The time left is that at the start of the request, after the wait for a connection.
 	c.setRemainingTime(ctx, t.request, r)
 	sent := make(chan error, 1)
@@ -168,6 +169,7 @@
 			got.err = bodyFailure(body)
 		}
 	}
+	checks.stop()
 	if !stop() && got.err == nil {
 		// The answer arrived when the context ended. It counts as late.
 		got.memory.release()
@@ -181,7 +183,7 @@
 	if errors.Is(got.err, ErrRequestBody) {
 		failure.ConnectionLost = false
 	}
-	return nil, failure
+	return nil, checks.failure(failure)
 }
 
 // awaitAnswer waits for the answer after sending has ended with the given error.
--- a/internal/transport/bfupstream/try.go
+++ b/internal/transport/bfupstream/try.go
@@ -22,17 +22,20 @@
 
 // exchange sends the request over the connection and waits for its answer.
 func (c *Client) exchange(ctx context.Context, conn *conn, t try, r *briarferry.Request) (*briarferry.Answer, error) {
-	body := holdBody(t.request, r)
+	body, checks := holdBody(t.request, r), watch(conn, r)
+	defer checks.stop()
 	stop := context.AfterFunc(ctx, conn.close)
 	results, err := conn.send(t)
 	if err != nil {
 		stop()
+		checks.stop()
 		conn.discard(ctx)
 		a, err := t.earlyAnswer(ctx, conn, results, err)
-		return a, body.failure(err)
+		return a, checks.failure(body.failure(err))
 	}
 	defer c.suspectIfSilent(conn, t.backend.Service)()
 	got := <-results
+	checks.stop()
 	if !stop() && got.err == nil {
 		// The answer arrived when the context ended. It counts as late.
 		got.memory.release()
@@ -40,7 +43,7 @@
 	}
 	if got.err != nil {
 		conn.discard(ctx)
-		return nil, t.failure(ctx, conn, got.err)
+		return nil, checks.failure(t.failure(ctx, conn, got.err))
 	}
 	return t.accept(conn, got)
 }
--- a/internal/transport/bfupstream/withdrawn_body_test.go
+++ b/internal/transport/bfupstream/withdrawn_body_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +80,61 @@
 		})
 	}
 }
+
+// countedConn counts the bytes that were written to the operating system.
+type countedConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countedConn) NetConn() net.Conn { return c.Conn }
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// TestUnacknowledgedRequestIsWithdrawn guards against a request that the operating system goes on
+// sending, as after a partition, to a server that may not get it any more. The server doesn't read.
+func TestUnacknowledgedRequestIsWithdrawn(t *testing.T) {
+	// size is more than the server's socket takes, and less than the client's.
+	const size = 200 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	// asked counts the questions after all was written. The first one precedes the read of the
+	// body's end.
+	var written, asked atomic.Int64
+	c := &Client{Dialect: testDialect, Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", to.String())
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{conn, &written}, conn.(*net.TCPConn).SetWriteBuffer(2 * size)
+	}}
+	b := testBackend
+	b.Address = netip.MustParseAddrPort(ln.Addr().String())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = c.Do(ctx, b, &briarferry.Request{
+		ID: "a", Method: "POST", Target: "/x", Body: make([]byte, size), Deadline: time.Now().Add(time.Minute),
+		MaySend: func() bool { return written.Load() <= size || asked.Add(1) == 1 },
+	})
+	var got *briarferry.TryError
+	if !errors.As(err, &got) || !errors.Is(err, ErrWithdrawn) || !got.Dispatched || got.ConnectionLost {
+		t.Errorf("error %v, want ErrWithdrawn after dispatch", err)
+	}
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	_ = server.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := io.Copy(io.Discard, server); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the server read %d bytes, then %v; want a reset", n, err)
+	}
+}
