Confirm the route table at every control VM

What callers see: requests with home regions get 503 at entries that have no link to the leader's VM, and at all entries of this build while a control VM of this build answers and one of an earlier version leads, without end.

Cause: only the leader confirms tables, so its version and the one link to it decide.

Change: the other control VMs ask the leader every 900 ms. The question is MsgReadIndex, which all versions answer. With 19 control VMs that is 20 rounds of heartbeats a second at most, beside ten periodic ones.

Result: TestConfirmationsWithoutLink failed before (both other control VMs confirmed nothing) and passes; the race tests of bfcontrol pass. Not run with processes of an earlier version.

--- a/internal/transport/bfcontrol/confirmation.go
+++ b/internal/transport/bfcontrol/confirmation.go
@@ -12,6 +12,9 @@
 const (
 	// confirmInterval is the time between two confirmations of the route table by the leader.
 	confirmInterval = 300 * time.Millisecond
+	// followerInterval is the number of intervals of which another VM than the leader uses one
+	// to confirm the table. Each question costs the leader a round of heartbeats.
+	followerInterval = 3
 	// confirmTimeout limits one confirmation. It covers two round trips between the most
 	// distant regions.
 	confirmTimeout = 600 * time.Millisecond
@@ -39,23 +42,24 @@
 	return &bfwire.TableConfirmation{EchoSequence: sequence, Version: c.version, Age: now - c.at}, c.version > 0
 }
 
-// confirmLoop confirms the route table while this VM is the leader and the table has home
-// regions. Only the leader does, so that confirmations cost one round of heartbeats each and not
-// one for each control VM.
+// confirmLoop confirms the route table while it has home regions. Other VMs than the leader do so
+// too, if less often: entries may have no link to the leader, or its version may be one that
+// doesn't confirm tables.
 func (n *Node) confirmLoop(ctx context.Context) {
 	ticker := time.NewTicker(confirmInterval)
 	defer ticker.Stop()
-	for {
+	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if n.replica.Status().IsLeader && n.machine.State().Routes.HasHomes() {
+		switch {
+		case !n.machine.State().Routes.HasHomes():
+			n.confirmer.record(0, 0)
+		case i%followerInterval == 0, n.replica.Status().IsLeader:
 			n.confirmTable(ctx)
-			continue
 		}
-		n.confirmer.record(0, 0)
 	}
 }
 
--- a/internal/transport/bfcontrol/confirmation_test.go
+++ b/internal/transport/bfcontrol/confirmation_test.go
@@ -166,3 +166,15 @@
 		t.Errorf("the reply to a query doesn't announce confirmations: %+v, %v", reply, err)
 	}
 }
+
+// TestConfirmationsWithoutLink guards against entries that refuse requests with home regions while
+// the control VM that leads doesn't confirm tables to them: the link to it is cut, or its version
+// is an earlier one.
+func TestConfirmationsWithoutLink(t *testing.T) {
+	nodes, leader := newHomesGroup(t)
+	for _, n := range nodes {
+		if n != leader && !confirmedAfter([]*testNode{n}, 1, bfclock.SinceBoot(), 30) {
+			t.Errorf("%s, which doesn't lead, confirms nothing", n.Address)
+		}
+	}
+}
