Test confirmations of a newer table that arrive out of order

Cause: the tests of Confirmations passed where the confirmation of a table that isn't in use yet was replaced by an earlier one.

Change: a case of TestConfirmations. No code changes.

Result: the case passes, and fails where the earlier one replaces the later.

--- a/internal/coordination/bfroute/confirmation_test.go
+++ b/internal/coordination/bfroute/confirmation_test.go
@@ -26,6 +26,7 @@
 		{"confirmed before the first table", func(c *Confirmations) { c.Confirm(4, at); c.Use(4) }, at, true},
 		{"an older one was the newest", func(c *Confirmations) { c.Use(3); c.Confirm(2, at) }, at, true},
 		{"confirmations out of order", func(c *Confirmations) { c.Use(1); c.Confirm(1, at); c.Confirm(1, at-time.Second) }, at + MaxConfirmationAge, true},
+		{"confirmations of a newer one out of order", func(c *Confirmations) { c.Use(1); c.Confirm(2, at); c.Confirm(2, at-time.Second); c.Use(2) }, at + MaxConfirmationAge, true},
 		{"first table of a restarted entry is an old one", func(c *Confirmations) { c.Require(); c.Use(1); c.Confirm(5, at) }, at, false},
 	}
 	for _, c := range cases {
