--- a/internal/coordination/bfroute/confirmation.go
+++ b/internal/coordination/bfroute/confirmation.go
@@ -7,7 +7,7 @@
 
 // MaxConfirmationAge is the time after a confirmation for which a table counts as the newest. An
 // entry that is cut off or frozen uses the homes of an older table for no longer than this after
-// a newer one was accepted. It spans an election of the control group.
+// a newer one was accepted. Most elections of the control group fit into it.
 const MaxConfirmationAge = 2250 * time.Millisecond
 
 // Confirmations tells whether an entry's route table is known to be the newest. Times are those
