Number reads from a random start

Cause: reads were numbered from the wall clock's time at the start of the process. If the clock was set back, a delayed reply to a read of the earlier process could answer a read of the next one with an older index. Operators and, since the confirmations of tables, entries rely on it.

Change: the first number is random.

--- a/internal/coordination/bfreplica/node.go
+++ b/internal/coordination/bfreplica/node.go
@@ -193,7 +193,7 @@
 		n.pendingReads = map[uint64]*read{}
 		n.leavingSince = map[string]int{}
 		// Replies to reads of an earlier process may still arrive and must not match new ones.
-		n.lastReadID = uint64(time.Now().UnixNano())
+		n.lastReadID = rand.Uint64()
 		n.pendingCommands.byIndex = map[uint64]*proposal{}
 		n.pendingCommands.limit, n.pendingCommands.notFull = n.MaxPending, make(chan struct{}, 1)
 	})
