--- a/internal/transport/bfgateway/table_confirmation.go
+++ b/internal/transport/bfgateway/table_confirmation.go
@@ -13,16 +13,17 @@
 	}
 }
 
-// logConfirmation logs when the route table begins or ends to count as the newest. mu is held.
+// logConfirmation logs when a route table with homes begins or ends to count as the newest. Control
+// VMs confirm no others. mu is held.
 func (f *fleetSync) logConfirmation() {
-	now := f.clock()
-	unconfirmed := !f.confirmations.IsCurrent(now)
-	if unconfirmed == f.tableUnconfirmed || f.state.Load().Routes == nil {
+	now, table := f.clock(), f.state.Load().Routes
+	unconfirmed := table.HasHomes() && !f.confirmations.IsCurrent(now)
+	if unconfirmed == f.tableUnconfirmed {
 		return
 	}
 	f.tableUnconfirmed = unconfirmed
 	age, _ := f.confirmations.Age(now)
-	f.log.Info().Uint64("version", f.state.Load().RoutesVersion()).Bool("confirmed", !unconfirmed).Dur("age_ms", age).Msg("confirmation of the route table")
+	f.log.Info().Uint64("version", table.Version).Bool("confirmed", !unconfirmed).Dur("age_ms", age).Msg("confirmation of the route table")
 }
 
 // confirmationAge returns the time since the route table was last known to be the newest, in
